--- /dev/null
+++ b/gatereel-adapters/src/main/java/org/gatereel/adapters/platform/PlatformMessages.java
@@ -0,0 +1,26 @@
+package org.gatereel.adapters.platform;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedMap;
+
+/** The JSON bodies of the platform's table service. */
+public final class PlatformMessages {
+  private PlatformMessages() {}
+
+  /** A row to write; {@code expected} is null if the row must not exist. */
+  public record Write(String key, String expected, String value) {}
+
+  /** Asks for a transaction. */
+  public record Transaction(List<Write> writes) {}
+
+  /** Says which conditions failed and what stands there. */
+  public record Conflict(Set<String> keys, Map<String, String> present) {}
+
+  /** Asks for single rows. */
+  public record Read(List<String> keys) {}
+
+  /** Rows by key. */
+  public record Rows(SortedMap<String, String> rows) {}
+}
--- /dev/null
+++ b/gatereel-adapters/src/main/java/org/gatereel/adapters/targets/Refusals.java
@@ -0,0 +1,31 @@
+package org.gatereel.adapters.targets;
+
+import java.io.IOException;
+import okhttp3.Response;
+import org.gatereel.adapters.Json;
+import org.gatereel.core.event.TargetFailure;
+
+/** Reads the answers of targets that did not start a request. */
+final class Refusals {
+  private static final int UNAVAILABLE = 503;
+
+  private Refusals() {}
+
+  static boolean isRefusal(Response response) {
+    return response.code() == UNAVAILABLE;
+  }
+
+  /** Returns the failure that a refusal stands for; an unreadable one proves nothing. */
+  static TargetFailure read(Response response) {
+    try {
+      var refusal = Json.MAPPER.readValue(response.body().string(), EngineMessages.Refusal.class);
+      return switch (String.valueOf(refusal.reason())) {
+        case "LEAVING" -> TargetFailure.GOODBYE;
+        case "FULL" -> TargetFailure.FULL;
+        default -> TargetFailure.ERROR;
+      };
+    } catch (IOException e) {
+      return TargetFailure.ERROR;
+    }
+  }
+}
--- /dev/null
+++ b/gatereel-adapters/src/main/java/org/gatereel/adapters/targets/ServiceClient.java
@@ -0,0 +1,88 @@
+package org.gatereel.adapters.targets;
+
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.util.concurrent.TimeUnit;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.gatereel.adapters.SentMarker;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.event.TargetFailure;
+
+/** Speaks with plain services. */
+public final class ServiceClient {
+  private static final MediaType TEXT = MediaType.get("application/octet-stream");
+  private static final String LOAD = "Load";
+
+  private final OkHttpClient client;
+  private final TargetListener listener;
+
+  public ServiceClient(OkHttpClient client, TargetListener listener) {
+    this.client = client;
+    this.listener = listener;
+  }
+
+  /** Sends a call once; whether to send it again is not decided here. */
+  public void send(Action.SendCall send) {
+    SentMarker marker = new SentMarker();
+    Request request =
+        marker
+            .tag(new Request.Builder())
+            .url(EngineClient.url(send.target().address(), "call"))
+            .header("Idempotency-Key", send.executionId())
+            .header("Priority", "u=" + send.priority())
+            .post(RequestBody.create(send.body(), TEXT))
+            .build();
+    Call call = client.newCall(request);
+    call.timeout().timeout(send.timeoutMillis(), TimeUnit.MILLISECONDS);
+    call.enqueue(new Answer(send.ticket(), marker));
+  }
+
+  private final class Answer implements Callback {
+    private final long ticket;
+    private final SentMarker marker;
+
+    private Answer(long ticket, SentMarker marker) {
+      this.ticket = ticket;
+      this.marker = marker;
+    }
+
+    @Override
+    public void onFailure(Call call, IOException failure) {
+      if (!marker.isSent()) {
+        listener.callFailed(ticket, TargetFailure.NOT_CONNECTED);
+      } else if (failure instanceof InterruptedIOException) {
+        listener.callFailed(ticket, TargetFailure.TIMEOUT);
+      } else {
+        listener.callFailed(ticket, TargetFailure.RESET);
+      }
+    }
+
+    @Override
+    public void onResponse(Call call, Response response) {
+      try (response) {
+        if (Refusals.isRefusal(response)) {
+          listener.callFailed(ticket, Refusals.read(response));
+          return;
+        }
+        String body = response.body().string();
+        listener.answered(ticket, response.code(), body, load(response));
+      } catch (IOException e) {
+        listener.callFailed(ticket, TargetFailure.RESET);
+      }
+    }
+
+    private int load(Response response) {
+      try {
+        return Integer.parseInt(response.header(LOAD, "0"));
+      } catch (NumberFormatException e) {
+        return 0;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/gatereel-control/src/main/java/org/gatereel/control/Printer.java
@@ -0,0 +1,66 @@
+package org.gatereel.control;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.PrintStream;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.gatereel.core.table.Row;
+import org.gatereel.core.table.TableEdit;
+
+/** Prints what commands found, as text or as JSON. */
+public final class Printer {
+  private final PrintStream out;
+  private final boolean json;
+
+  public Printer(PrintStream out, boolean json) {
+    this.out = out;
+    this.json = json;
+  }
+
+  /** Prints a value as JSON, or else some lines of text. */
+  public void print(Object value, List<String> lines) throws ControlException {
+    if (!json) {
+      lines.forEach(out::println);
+      return;
+    }
+    try {
+      out.println(AdminClient.MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(value));
+    } catch (JsonProcessingException e) {
+      throw new ControlException(ExitCode.INCOMPLETE, "cannot be written as JSON", e);
+    }
+  }
+
+  public static String describe(Row row) {
+    return row.key() + " @" + row.revision() + "  " + cells(row.cells());
+  }
+
+  public static String describe(TableEdit edit) {
+    String what = edit.row().deleted() ? "deleted" : cells(edit.row().cells());
+    return String.format(
+        "%6d  %s  %-12s  %s  %s",
+        edit.revision(),
+        Instant.ofEpochMilli(edit.wallClockMillis()),
+        edit.operator(),
+        edit.row().key(),
+        what);
+  }
+
+  public static String describe(AdminMessages.TimelineEntry entry) {
+    return String.format(
+        "%s  %-12s  %3d %-22s  %s  %s",
+        Instant.ofEpochMilli(entry.wallClockMillis()),
+        entry.host(),
+        entry.number(),
+        entry.name(),
+        entry.subject(),
+        entry.detail());
+  }
+
+  private static String cells(Map<String, String> cells) {
+    return cells.entrySet().stream()
+        .map(cell -> cell.getKey() + "=" + cell.getValue())
+        .collect(Collectors.joining(" "));
+  }
+}
--- /dev/null
+++ b/gatereel-control/src/main/java/org/gatereel/control/table/Numbers.java
@@ -0,0 +1,17 @@
+package org.gatereel.control.table;
+
+import org.gatereel.control.ControlException;
+import org.gatereel.control.ExitCode;
+
+/** Reads revisions as they are typed. */
+final class Numbers {
+  private Numbers() {}
+
+  static long parse(String text) throws ControlException {
+    try {
+      return Long.parseUnsignedLong(text);
+    } catch (NumberFormatException e) {
+      throw new ControlException(ExitCode.USAGE, "a revision is a whole number, not " + text, e);
+    }
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/EntryHost.java
@@ -0,0 +1,367 @@
+package org.gatereel.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.random.RandomGenerator;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.admission.Admission;
+import org.gatereel.core.call.CallDesk;
+import org.gatereel.core.edit.EditDesk;
+import org.gatereel.core.edit.RevisionKeeper;
+import org.gatereel.core.event.Event;
+import org.gatereel.core.event.EventCode;
+import org.gatereel.core.generation.CopyKeeper;
+import org.gatereel.core.generation.GenerationDesk;
+import org.gatereel.core.generation.GenerationOwner;
+import org.gatereel.core.generation.ServiceBudgets;
+import org.gatereel.core.generation.TakeOverDesk;
+import org.gatereel.core.internal.Turn;
+import org.gatereel.core.member.Membership;
+import org.gatereel.core.model.DataCentre;
+import org.gatereel.core.model.HostDescription;
+import org.gatereel.core.model.HostId;
+import org.gatereel.core.model.HostList;
+import org.gatereel.core.model.Outcome;
+import org.gatereel.core.model.Problem;
+import org.gatereel.core.model.ProblemType;
+import org.gatereel.core.model.TargetId;
+import org.gatereel.core.peer.PeerMessage;
+import org.gatereel.core.platform.PlatformPort;
+import org.gatereel.core.table.PolicyTable;
+import org.gatereel.core.target.TargetBook;
+import org.gatereel.core.target.TargetState;
+
+/**
+ * All decisions of one entry host, without I/O, clock or randomness of its own.
+ *
+ * <p>Whoever drives it passes in events and the time and carries out the returned actions in their
+ * order. It must be driven by one thread at a time. Times are milliseconds of a clock that does not
+ * go back.
+ *
+ * <pre>{@code
+ * EntryHost host = new EntryHost(id, dataCentre, random);
+ * carryOut(host.start(now, seeds));
+ * carryOut(host.handle(event, now));
+ * carryOut(host.advance(now)); // once host.nextDeadline() has come
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class EntryHost {
+  private static final long PAUSE_MILLIS = 400;
+  private static final long DRAINING_RETRY_MILLIS = 100;
+
+  private final Turn turn;
+  private final PolicyTable table = new PolicyTable();
+  private final TargetBook book;
+  private final Membership members;
+  private final PlatformPort platform;
+  private final RevisionKeeper revisions;
+  private final EditDesk edits;
+  private final Admission admission;
+  private final CopyKeeper copies;
+  private final GenerationOwner owner;
+  private final GenerationDesk generations;
+  private final TakeOverDesk takeOvers;
+  private final CallDesk calls;
+  private boolean draining;
+  private boolean pumpWanted;
+
+  public EntryHost(HostId self, DataCentre dataCentre, RandomGenerator random) {
+    turn = new Turn(self, dataCentre, random);
+    book = new TargetBook(turn, table);
+    members = new Membership(turn, this::heartbeat);
+    platform = new PlatformPort(turn);
+    revisions = new RevisionKeeper(turn, table, members, platform);
+    edits = new EditDesk(turn, table, platform, revisions);
+    admission = new Admission(turn, book);
+    copies = new CopyKeeper(turn);
+    ServiceBudgets budgets = new ServiceBudgets();
+    owner = new GenerationOwner(turn, table, book, members, budgets, this::wantPump);
+    generations = new GenerationDesk(turn, table, book, admission, owner, budgets);
+    takeOvers = new TakeOverDesk(turn, table, members, owner, copies);
+    calls = new CallDesk(turn, table, book, members, admission, budgets, platform, this::wantPump);
+    book.onLeaving(this::tellLeaving);
+  }
+
+  /** Starts heartbeats and reads; {@code seeds} are peers known from the settings. */
+  public List<Action> start(long now, List<HostDescription> seeds) {
+    turn.moveTo(now);
+    turn.note(EventCode.HOST_STARTED, turn.self().value(), turn.dataCentre().value());
+    members.start(seeds);
+    revisions.start();
+    copies.start();
+    return turn.takeActions();
+  }
+
+  /** Returns when {@link #advance} is wanted next, if no event comes before. */
+  public OptionalLong nextDeadline() {
+    return turn.timers().nextDeadline();
+  }
+
+  /** Lets the time pass. */
+  public List<Action> advance(long now) {
+    moveTo(now);
+    turn.timers().runDue(now);
+    pump();
+    return turn.takeActions();
+  }
+
+  /** Takes in an event. */
+  public List<Action> handle(Event event, long now) {
+    moveTo(now);
+    if (event instanceof Event.TokenArrived token) {
+      owner.token(token);
+    } else if (event instanceof Event.PeerSaid said) {
+      peerSaid(said.from(), said.message());
+    } else if (!handleCaller(event) && !handleTarget(event)) {
+      handleSurroundings(event);
+    }
+    pump();
+    return turn.takeActions();
+  }
+
+  private void moveTo(long now) {
+    OptionalLong due = turn.timers().nextDeadline();
+    turn.moveTo(now);
+    if (due.isPresent() && now - due.getAsLong() > PAUSE_MILLIS) {
+      turn.notePause();
+      long late = now - due.getAsLong();
+      turn.note(EventCode.PAUSE_NOTICED, turn.self().value(), late + " ms");
+    }
+  }
+
+  private boolean handleCaller(Event event) {
+    if (event instanceof Event.GenerationRequested request) {
+      if (mayTakeNew(request.caller())) {
+        generations.requested(request);
+      }
+    } else if (event instanceof Event.CallRequested request) {
+      if (mayTakeNew(request.caller())) {
+        calls.requested(request);
+      }
+    } else if (event instanceof Event.ResumeRequested request) {
+      takeOvers.resumeRequested(request);
+    } else if (event instanceof Event.CallerGone gone) {
+      callerGone(gone.caller());
+    } else if (event instanceof Event.EditRequested request) {
+      edits.requested(request);
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  private boolean mayTakeNew(long caller) {
+    if (draining) {
+      Problem problem =
+          new Problem(
+              ProblemType.DRAINING,
+              Outcome.NOT_RUN,
+              "connect again to reach another host",
+              DRAINING_RETRY_MILLIS);
+      turn.emit(new Action.Refuse(caller, problem));
+    }
+    return !draining;
+  }
+
+  private void callerGone(long caller) {
+    boolean known =
+        owner.callerGone(caller)
+            || generations.callerGone(caller)
+            || takeOvers.callerGone(caller)
+            || calls.callerGone(caller);
+    if (!known) {
+      edits.callerGone(caller);
+    }
+  }
+
+  private boolean handleTarget(Event event) {
+    if (event instanceof Event.AttemptFinished finished) {
+      owner.finished(finished);
+    } else if (event instanceof Event.AttemptFailed failed) {
+      owner.failed(failed);
+    } else if (event instanceof Event.CallAnswered answered) {
+      calls.answered(answered);
+    } else if (event instanceof Event.CallFailed failed) {
+      calls.failed(failed);
+    } else if (event instanceof Event.TargetAnswered answered) {
+      targetAnswered(answered);
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  private void targetAnswered(Event.TargetAnswered answered) {
+    book.find(answered.target()).ifPresent(target -> book.answered(target, answered.load()));
+    if (answered.leaving()) {
+      book.leaving(answered.target());
+    }
+  }
+
+  private void handleSurroundings(Event event) {
+    if (event instanceof Event.HostListSeen seen) {
+      see(seen.list());
+    } else if (event instanceof Event.TransactionEnded ended) {
+      platform.ended(ended);
+    } else if (event instanceof Event.ReadEnded ended) {
+      platform.ended(ended);
+    } else if (event instanceof Event.PeerUnreachable unreachable) {
+      peerUnreachable(unreachable.peer());
+    } else if (event instanceof Event.DrainRequested) {
+      drain();
+    }
+  }
+
+  private void see(HostList list) {
+    members.see(list);
+    book.see(list);
+    wantPump();
+  }
+
+  private void peerUnreachable(HostId peer) {
+    members.unreachable(peer);
+    takeOvers.peerUnreachable(peer);
+    calls.peerUnreachable(peer);
+  }
+
+  private void drain() {
+    if (!draining) {
+      draining = true;
+      turn.note(EventCode.HOST_DRAINING, turn.self().value(), open() + " requests open");
+      members.beatNow();
+    }
+  }
+
+  private PeerMessage heartbeat() {
+    return new PeerMessage.Heartbeat(table.revision(), draining, book.leavingTargets());
+  }
+
+  private void tellLeaving(TargetState target) {
+    PeerMessage message = new PeerMessage.TargetLeaving(target.description().id(), turn.self());
+    members.neighbours().forEach(peer -> turn.emit(new Action.SendPeer(peer, message)));
+  }
+
+  private void peerSaid(HostId from, PeerMessage message) {
+    if (message instanceof PeerMessage.Heartbeat heartbeat) {
+      members.heard(from, heartbeat.draining());
+      revisions.peerHas(from, heartbeat.revision());
+      heartbeat.leavingTargets().forEach(book::leaving);
+      return;
+    }
+    members.heard(from);
+    if (!copySaid(from, message) && !takeOverSaid(from, message) && !tableSaid(from, message)) {
+      if (message instanceof PeerMessage.TargetLeaving leaving) {
+        book.leaving(leaving.target());
+      } else {
+        calls.peerSaid(from, message);
+      }
+    }
+  }
+
+  private boolean copySaid(HostId from, PeerMessage message) {
+    if (message instanceof PeerMessage.CopyAppend append) {
+      copies.append(from, append);
+    } else if (message instanceof PeerMessage.CopyHeld held) {
+      owner.held(from, held);
+    } else if (message instanceof PeerMessage.CopyOpen open) {
+      copies.open(from, open);
+    } else if (message instanceof PeerMessage.CopyDrop drop) {
+      copies.drop(from, drop);
+    } else if (message instanceof PeerMessage.CopyFenced fenced) {
+      owner.fenced(fenced);
+    } else if (message instanceof PeerMessage.CopyMissing missing) {
+      owner.missing(from, missing);
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  private boolean takeOverSaid(HostId from, PeerMessage message) {
+    if (message instanceof PeerMessage.TakeOver ask) {
+      takeOvers.asked(from, ask);
+    } else if (message instanceof PeerMessage.TakeOverGranted granted) {
+      takeOvers.granted(from, granted);
+    } else if (message instanceof PeerMessage.TakeOverRefused refused) {
+      takeOvers.refused(from, refused);
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  private boolean tableSaid(HostId from, PeerMessage message) {
+    if (message instanceof PeerMessage.EditsPush push) {
+      revisions.pushed(from, push);
+    } else if (message instanceof PeerMessage.EditsFetch fetch) {
+      revisions.fetched(from, fetch);
+    } else if (message instanceof PeerMessage.TablePush push) {
+      revisions.pushedWhole(push);
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  private void wantPump() {
+    pumpWanted = true;
+  }
+
+  private void pump() {
+    if (pumpWanted || admission.waiting() > 0) {
+      pumpWanted = false;
+      admission.pump();
+    }
+  }
+
+  /** Returns how many callers wait for an answer. */
+  public int open() {
+    return owner.open() + admission.waiting() + calls.open() + edits.open();
+  }
+
+  public boolean isDraining() {
+    return draining;
+  }
+
+  /** Returns what status pages show; taken at one moment. */
+  public HostStatus status() {
+    List<HostStatus.TargetStatus> targets = new ArrayList<>();
+    for (TargetState target : book.all()) {
+      targets.add(
+          new HostStatus.TargetStatus(
+              target.description(),
+              target.isLeaving(),
+              target.openHere(),
+              target.estimatedLoad(turn.now())));
+    }
+    List<HostStatus.PeerStatus> peers =
+        members.known().stream()
+            .map(peer -> new HostStatus.PeerStatus(peer, members.isAnswering(peer.id())))
+            .toList();
+    return new HostStatus(
+        turn.self(),
+        turn.dataCentre(),
+        table.revision(),
+        draining,
+        owner.open(),
+        owner.size(),
+        copies.size(),
+        admission.waiting(),
+        calls.open(),
+        peers,
+        targets);
+  }
+
+  /** Returns the table in force; to be read on the thread that drives this host. */
+  public PolicyTable table() {
+    return table;
+  }
+
+  /** Returns a target, for whoever drives health checks. */
+  public boolean knows(TargetId target) {
+    return book.find(target).isPresent();
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/admission/Applicant.java
@@ -0,0 +1,21 @@
+package org.gatereel.core.admission;
+
+import org.gatereel.core.model.AccountId;
+import org.gatereel.core.model.Problem;
+import org.gatereel.core.model.ServiceName;
+
+/** A request that wants a target. */
+public interface Applicant {
+  AccountId account();
+
+  ServiceName service();
+
+  /** Returns the cost in tokens or calls; only the ratio between requests of a service counts. */
+  double cost();
+
+  /** Starts the request if a target is free; returns whether it did. */
+  boolean tryStart();
+
+  /** Tells the caller that the request will not run. */
+  void refuse(Problem problem);
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/call/CallDesk.java
@@ -0,0 +1,130 @@
+package org.gatereel.core.call;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.admission.Admission;
+import org.gatereel.core.event.Event;
+import org.gatereel.core.generation.ServiceBudgets;
+import org.gatereel.core.internal.Turn;
+import org.gatereel.core.member.Membership;
+import org.gatereel.core.model.AccountId;
+import org.gatereel.core.model.HostId;
+import org.gatereel.core.model.Problem;
+import org.gatereel.core.model.ProblemType;
+import org.gatereel.core.peer.PeerMessage;
+import org.gatereel.core.platform.PlatformPort;
+import org.gatereel.core.table.Column;
+import org.gatereel.core.table.PolicyTable;
+import org.gatereel.core.table.Row;
+import org.gatereel.core.table.ServiceKind;
+import org.gatereel.core.target.TargetBook;
+
+/** Takes in plain calls from callers: those that may be repeated, and those that may not. */
+public final class CallDesk {
+  private final Turn turn;
+  private final PolicyTable table;
+  private final CallRunner runner;
+  private final OnceDesk once;
+  private final Set<Long> waiting = new HashSet<>();
+
+  public CallDesk(
+      Turn turn,
+      PolicyTable table,
+      TargetBook book,
+      Membership members,
+      Admission admission,
+      ServiceBudgets budgets,
+      PlatformPort platform,
+      Runnable targetFreed) {
+    this.turn = turn;
+    this.table = table;
+    this.runner = new CallRunner(turn, table, book, admission, budgets, targetFreed);
+    this.once = new OnceDesk(turn, members, platform, runner);
+  }
+
+  /** Tells one caller how its call ended, unless the caller has left. */
+  private final class Reply implements CallRunner.Listener {
+    private final long caller;
+
+    private Reply(long caller) {
+      this.caller = caller;
+      waiting.add(caller);
+    }
+
+    @Override
+    public void answered(int status, String body) {
+      if (waiting.remove(caller)) {
+        turn.emit(new Action.Answer(caller, status, body));
+      }
+    }
+
+    @Override
+    public void failed(Problem problem) {
+      if (waiting.remove(caller)) {
+        turn.emit(new Action.Refuse(caller, problem));
+      }
+    }
+  }
+
+  /** Takes in a call. */
+  public void requested(Event.CallRequested event) {
+    Reply reply = new Reply(event.caller());
+    Optional<Row> account = table.accountWithCredential(event.credential());
+    Optional<Row> service =
+        table
+            .service(event.service())
+            .filter(row -> row.choice(Column.KIND, ServiceKind.class) == ServiceKind.CALL);
+    if (account.isEmpty()) {
+      reply.failed(Problem.notRun(ProblemType.UNKNOWN_ACCOUNT, "no account has this key"));
+    } else if (service.isEmpty()) {
+      reply.failed(
+          Problem.notRun(ProblemType.UNKNOWN_SERVICE, "no call service " + event.service()));
+    } else if (service.get().truth(Column.REPEATABLE)) {
+      String id = event.idempotencyKey().orElseGet(() -> "r-" + turn.random().nextLong());
+      runner.run(call(event, account.get(), id), account.get(), service.get(), reply);
+    } else if (event.idempotencyKey().isEmpty()) {
+      reply.failed(
+          Problem.notRun(ProblemType.MISSING_IDEMPOTENCY_KEY, "service " + event.service()));
+    } else {
+      String id = account.get().key().name() + "/" + event.idempotencyKey().get();
+      once.run(call(event, account.get(), id), account.get(), service.get(), reply);
+    }
+  }
+
+  private static CallRunner.Call call(Event.CallRequested event, Row account, String id) {
+    return new CallRunner.Call(
+        new AccountId(account.key().name()), event.service(), id, event.body());
+  }
+
+  /** Notes that a caller's connection ended; the call itself goes on. */
+  public boolean callerGone(long caller) {
+    return waiting.remove(caller);
+  }
+
+  /** Takes in the answer of a target. */
+  public void answered(Event.CallAnswered event) {
+    runner.answered(event);
+  }
+
+  /** Takes in the failure of a target. */
+  public void failed(Event.CallFailed event) {
+    runner.failed(event);
+  }
+
+  /** Takes in what a peer says about claims and calls. */
+  public void peerSaid(HostId from, PeerMessage message) {
+    once.peerSaid(from, message);
+  }
+
+  /** Notes that a peer does not answer. */
+  public void peerUnreachable(HostId peer) {
+    once.peerUnreachable(peer);
+  }
+
+  /** Returns how many calls are open, with callers or at targets. */
+  public int open() {
+    return Math.max(waiting.size(), runner.size());
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/call/OnceDesk.java
@@ -0,0 +1,304 @@
+package org.gatereel.core.call;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.event.EventCode;
+import org.gatereel.core.internal.TimerQueue;
+import org.gatereel.core.internal.Turn;
+import org.gatereel.core.member.Membership;
+import org.gatereel.core.model.HostId;
+import org.gatereel.core.model.Outcome;
+import org.gatereel.core.model.Problem;
+import org.gatereel.core.model.ProblemType;
+import org.gatereel.core.peer.CallState;
+import org.gatereel.core.peer.PeerMessage;
+import org.gatereel.core.platform.PlatformPort;
+import org.gatereel.core.platform.TableWrite;
+import org.gatereel.core.table.Column;
+import org.gatereel.core.table.Row;
+
+/**
+ * Runs calls that may not be repeated at most once for each Idempotency-Key, whichever hosts the
+ * caller sends it to.
+ *
+ * <p>The row of a claim is never taken away from a host that may still act on it. A host that gave
+ * a claim up remembers the value it wrote and says so when asked; only then may another value
+ * replace it, by compare and swap, so that of several hosts one goes on.
+ */
+final class OnceDesk {
+  private static final long REMEMBER_MILLIS = 600_000;
+  private static final long ASK_MILLIS = 1_000;
+  private static final long RETRY_MILLIS = 1_000;
+  private static final int MOST_SWAPS = 4;
+
+  private final Turn turn;
+  private final Membership members;
+  private final ClaimDesk claims;
+  private final CallRunner runner;
+  private final Map<String, CallRecord> records = new HashMap<>();
+  private final Map<Long, Question> questions = new HashMap<>();
+
+  OnceDesk(Turn turn, Membership members, PlatformPort platform, CallRunner runner) {
+    this.turn = turn;
+    this.members = members;
+    this.claims = new ClaimDesk(turn, members, platform);
+    this.runner = runner;
+  }
+
+  /** One caller's wish to have a call run. */
+  private record Wish(
+      CallRunner.Call call,
+      Row account,
+      Row service,
+      CallRunner.Listener listener,
+      String bodyDigest) {
+    private String key() {
+      return ClaimWriter.KEY_PREFIX + call.executionId();
+    }
+  }
+
+  /** A question to the host that holds a claim. */
+  private record Question(HostId host, Wish wish, String present, TimerQueue.Timer timer) {}
+
+  /** Runs a call, or gives the answer that an earlier request with its key had. */
+  void run(CallRunner.Call call, Row account, Row service, CallRunner.Listener listener) {
+    String digest =
+        Hashing.sipHash24()
+            .hashString(call.service().value() + "|" + call.body(), StandardCharsets.UTF_8)
+            .toString();
+    Wish wish = new Wish(call, account, service, listener, digest);
+    CallRecord record = records.get(wish.key());
+    if (record == null) {
+      record = new CallRecord(wish.key(), digest);
+      records.put(wish.key(), record);
+      claim(wish, record, Optional.empty(), 0);
+    } else if (!record.bodyDigest().equals(digest)) {
+      listener.failed(changed(wish));
+    } else if (record.state() == CallState.NOT_SENT) {
+      claim(wish, record, Optional.empty(), 0);
+    } else if (record.state() == CallState.RUNNING) {
+      record.whenEnded(ended -> tell(wish, ended));
+    } else {
+      tell(wish, record);
+    }
+  }
+
+  private void claim(Wish wish, CallRecord record, Optional<String> replaced, int swaps) {
+    String nonce = Long.toHexString(turn.random().nextLong());
+    String value = new ClaimValue(turn.self(), nonce, wish.bodyDigest()).toString();
+    record.claimingWith(value);
+    TableWrite write =
+        replaced
+            .map(old -> TableWrite.replace(wish.key(), old, value))
+            .orElseGet(() -> TableWrite.insert(wish.key(), value));
+    claims.claim(write, present -> claimEnded(wish, record, value, present, swaps));
+  }
+
+  private void claimEnded(
+      Wish wish, CallRecord record, String value, Optional<String> present, int swaps) {
+    if (present.isEmpty()) {
+      turn.note(EventCode.CLAIM_FAILED, wish.call().executionId(), "the table did not answer");
+      endUnsent(
+          wish,
+          record,
+          Problem.notRun(
+              ProblemType.PLATFORM_UNAVAILABLE, "the claim was not confirmed", RETRY_MILLIS));
+    } else if (present.get().equals(value)) {
+      turn.note(EventCode.CLAIM_GRANTED, wish.call().executionId(), value);
+      send(wish, record);
+    } else {
+      taken(wish, record, present.get(), swaps);
+    }
+  }
+
+  private void endUnsent(Wish wish, CallRecord record, Problem problem) {
+    record.abandon();
+    wish.listener().failed(problem);
+    record.end(CallState.NOT_SENT);
+    forgetLater(record);
+  }
+
+  private void send(Wish wish, CallRecord record) {
+    runner.run(wish.call(), wish.account(), wish.service(), new Ending(wish, record));
+  }
+
+  /** Remembers how the call ended and tells all who wait for it. */
+  private final class Ending implements CallRunner.Listener {
+    private final Wish wish;
+    private final CallRecord record;
+
+    private Ending(Wish wish, CallRecord record) {
+      this.wish = wish;
+      this.record = record;
+    }
+
+    @Override
+    public void answered(int status, String body) {
+      wish.listener().answered(status, body);
+      record.answered(status, body);
+      forgetLater(record);
+    }
+
+    @Override
+    public void failed(Problem problem) {
+      if (problem.outcome() == Outcome.NOT_RUN) {
+        endUnsent(wish, record, problem);
+        return;
+      }
+      wish.listener().failed(problem);
+      record.end(CallState.FAILED);
+      forgetLater(record);
+    }
+  }
+
+  private void forgetLater(CallRecord record) {
+    String value = record.claimValue();
+    turn.after(
+        REMEMBER_MILLIS,
+        () -> {
+          boolean unchanged =
+              record.claimValue().equals(value) && record.state() != CallState.RUNNING;
+          if (unchanged) {
+            records.remove(record.key(), record);
+          }
+        });
+  }
+
+  private void taken(Wish wish, CallRecord record, String present, int swaps) {
+    Optional<ClaimValue> claim = ClaimValue.parse(present);
+    boolean otherBody = claim.isPresent() && !claim.get().bodyDigest().equals(wish.bodyDigest());
+    if (otherBody) {
+      endElsewhere(wish, record, changed(wish));
+    } else if (claim.isEmpty() || swaps >= MOST_SWAPS) {
+      endElsewhere(wish, record, alreadyClaimed(wish, "the claim cannot be followed"));
+    } else if (record.hasAbandoned(present)) {
+      claim(wish, record, Optional.of(present), swaps + 1);
+    } else {
+      ask(wish, record, claim.get().host(), present, swaps);
+    }
+  }
+
+  private void ask(Wish wish, CallRecord record, HostId host, String present, int swaps) {
+    turn.note(EventCode.CLAIM_TAKEN, wish.call().executionId(), "by " + host);
+    if (host.equals(turn.self()) || !members.isAnswering(host)) {
+      endElsewhere(wish, record, alreadyClaimed(wish, host + " has it and does not answer"));
+      return;
+    }
+    long ticket = turn.nextTicket();
+    long patience = ASK_MILLIS + wish.service().number(Column.CALL_TIMEOUT_MILLIS);
+    TimerQueue.Timer timer = turn.after(patience, () -> unanswered(ticket));
+    questions.put(ticket, new Question(host, wish, present, timer));
+    record.swaps(swaps);
+    turn.emit(new Action.SendPeer(host, new PeerMessage.OutcomeAsk(ticket, wish.key(), present)));
+  }
+
+  private void unanswered(long ticket) {
+    Question question = questions.remove(ticket);
+    if (question != null) {
+      question.timer().cancel();
+      endElsewhere(
+          question.wish(),
+          records.get(question.wish().key()),
+          alreadyClaimed(question.wish(), question.host() + " has it and does not answer"));
+    }
+  }
+
+  /** Ends a wish whose claim another host has; this host then knows nothing of the call. */
+  private void endElsewhere(Wish wish, CallRecord record, Problem problem) {
+    records.remove(wish.key());
+    wish.listener().failed(problem);
+    if (record != null) {
+      record.end(CallState.FORGOTTEN);
+    }
+  }
+
+  private void tell(Wish wish, CallRecord ended) {
+    switch (ended.state()) {
+      case ANSWERED -> wish.listener().answered(ended.status(), ended.body());
+      case NOT_SENT ->
+          wish.listener()
+              .failed(
+                  Problem.notRun(
+                      ProblemType.PLATFORM_UNAVAILABLE, "the call was not sent", RETRY_MILLIS));
+      default -> wish.listener().failed(alreadyClaimed(wish, "its target failed or is unknown"));
+    }
+  }
+
+  private static Problem changed(Wish wish) {
+    return Problem.notRun(ProblemType.REQUEST_CHANGED, "key " + wish.call().executionId());
+  }
+
+  private static Problem alreadyClaimed(Wish wish, String detail) {
+    return new Problem(ProblemType.ALREADY_CLAIMED, Outcome.UNKNOWN, detail, 0);
+  }
+
+  /** Takes in what a peer says about claims and calls. */
+  void peerSaid(HostId from, PeerMessage message) {
+    if (message instanceof PeerMessage.ClaimAsk ask) {
+      claims.asked(from, ask);
+    } else if (message instanceof PeerMessage.ClaimResult result) {
+      claims.answered(result);
+    } else if (message instanceof PeerMessage.OutcomeAsk ask) {
+      outcomeAsked(from, ask);
+    } else if (message instanceof PeerMessage.OutcomeAnswer answer) {
+      outcomeAnswered(answer);
+    }
+  }
+
+  private void outcomeAsked(HostId from, PeerMessage.OutcomeAsk ask) {
+    CallRecord record = records.get(ask.key());
+    if (record == null) {
+      CallRecord unknown = new CallRecord(ask.key(), "");
+      unknown.end(CallState.FORGOTTEN);
+      answer(from, unknown, ask.ticket());
+    } else if (record.hasAbandoned(ask.claimValue())) {
+      turn.emit(
+          new Action.SendPeer(
+              from, new PeerMessage.OutcomeAnswer(ask.ticket(), CallState.NOT_SENT, 0, "")));
+    } else if (record.state() == CallState.RUNNING) {
+      record.whenEnded(ended -> answer(from, ended, ask.ticket()));
+    } else {
+      answer(from, record, ask.ticket());
+    }
+  }
+
+  private void answer(HostId to, CallRecord record, long ticket) {
+    turn.emit(new Action.SendPeer(to, record.toAnswer(ticket)));
+  }
+
+  private void outcomeAnswered(PeerMessage.OutcomeAnswer answer) {
+    Question question = questions.remove(answer.ticket());
+    if (question == null) {
+      return;
+    }
+    question.timer().cancel();
+    Wish wish = question.wish();
+    CallRecord record = records.get(wish.key());
+    if (answer.state() == CallState.NOT_SENT && record != null) {
+      claim(wish, record, Optional.of(question.present()), record.swaps() + 1);
+    } else if (answer.state() == CallState.ANSWERED) {
+      records.remove(wish.key());
+      wish.listener().answered(answer.status(), answer.body());
+      if (record != null) {
+        record.answered(answer.status(), answer.body());
+      }
+    } else {
+      endElsewhere(wish, record, alreadyClaimed(wish, "the call failed or is unknown"));
+    }
+  }
+
+  /** Gives up questions to a lost peer, and writes the claims it was to write. */
+  void peerUnreachable(HostId peer) {
+    claims.peerUnreachable(peer);
+    for (Map.Entry<Long, Question> entry : List.copyOf(questions.entrySet())) {
+      if (entry.getValue().host().equals(peer)) {
+        unanswered(entry.getKey());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/edit/EditDesk.java
@@ -0,0 +1,245 @@
+package org.gatereel.core.edit;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.event.Event;
+import org.gatereel.core.event.EventCode;
+import org.gatereel.core.internal.Turn;
+import org.gatereel.core.model.Outcome;
+import org.gatereel.core.model.Problem;
+import org.gatereel.core.model.ProblemType;
+import org.gatereel.core.platform.PlatformPort;
+import org.gatereel.core.platform.ReadResult;
+import org.gatereel.core.platform.TableWrite;
+import org.gatereel.core.platform.TransactionResult;
+import org.gatereel.core.table.InvalidEditException;
+import org.gatereel.core.table.PolicyTable;
+import org.gatereel.core.table.Row;
+import org.gatereel.core.table.RowChange;
+import org.gatereel.core.table.TableEdit;
+
+/**
+ * Takes in edits from operators.
+ *
+ * <p>An edit is one transaction that raises the table's revision by one and keeps the edit's id. It
+ * is accepted when the commit is known: told by the platform, or by reading the edit's id back. An
+ * edit that lost against another one of the same row is refused; one that lost against an edit of
+ * another row is tried again on top of it.
+ */
+public final class EditDesk {
+  private static final long DEADLINE_MILLIS = 4_000;
+  private static final long AGAIN_MILLIS = 100;
+  private static final long RACE_MILLIS = 40;
+  private static final long RETRY_MILLIS = 2_000;
+
+  private final Turn turn;
+  private final PolicyTable table;
+  private final PlatformPort platform;
+  private final RevisionKeeper revisions;
+  private final Set<Long> waiting = new HashSet<>();
+
+  public EditDesk(Turn turn, PolicyTable table, PlatformPort platform, RevisionKeeper revisions) {
+    this.turn = turn;
+    this.table = table;
+    this.platform = platform;
+    this.revisions = revisions;
+  }
+
+  /** One edit on its way into the table. */
+  private final class Pending {
+    private final Event.EditRequested request;
+    private final long deadline = turn.now() + DEADLINE_MILLIS;
+    private boolean mayHaveCommitted;
+
+    private Pending(Event.EditRequested request) {
+      this.request = request;
+    }
+
+    private RowChange change() {
+      return request.change();
+    }
+
+    private void attempt() {
+      long revisionOfRow = table.row(change().key()).map(Row::revision).orElse(0L);
+      if (acceptedEarlier().isPresent()) {
+        confirm(acceptedEarlier().get());
+        return;
+      }
+      if (revisionOfRow != change().basedOn()) {
+        lostRace();
+        return;
+      }
+      try {
+        Row row = table.preview(change());
+        TableEdit edit =
+            new TableEdit(row, request.editId(), request.operator(), request.wallClockMillis());
+        platform.transact(writes(edit), result -> transactionEnded(edit, result));
+      } catch (InvalidEditException e) {
+        refuse(Problem.notRun(ProblemType.INVALID_EDIT, e.getMessage()));
+      }
+    }
+
+    private Optional<TableEdit> acceptedEarlier() {
+      return table
+          .latestEdit(change().key())
+          .filter(edit -> edit.editId().equals(request.editId()));
+    }
+
+    private List<TableWrite> writes(TableEdit edit) {
+      String text = TableEditCodec.encode(edit);
+      String next = Long.toString(edit.revision());
+      long before = edit.revision() - 1;
+      return List.of(
+          before == 0
+              ? TableWrite.insert(TableKeys.REVISION, next)
+              : TableWrite.replace(TableKeys.REVISION, Long.toString(before), next),
+          TableWrite.insert(TableKeys.edit(request.editId()), next),
+          TableWrite.insert(TableKeys.history(edit.revision()), text),
+          table
+              .latestEdit(change().key())
+              .map(
+                  latest ->
+                      TableWrite.replace(
+                          TableKeys.row(change().key()), TableEditCodec.encode(latest), text))
+              .orElseGet(() -> TableWrite.insert(TableKeys.row(change().key()), text)));
+    }
+
+    private void transactionEnded(TableEdit edit, TransactionResult result) {
+      if (result instanceof TransactionResult.Committed) {
+        accepted(edit);
+      } else if (result instanceof TransactionResult.Conflict conflict) {
+        String accepted = conflict.present().get(TableKeys.edit(request.editId()));
+        if (accepted != null) {
+          readAccepted(Long.parseLong(accepted));
+        } else {
+          // Another edit was first: bring it into force here, then see whether it was of this row.
+          refreshThen(RACE_MILLIS);
+        }
+      } else if (result instanceof TransactionResult.Unknown) {
+        mayHaveCommitted = true;
+        turn.note(EventCode.EDIT_UNKNOWN, request.editId(), "");
+        later(AGAIN_MILLIS, this::readBack);
+      } else {
+        later(AGAIN_MILLIS, this::attempt);
+      }
+    }
+
+    private void accepted(TableEdit edit) {
+      if (table.revision() < edit.revision()) {
+        revisions.take(List.of(edit));
+      }
+      confirm(edit);
+    }
+
+    private void readBack() {
+      platform.read(List.of(TableKeys.edit(request.editId())), this::readBackEnded);
+    }
+
+    private void readBackEnded(ReadResult result) {
+      if (!(result instanceof ReadResult.Rows rows)) {
+        later(AGAIN_MILLIS, this::readBack);
+        return;
+      }
+      String accepted = rows.rows().get(TableKeys.edit(request.editId()));
+      if (accepted != null) {
+        readAccepted(Long.parseLong(accepted));
+      } else {
+        // The write may still be on its way; the same edit id cannot take effect twice.
+        refreshThen(RACE_MILLIS);
+      }
+    }
+
+    private void readAccepted(long revision) {
+      String key = TableKeys.history(revision);
+      platform.read(
+          List.of(key),
+          result -> {
+            String text = result instanceof ReadResult.Rows rows ? rows.rows().get(key) : null;
+            if (text == null) {
+              later(AGAIN_MILLIS, () -> readAccepted(revision));
+              return;
+            }
+            try {
+              TableEdit edit = TableEditCodec.decode(text);
+              revisions.refresh(() -> accepted(edit));
+            } catch (MalformedEditException e) {
+              refuse(
+                  new Problem(
+                      ProblemType.INTERNAL, Outcome.UNKNOWN, "the stored edit is damaged", 0));
+            }
+          });
+    }
+
+    private void refreshThen(long longestWait) {
+      revisions.refresh(() -> later(1 + turn.random().nextLong(longestWait), this::attempt));
+    }
+
+    private void later(long delayMillis, Runnable step) {
+      if (turn.now() + delayMillis <= deadline) {
+        turn.after(delayMillis, step);
+      } else if (mayHaveCommitted) {
+        String detail = "send the same edit id again: " + request.editId();
+        refuse(
+            new Problem(ProblemType.EDIT_OUTCOME_UNKNOWN, Outcome.UNKNOWN, detail, RETRY_MILLIS));
+      } else {
+        refuse(
+            Problem.notRun(
+                ProblemType.PLATFORM_UNAVAILABLE, "the edit was not accepted", RETRY_MILLIS));
+      }
+    }
+
+    private void lostRace() {
+      turn.note(EventCode.EDIT_REFUSED, request.editId(), "lost race on " + change().key());
+      if (waiting.remove(request.caller())) {
+        Optional<TableEdit> present = table.latestEdit(change().key());
+        if (present.isPresent()) {
+          turn.emit(new Action.ReportLostRace(request.caller(), present.get()));
+        } else {
+          String detail = "there is no row " + change().key();
+          turn.emit(
+              new Action.Refuse(request.caller(), Problem.notRun(ProblemType.UNKNOWN_ROW, detail)));
+        }
+      }
+    }
+
+    private void refuse(Problem problem) {
+      turn.note(EventCode.EDIT_REFUSED, request.editId(), problem.type() + ": " + problem.detail());
+      if (waiting.remove(request.caller())) {
+        turn.emit(new Action.Refuse(request.caller(), problem));
+      }
+    }
+
+    private void confirm(TableEdit edit) {
+      turn.note(
+          EventCode.EDIT_ACCEPTED, request.editId(), edit.row().key() + " at " + edit.revision());
+      if (waiting.remove(request.caller())) {
+        turn.emit(new Action.ConfirmEdit(request.caller(), edit));
+      }
+    }
+  }
+
+  /** Takes in an edit. */
+  public void requested(Event.EditRequested event) {
+    waiting.add(event.caller());
+    Pending pending = new Pending(event);
+    boolean behind = event.change().basedOn() > table.revision() || table.revision() == 0;
+    if (behind) {
+      revisions.refresh(pending::attempt);
+    } else {
+      pending.attempt();
+    }
+  }
+
+  /** Notes that an operator's connection ended; the edit goes on. */
+  public boolean callerGone(long caller) {
+    return waiting.remove(caller);
+  }
+
+  /** Returns how many operators wait for an edit. */
+  public int open() {
+    return waiting.size();
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/edit/MalformedEditException.java
@@ -0,0 +1,12 @@
+package org.gatereel.core.edit;
+
+import org.gatereel.core.GatereelException;
+
+/** A stored edit that cannot be read. */
+public final class MalformedEditException extends GatereelException {
+  private static final long serialVersionUID = 1L;
+
+  public MalformedEditException(String text, Throwable cause) {
+    super("not an edit: " + text, cause);
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/edit/RevisionKeeper.java
@@ -0,0 +1,178 @@
+package org.gatereel.core.edit;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.event.EventCode;
+import org.gatereel.core.internal.Turn;
+import org.gatereel.core.member.Membership;
+import org.gatereel.core.model.HostDescription;
+import org.gatereel.core.model.HostId;
+import org.gatereel.core.peer.PeerMessage;
+import org.gatereel.core.platform.PlatformPort;
+import org.gatereel.core.platform.ReadResult;
+import org.gatereel.core.table.PolicyTable;
+import org.gatereel.core.table.TableEdit;
+
+/**
+ * Brings accepted edits into force on this host, from the platform and from peers.
+ *
+ * <p>Each host reads the revision now and then, the more rarely the more hosts there are, so that
+ * the reads of a data centre stay the same. Whoever learns of an edit first passes it on to a few
+ * peers, and they to others. Heartbeats carry the revision, so that whoever missed an edit asks.
+ */
+public final class RevisionKeeper {
+  private static final int READS_A_SECOND_IN_DATA_CENTRE = 3;
+  private static final long SHORTEST_POLL_MILLIS = 1_000;
+  private static final int MILLIS_A_SECOND = 1_000;
+  private static final int FAN_OUT = 6;
+
+  private final Turn turn;
+  private final PolicyTable table;
+  private final Membership members;
+  private final PlatformPort platform;
+  private final List<Runnable> waitingForRead = new ArrayList<>();
+  private boolean reading;
+
+  public RevisionKeeper(Turn turn, PolicyTable table, Membership members, PlatformPort platform) {
+    this.turn = turn;
+    this.table = table;
+    this.members = members;
+    this.platform = platform;
+  }
+
+  /** Starts reading, and asks the peers for what they have. */
+  public void start() {
+    members.reachable().stream()
+        .limit(FAN_OUT)
+        .forEach(peer -> send(peer.id(), new PeerMessage.EditsFetch(table.revision())));
+    poll();
+  }
+
+  private void poll() {
+    refresh(() -> {});
+    int hosts = members.answeringIn(turn.dataCentre()).size();
+    long interval =
+        Math.max(
+            SHORTEST_POLL_MILLIS, (long) hosts * MILLIS_A_SECOND / READS_A_SECOND_IN_DATA_CENTRE);
+    long jitter = turn.random().nextLong(interval / 2);
+    turn.after(interval * 3 / 4 + jitter, this::poll);
+  }
+
+  /** Reads what the platform has and calls {@code done} when that is in force, or was in vain. */
+  void refresh(Runnable done) {
+    waitingForRead.add(done);
+    if (reading) {
+      return;
+    }
+    reading = true;
+    if (table.revision() == 0) {
+      platform.scan(TableKeys.ROW, "", this::rowsRead);
+    } else {
+      platform.read(List.of(TableKeys.REVISION), this::revisionRead);
+    }
+  }
+
+  private void revisionRead(ReadResult result) {
+    long latest = 0;
+    if (result instanceof ReadResult.Rows rows) {
+      latest = Long.parseLong(rows.rows().getOrDefault(TableKeys.REVISION, "0"));
+    }
+    if (latest > table.revision()) {
+      platform.scan(TableKeys.HISTORY, TableKeys.history(table.revision()), this::historyRead);
+    } else {
+      readEnded();
+    }
+  }
+
+  private void historyRead(ReadResult result) {
+    if (result instanceof ReadResult.Rows rows) {
+      take(TableHistory.decode(rows.rows()));
+    }
+    readEnded();
+  }
+
+  private void rowsRead(ReadResult result) {
+    if (result instanceof ReadResult.Rows rows) {
+      takeWhole(TableHistory.decode(rows.rows()));
+    }
+    readEnded();
+  }
+
+  private void readEnded() {
+    reading = false;
+    List<Runnable> told = List.copyOf(waitingForRead);
+    waitingForRead.clear();
+    told.forEach(Runnable::run);
+  }
+
+  /** Brings edits into force as far as they follow on the revision here, and passes them on. */
+  void take(List<TableEdit> edits) {
+    List<TableEdit> applied = new ArrayList<>();
+    for (TableEdit edit : edits) {
+      if (table.apply(edit)) {
+        applied.add(edit);
+        turn.note(
+            EventCode.REVISION_IN_FORCE,
+            Long.toString(edit.revision()),
+            edit.row().key() + " by " + edit.operator());
+      }
+    }
+    if (!applied.isEmpty()) {
+      passOn(new PeerMessage.EditsPush(applied));
+    }
+  }
+
+  private void takeWhole(List<TableEdit> latestEdits) {
+    long revision = latestEdits.stream().mapToLong(TableEdit::revision).max().orElse(0);
+    if (table.replace(revision, latestEdits)) {
+      turn.note(EventCode.REVISION_IN_FORCE, Long.toString(revision), "whole table");
+    }
+  }
+
+  private void passOn(PeerMessage message) {
+    List<HostDescription> peers = new ArrayList<>(members.reachable());
+    for (int sent = 0; sent < FAN_OUT && !peers.isEmpty(); sent++) {
+      HostDescription peer = peers.remove(turn.random().nextInt(peers.size()));
+      send(peer.id(), message);
+    }
+  }
+
+  /** Takes in that a peer has a revision in force. */
+  public void peerHas(HostId peer, long revision) {
+    if (revision > table.revision()) {
+      send(peer, new PeerMessage.EditsFetch(table.revision()));
+    }
+  }
+
+  /** Takes in edits that a peer passes on; asks for the ones between if some are missing. */
+  public void pushed(HostId from, PeerMessage.EditsPush push) {
+    take(push.edits());
+    boolean gap = push.edits().stream().anyMatch(edit -> edit.revision() > table.revision());
+    if (gap) {
+      send(from, new PeerMessage.EditsFetch(table.revision()));
+    }
+  }
+
+  /** Takes in a whole table. */
+  public void pushedWhole(PeerMessage.TablePush push) {
+    takeWhole(push.latestEdits());
+  }
+
+  /** Answers a peer that lacks edits. */
+  public void fetched(HostId from, PeerMessage.EditsFetch fetch) {
+    if (fetch.haveRevision() >= table.revision()) {
+      return;
+    }
+    PeerMessage answer =
+        table
+            .editsAfter(fetch.haveRevision())
+            .<PeerMessage>map(PeerMessage.EditsPush::new)
+            .orElseGet(() -> new PeerMessage.TablePush(table.revision(), table.latestEdits()));
+    send(from, answer);
+  }
+
+  private void send(HostId peer, PeerMessage message) {
+    turn.emit(new Action.SendPeer(peer, message));
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -0,0 +1,70 @@
+package org.gatereel.core.event;
+
+/** The numbered events of logs and time lines; docs/EVENTS.md is their catalogue. */
+public enum EventCode {
+  HOST_STARTED(100, "The daemon started and serves."),
+  HOST_DRAINING(101, "The host takes no new work and finishes what it has."),
+  HOST_STOPPED(102, "The daemon stopped."),
+  PEER_REACHED(110, "A peer answered for the first time or again."),
+  PEER_LOST(111, "A peer does not answer."),
+  PAUSE_NOTICED(112, "This host itself was paused; its time-outs are taken anew."),
+  GENERATION_ACCEPTED(200, "A generation was accepted from a caller."),
+  ATTEMPT_STARTED(201, "An engine was given the prompt and the tokens so far."),
+  FIRST_TOKEN(202, "An attempt brought its first token."),
+  ATTEMPT_FAILED(203, "An attempt ended without finishing the generation."),
+  ATTEMPT_SUSPECTED(204, "An engine was silent for too long; a second attempt runs beside it."),
+  ATTEMPT_WON(205, "One of several attempts brought the next token first; the others ended."),
+  ATTEMPT_MOVED(206, "The target is leaving; the generation moves to another one."),
+  GENERATION_FINISHED(207, "The engine finished the generation."),
+  GENERATION_DELIVERED(208, "The caller was given the whole answer."),
+  GENERATION_INTERRUPTED(209, "No engine could go on in time; the caller may resume later."),
+  CALLER_GONE(210, "The caller's connection ended before the answer did."),
+  CALLER_RESUMED(211, "A caller came back to the host that has its generation."),
+  TAKEOVER_ASKED(212, "A caller came back to another host, which asks for the generation."),
+  TAKEOVER_GRANTED(213, "This host gave the generation to another host under a new epoch."),
+  TAKEOVER_DONE(214, "This host is now the owner of the generation."),
+  TAKEOVER_FAILED(215, "No host that is left holds the generation."),
+  OWNER_FENCED(216, "This host is no longer the owner of the generation and lets go of it."),
+  COPY_OPENED(220, "A peer holds a copy of the generation."),
+  COPY_LOST(221, "The copy holder does not answer; another one is chosen."),
+  COPY_ABSENT(222, "No peer can be reached; tokens are released without a copy."),
+  REQUEST_QUEUED(300, "No target is free; the request waits for its turn."),
+  REQUEST_REFUSED(301, "The request was refused."),
+  CALL_SENT(310, "A plain call was sent to a target."),
+  CALL_ANSWERED(311, "A target answered a plain call."),
+  CALL_FAILED(312, "A target failed while it had a plain call."),
+  CALL_RETRIED(313, "A call that may be repeated, or provably did not run, is sent again."),
+  CLAIM_GRANTED(320, "The Idempotency-Key was claimed for this host."),
+  CLAIM_TAKEN(321, "The Idempotency-Key was claimed before."),
+  CLAIM_FAILED(322, "The platform did not confirm the claim; the call was not sent."),
+  CLAIMS_WRITTEN(323, "A group of claims was written in one transaction."),
+  EDIT_ACCEPTED(400, "An edit of the table was committed."),
+  EDIT_REFUSED(401, "An edit of the table was refused."),
+  EDIT_UNKNOWN(402, "The answer to an edit was lost; its edit id is read back."),
+  REVISION_IN_FORCE(403, "A revision of the table is in force on this host."),
+  TARGET_SEEN(500, "The platform's list or a peer named a new target."),
+  TARGET_LEAVING(501, "A target is leaving and gets nothing new."),
+  TARGET_GONE(502, "A target left the platform's list."),
+  TARGET_FAILING(503, "A target refused or broke a connection and is passed over for a while."),
+  TARGET_RECOVERED(504, "A target that was passed over answered again."),
+  PLATFORM_LOST(600, "The platform does not answer."),
+  PLATFORM_REACHED(601, "The platform answers again.");
+
+  private final int number;
+  private final String meaning;
+
+  EventCode(int number, String meaning) {
+    this.number = number;
+    this.meaning = meaning;
+  }
+
+  /** Returns the number, which never changes its meaning between versions. */
+  public int number() {
+    return number;
+  }
+
+  /** Returns one sentence for the catalogue. */
+  public String meaning() {
+    return meaning;
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/Measurement.java
@@ -0,0 +1,22 @@
+package org.gatereel.core.event;
+
+/** The measured quantities that policies are compared by. */
+public enum Measurement {
+  FIRST_TOKEN_MILLIS("from the request to its first token at the caller side"),
+  TOKEN_GAP_MILLIS("between two tokens of one generation as they reach this host"),
+  RESUME_MILLIS("from the loss of an engine, or its last token, to the next token"),
+  CALL_MILLIS("from a plain call to its answer"),
+  QUEUE_MILLIS("waiting for a free target"),
+  RESENT_TOKENS("accepted tokens given to a further attempt"),
+  SECOND_ATTEMPTS("attempts started on suspicion, beside a live one");
+
+  private final String meaning;
+
+  Measurement(String meaning) {
+    this.meaning = meaning;
+  }
+
+  public String meaning() {
+    return meaning;
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/generation/Generation.java
@@ -0,0 +1,179 @@
+package org.gatereel.core.generation;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.gatereel.core.admission.Admission;
+import org.gatereel.core.event.Arm;
+import org.gatereel.core.internal.TimerQueue;
+import org.gatereel.core.model.GenerationSpec;
+import org.gatereel.core.model.HostId;
+import org.gatereel.core.model.TargetId;
+
+/**
+ * A generation as its owner has it.
+ *
+ * <p>Invariants: released ≤ held ≤ accepted, unless there is no copy; only live attempts may add
+ * the next token; the first attempt to do so is the only one left.
+ */
+final class Generation {
+  static final long NO_CALLER = 0;
+
+  final GenerationSpec spec;
+  final Arm arm;
+  final Map<Integer, Attempt> attempts = new LinkedHashMap<>();
+  final Copy copy = new Copy();
+  int epoch;
+  long caller;
+  boolean opened;
+  long resumingSince;
+  long interruptedAt;
+  final long requestedAt;
+  TimerQueue.Timer retry;
+  TimerQueue.Timer end;
+  Admission.Permit permit;
+  boolean delivered;
+
+  private final List<String> tokens;
+  private int lastAttempt;
+  private TargetId lastTarget;
+  private boolean finished;
+  private int released;
+  private long releasedDigest;
+
+  /** What the owner knows of the copy at the holder. */
+  static final class Copy {
+    Optional<HostId> holder = Optional.empty();
+    boolean settled;
+    int held;
+    boolean heldFinished;
+    int tries;
+    boolean outstanding;
+    long lastTriedAt;
+    TimerQueue.Timer timer;
+
+    void clear() {
+      holder = Optional.empty();
+      settled = false;
+      held = 0;
+      heldFinished = false;
+      outstanding = false;
+      tries = 0;
+      stopTimer();
+    }
+
+    void stopTimer() {
+      if (timer != null) {
+        timer.cancel();
+        timer = null;
+      }
+    }
+  }
+
+  Generation(
+      GenerationSpec spec, Arm arm, int epoch, List<String> tokens, boolean finished, long now) {
+    this.spec = spec;
+    this.arm = arm;
+    this.epoch = epoch;
+    this.tokens = new ArrayList<>(tokens);
+    this.finished = finished;
+    this.requestedAt = now;
+    this.releasedDigest = PrefixDigest.EMPTY;
+    // An owner after the first numbers its attempts apart from those of the owners before it.
+    this.lastAttempt = epoch * ATTEMPTS_PER_EPOCH;
+  }
+
+  private static final int ATTEMPTS_PER_EPOCH = 1_000;
+
+  int length() {
+    return tokens.size();
+  }
+
+  /** Returns the accepted tokens from an offset on. */
+  List<String> tokensFrom(int offset) {
+    return List.copyOf(tokens.subList(offset, tokens.size()));
+  }
+
+  boolean isFinished() {
+    return finished;
+  }
+
+  void finish() {
+    finished = true;
+  }
+
+  void append(String token) {
+    tokens.add(token);
+  }
+
+  int nextAttempt() {
+    return ++lastAttempt;
+  }
+
+  int lastAttempt() {
+    return lastAttempt;
+  }
+
+  void workedAt(TargetId target) {
+    lastTarget = target;
+  }
+
+  Optional<TargetId> lastTarget() {
+    return Optional.ofNullable(lastTarget);
+  }
+
+  int released() {
+    return released;
+  }
+
+  /** Releases the next token and returns it. */
+  String releaseNext() {
+    String token = tokens.get(released);
+    released++;
+    releasedDigest = PrefixDigest.extend(releasedDigest, token);
+    return token;
+  }
+
+  /** Goes back or on to an offset that a caller named; returns whether the prefix is the same. */
+  boolean rewindTo(int offset, long digest) {
+    if (!matches(offset, digest)) {
+      return false;
+    }
+    released = offset;
+    releasedDigest = digest;
+    return true;
+  }
+
+  boolean matches(int offset, long digest) {
+    return offset <= tokens.size() && PrefixDigest.of(tokens, offset) == digest;
+  }
+
+  /** Returns how many tokens may be given to the caller. */
+  int releasable() {
+    if (!copy.settled) {
+      return released;
+    }
+    return copy.holder.isPresent() ? copy.held : tokens.size();
+  }
+
+  /** Returns whether the end may be told: it must be held as the tokens are. */
+  boolean isEndReleasable() {
+    boolean held = copy.holder.isEmpty() || copy.heldFinished;
+    return finished && copy.settled && held && released == tokens.size();
+  }
+
+  /** Returns the id of the event that brings the caller to the present offset. */
+  EventId eventId(HostId owner) {
+    return new EventId(
+        spec.request(),
+        owner,
+        copy.holder,
+        lastTarget().orElse(new TargetId("none")),
+        lastAttempt,
+        epoch,
+        released,
+        releasedDigest);
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/generation/GenerationDesk.java
@@ -0,0 +1,165 @@
+package org.gatereel.core.generation;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.admission.Admission;
+import org.gatereel.core.admission.Applicant;
+import org.gatereel.core.event.Arm;
+import org.gatereel.core.event.Event;
+import org.gatereel.core.event.EventCode;
+import org.gatereel.core.internal.Turn;
+import org.gatereel.core.model.AccountId;
+import org.gatereel.core.model.GenerationSpec;
+import org.gatereel.core.model.Problem;
+import org.gatereel.core.model.ProblemType;
+import org.gatereel.core.model.RequestId;
+import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.table.Column;
+import org.gatereel.core.table.PolicyTable;
+import org.gatereel.core.table.Row;
+import org.gatereel.core.table.ServiceKind;
+import org.gatereel.core.target.PlacementQuery;
+import org.gatereel.core.target.TargetBook;
+import org.gatereel.core.target.TargetState;
+
+/** Takes in new generations from callers: checks them and has them admitted. */
+public final class GenerationDesk {
+  private final Turn turn;
+  private final PolicyTable table;
+  private final TargetBook book;
+  private final Admission admission;
+  private final GenerationOwner owner;
+  private final ServiceBudgets budgets;
+  private final Map<Long, Application> waiting = new HashMap<>();
+
+  public GenerationDesk(
+      Turn turn,
+      PolicyTable table,
+      TargetBook book,
+      Admission admission,
+      GenerationOwner owner,
+      ServiceBudgets budgets) {
+    this.turn = turn;
+    this.table = table;
+    this.book = book;
+    this.admission = admission;
+    this.owner = owner;
+    this.budgets = budgets;
+  }
+
+  /** A generation that was asked for and has no target yet. */
+  private final class Application implements Applicant {
+    private final GenerationSpec spec;
+    private final long caller;
+    private final long askedAt = turn.now();
+    private Admission.Permit permit;
+    private Optional<TargetState> started = Optional.empty();
+    private Arm arm;
+
+    private Application(GenerationSpec spec, long caller) {
+      this.spec = spec;
+      this.caller = caller;
+    }
+
+    @Override
+    public AccountId account() {
+      return spec.account();
+    }
+
+    @Override
+    public ServiceName service() {
+      return spec.service();
+    }
+
+    @Override
+    public double cost() {
+      return spec.maximumTokens();
+    }
+
+    @Override
+    public boolean tryStart() {
+      Optional<Row> service = table.service(spec.service());
+      if (service.isEmpty()) {
+        return false;
+      }
+      arm = Placements.arm(service.get(), spec.request());
+      PlacementQuery query =
+          new PlacementQuery(Placements.affinityKey(spec.prompt()), Optional.empty(), turn.now());
+      started = book.choose(spec.service(), Placements.policy(service.get(), arm), query, Set.of());
+      if (permit != null) {
+        begin();
+      }
+      return started.isPresent();
+    }
+
+    private void begin() {
+      if (started.isPresent()) {
+        waiting.remove(caller);
+        owner.start(spec, arm, caller, askedAt, permit, started.get());
+      }
+    }
+
+    @Override
+    public void refuse(Problem problem) {
+      waiting.remove(caller);
+      turn.emit(new Action.Refuse(caller, problem));
+      turn.note(
+          EventCode.REQUEST_REFUSED,
+          spec.request().value(),
+          problem.type() + " for " + spec.account());
+    }
+  }
+
+  /** Takes in a request for a generation. */
+  public void requested(Event.GenerationRequested event) {
+    Optional<Row> account = table.accountWithCredential(event.credential());
+    Optional<Row> service =
+        table
+            .service(event.service())
+            .filter(row -> row.choice(Column.KIND, ServiceKind.class) == ServiceKind.GENERATION);
+    if (account.isEmpty()) {
+      refuse(event, ProblemType.UNKNOWN_ACCOUNT, "no account has this key");
+    } else if (service.isEmpty()) {
+      refuse(event, ProblemType.UNKNOWN_SERVICE, "no generation service " + event.service());
+    } else if (event.maximumTokens() > service.get().number(Column.MAXIMUM_TOKENS)) {
+      String most = service.get().text(Column.MAXIMUM_TOKENS);
+      refuse(event, ProblemType.MALFORMED_BODY, "maximumTokens may be " + most + " at most");
+    } else {
+      apply(event, account.get(), service.get());
+    }
+  }
+
+  private void refuse(Event.GenerationRequested event, ProblemType type, String detail) {
+    turn.emit(new Action.Refuse(event.caller(), Problem.notRun(type, detail)));
+    turn.note(EventCode.REQUEST_REFUSED, event.service().value(), type.name());
+  }
+
+  private void apply(Event.GenerationRequested event, Row account, Row service) {
+    GenerationSpec spec =
+        new GenerationSpec(
+            new RequestId(Long.toHexString(turn.random().nextLong())),
+            new AccountId(account.key().name()),
+            event.service(),
+            event.prompt(),
+            event.maximumTokens(),
+            account.number(Column.PRIORITY));
+    Application application = new Application(spec, event.caller());
+    budgets.of(event.service()).earn(service.number(Column.RETRY_PERCENT));
+    waiting.put(event.caller(), application);
+    application.permit = admission.apply(application, account, service);
+    application.begin();
+  }
+
+  /** Notes that a caller's connection ended; returns whether its request was waiting here. */
+  public boolean callerGone(long caller) {
+    Application application = waiting.remove(caller);
+    if (application == null) {
+      return false;
+    }
+    application.permit.close();
+    return true;
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/generation/PrefixDigest.java
@@ -0,0 +1,38 @@
+package org.gatereel.core.generation;
+
+import com.google.common.hash.HashCode;
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/**
+ * A digest of the tokens before an offset.
+ *
+ * <p>Every event id carries one. A host that is asked to go on with a generation compares it with
+ * its own tokens, so that the continuation of one generation can never be joined to the beginning
+ * of another, whatever went wrong before.
+ */
+public final class PrefixDigest {
+  /** The digest of no tokens. */
+  public static final long EMPTY = 0x9E3779B97F4A7C15L;
+
+  private static final HashFunction SIP = Hashing.sipHash24();
+
+  private PrefixDigest() {}
+
+  /** Returns the digest of a prefix with one more token. */
+  public static long extend(long digest, String token) {
+    HashCode hash = SIP.newHasher().putLong(digest).putString(token, StandardCharsets.UTF_8).hash();
+    return hash.asLong();
+  }
+
+  /** Returns the digest of the first {@code length} tokens. */
+  public static long of(List<String> tokens, int length) {
+    long digest = EMPTY;
+    for (int index = 0; index < length; index++) {
+      digest = extend(digest, tokens.get(index));
+    }
+    return digest;
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/generation/ServiceBudgets.java
@@ -0,0 +1,15 @@
+package org.gatereel.core.generation;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.gatereel.core.admission.RetryBudget;
+import org.gatereel.core.model.ServiceName;
+
+/** The retry budget of each service. */
+public final class ServiceBudgets {
+  private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
+
+  public RetryBudget of(ServiceName service) {
+    return budgets.computeIfAbsent(service, name -> new RetryBudget());
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/internal/Turn.java
@@ -0,0 +1,98 @@
+package org.gatereel.core.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.event.Arm;
+import org.gatereel.core.event.EventCode;
+import org.gatereel.core.event.Measurement;
+import org.gatereel.core.model.DataCentre;
+import org.gatereel.core.model.HostId;
+import org.gatereel.core.model.ServiceName;
+
+/** What every part of the core shares: who it is, the time, timers, randomness, and its outbox. */
+public final class Turn {
+  private static final long PAUSE_DOUBT_MILLIS = 300;
+
+  private final HostId self;
+  private final DataCentre dataCentre;
+  private final RandomGenerator random;
+  private final TimerQueue timers = new TimerQueue();
+  private List<Action> actions = new ArrayList<>();
+  private long now;
+  private long pauseDoubtUntil;
+  private long ticket;
+
+  public Turn(HostId self, DataCentre dataCentre, RandomGenerator random) {
+    this.self = self;
+    this.dataCentre = dataCentre;
+    this.random = random;
+  }
+
+  public HostId self() {
+    return self;
+  }
+
+  public DataCentre dataCentre() {
+    return dataCentre;
+  }
+
+  public RandomGenerator random() {
+    return random;
+  }
+
+  /** Returns the time in milliseconds; it never goes back. */
+  public long now() {
+    return now;
+  }
+
+  /** Returns a number that was not given out before by this host process. */
+  public long nextTicket() {
+    return ++ticket;
+  }
+
+  /** Moves the time on; a time before the present one is ignored. */
+  public void moveTo(long time) {
+    now = Math.max(now, time);
+  }
+
+  /** Says that this host did not run for a while, so that its time-outs prove nothing. */
+  public void notePause() {
+    pauseDoubtUntil = now + PAUSE_DOUBT_MILLIS;
+  }
+
+  /** Returns whether a time-out may be this host's own fault, because it was paused itself. */
+  public boolean isPauseRecent() {
+    return now < pauseDoubtUntil;
+  }
+
+  public TimerQueue timers() {
+    return timers;
+  }
+
+  public TimerQueue.Timer after(long delayMillis, Runnable task) {
+    return timers.add(now + delayMillis, task);
+  }
+
+  public void emit(Action action) {
+    actions.add(action);
+  }
+
+  /** Puts an entry on the time line. */
+  public void note(EventCode code, String subject, String detail) {
+    emit(new Action.Note(code, subject, detail));
+  }
+
+  /** Hands over the actions since the last call. */
+  public List<Action> takeActions() {
+    List<Action> taken = actions;
+    actions = new ArrayList<>();
+    return taken;
+  }
+
+  /** Adds a value to the statistics that policies are compared by. */
+  public void measure(Measurement measurement, ServiceName service, Arm arm, long value) {
+    emit(new Action.Measure(measurement, service, arm, value));
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/member/Membership.java
@@ -0,0 +1,228 @@
+package org.gatereel.core.member;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.event.EventCode;
+import org.gatereel.core.internal.Rendezvous;
+import org.gatereel.core.internal.Turn;
+import org.gatereel.core.model.DataCentre;
+import org.gatereel.core.model.HostDescription;
+import org.gatereel.core.model.HostId;
+import org.gatereel.core.model.HostList;
+import org.gatereel.core.model.LifeState;
+import org.gatereel.core.peer.PeerMessage;
+
+/**
+ * Which entry hosts there are and which of them answer.
+ *
+ * <p>The platform's list says who exists. Whether a peer answers is learnt by exchanging heartbeats
+ * with a few neighbours on a ring of hashes (so that the cost does not grow with the number of
+ * hosts) and from messages that could not be delivered.
+ */
+public final class Membership {
+  static final long HEARTBEAT_MILLIS = 500;
+  static final long SILENCE_MILLIS = 2_000;
+  private static final long UNREACHABLE_MILLIS = 1_000;
+  private static final int NEIGHBOURS_EACH_WAY = 4;
+  private static final String RING = "ring";
+
+  private final Turn turn;
+  private final Map<HostId, Peer> peers = new LinkedHashMap<>();
+  private final Supplier<PeerMessage> heartbeat;
+  private final List<Consumer<HostId>> lostListeners = new ArrayList<>();
+  private Set<HostId> neighbours = Set.of();
+  private long listVersion = -1;
+
+  private static final class Peer {
+    private HostDescription description;
+    private long lastHeard;
+    private long unreachableUntil;
+    private boolean draining;
+    private boolean answering = true;
+
+    private Peer(HostDescription description, long now) {
+      this.description = description;
+      this.lastHeard = now;
+    }
+  }
+
+  public Membership(Turn turn, Supplier<PeerMessage> heartbeat) {
+    this.turn = turn;
+    this.heartbeat = heartbeat;
+  }
+
+  /** Starts the heartbeats; {@code seeds} are known from the settings. */
+  public void start(List<HostDescription> seeds) {
+    seeds.forEach(this::add);
+    chooseNeighbours();
+    beat();
+  }
+
+  /** Has {@code listener} called when a peer no longer answers. */
+  public void onLost(Consumer<HostId> listener) {
+    lostListeners.add(listener);
+  }
+
+  /** Takes in the platform's list, unless a later one was seen. */
+  public void see(HostList list) {
+    if (list.version() < listVersion || list.hosts().isEmpty()) {
+      return;
+    }
+    listVersion = list.version();
+    Set<HostId> named = new HashSet<>();
+    list.hosts()
+        .forEach(
+            host -> {
+              named.add(host.id());
+              add(host);
+            });
+    peers.keySet().removeIf(id -> !named.contains(id) && !isAnswering(id));
+    chooseNeighbours();
+  }
+
+  private void add(HostDescription host) {
+    if (!host.id().equals(turn.self())) {
+      peers.computeIfAbsent(host.id(), id -> new Peer(host, turn.now())).description = host;
+    }
+  }
+
+  private void chooseNeighbours() {
+    List<HostId> ring = new ArrayList<>(peers.keySet());
+    ring.add(turn.self());
+    ring.sort(Comparator.comparingLong(id -> Rendezvous.score(RING, id.value())));
+    Set<HostId> chosen = new HashSet<>();
+    int here = ring.indexOf(turn.self());
+    for (int step = 1; step <= NEIGHBOURS_EACH_WAY; step++) {
+      chosen.add(ring.get(Math.floorMod(here + step, ring.size())));
+      chosen.add(ring.get(Math.floorMod(here - step, ring.size())));
+    }
+    chosen.remove(turn.self());
+    chosen.stream()
+        .filter(id -> !neighbours.contains(id))
+        .forEach(id -> peers.get(id).lastHeard = turn.now());
+    neighbours = chosen;
+  }
+
+  /** Tells the neighbours at once how this host is. */
+  public void beatNow() {
+    neighbours.forEach(id -> turn.emit(new Action.SendPeer(id, heartbeat.get())));
+  }
+
+  /** Returns the peers that this host exchanges heartbeats with. */
+  public Set<HostId> neighbours() {
+    return neighbours;
+  }
+
+  private void beat() {
+    beatNow();
+    List.copyOf(neighbours).forEach(this::judge);
+    turn.after(HEARTBEAT_MILLIS, this::beat);
+  }
+
+  private void judge(HostId id) {
+    Peer peer = peers.get(id);
+    if (turn.isPauseRecent()) {
+      peer.lastHeard = turn.now();
+    }
+    if (peer.answering && turn.now() - peer.lastHeard > SILENCE_MILLIS) {
+      lose(id, peer, "silent");
+    }
+  }
+
+  private void lose(HostId id, Peer peer, String why) {
+    peer.answering = false;
+    turn.note(EventCode.PEER_LOST, id.value(), why);
+    lostListeners.forEach(listener -> listener.accept(id));
+  }
+
+  /** Notes that a peer said something. */
+  public void heard(HostId id, boolean draining) {
+    Peer peer = peers.get(id);
+    if (peer == null) {
+      return;
+    }
+    peer.lastHeard = turn.now();
+    peer.draining = draining;
+    peer.unreachableUntil = 0;
+    if (!peer.answering) {
+      peer.answering = true;
+      turn.note(EventCode.PEER_REACHED, id.value(), "");
+    }
+  }
+
+  /** Notes that a peer said something that is not a heartbeat. */
+  public void heard(HostId id) {
+    Peer peer = peers.get(id);
+    if (peer != null) {
+      heard(id, peer.draining);
+    }
+  }
+
+  /** Notes that a message to a peer could not be delivered. */
+  public void unreachable(HostId id) {
+    Peer peer = peers.get(id);
+    if (peer == null) {
+      return;
+    }
+    peer.unreachableUntil = turn.now() + UNREACHABLE_MILLIS;
+    if (peer.answering) {
+      lose(id, peer, "not connected");
+    }
+  }
+
+  /** Returns whether a message to the peer has a chance. */
+  public boolean isAnswering(HostId id) {
+    Peer peer = peers.get(id);
+    if (peer == null || turn.now() < peer.unreachableUntil) {
+      return false;
+    }
+    return peer.answering || !neighbours.contains(id);
+  }
+
+  /** Returns the peers that answer and take new work. */
+  public List<HostDescription> reachable() {
+    return peers.values().stream()
+        .filter(peer -> !peer.draining && peer.description.state() == LifeState.LIVE)
+        .map(peer -> peer.description)
+        .filter(description -> isAnswering(description.id()))
+        .toList();
+  }
+
+  /** Returns the answering hosts of a data centre, this one too if it is there. */
+  public List<HostId> answeringIn(DataCentre dataCentre) {
+    List<HostId> hosts = new ArrayList<>();
+    if (dataCentre.equals(turn.dataCentre())) {
+      hosts.add(turn.self());
+    }
+    reachable().stream()
+        .filter(peer -> peer.dataCentre().equals(dataCentre))
+        .forEach(peer -> hosts.add(peer.id()));
+    return hosts;
+  }
+
+  /** Returns how many data centres the known hosts are in, this one included. */
+  public int dataCentres() {
+    Set<DataCentre> all = new HashSet<>();
+    all.add(turn.dataCentre());
+    peers.values().forEach(peer -> all.add(peer.description.dataCentre()));
+    return all.size();
+  }
+
+  /** Returns every known peer, for status pages and links. */
+  public List<HostDescription> known() {
+    return peers.values().stream().map(peer -> peer.description).toList();
+  }
+
+  public Optional<HostDescription> find(HostId id) {
+    return Optional.ofNullable(peers.get(id)).map(peer -> peer.description);
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/model/AccountId.java
@@ -0,0 +1,15 @@
+package org.gatereel.core.model;
+
+import java.util.Objects;
+
+/** Names one client account. */
+public record AccountId(String value) {
+  public AccountId {
+    Objects.requireNonNull(value, "value");
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/model/Address.java
@@ -0,0 +1,9 @@
+package org.gatereel.core.model;
+
+/** An IP number and a port. */
+public record Address(String ip, int port) {
+  @Override
+  public String toString() {
+    return ip + ":" + port;
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/model/DataCentre.java
@@ -0,0 +1,15 @@
+package org.gatereel.core.model;
+
+import java.util.Objects;
+
+/** Names one data centre. */
+public record DataCentre(String value) {
+  public DataCentre {
+    Objects.requireNonNull(value, "value");
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/model/HostId.java
@@ -0,0 +1,15 @@
+package org.gatereel.core.model;
+
+import java.util.Objects;
+
+/** Names one entry host; unique among live hosts. */
+public record HostId(String value) {
+  public HostId {
+    Objects.requireNonNull(value, "value");
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/model/RequestId.java
@@ -0,0 +1,15 @@
+package org.gatereel.core.model;
+
+import java.util.Objects;
+
+/** Names one generation; drawn at random by the entry host that accepted it. */
+public record RequestId(String value) {
+  public RequestId {
+    Objects.requireNonNull(value, "value");
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/table/Column.java
@@ -0,0 +1,89 @@
+package org.gatereel.core.table;
+
+import java.util.Locale;
+import java.util.Optional;
+
+/** The typed columns of the table, each with the kind of row that has it and its default. */
+public enum Column {
+  KEY_SHA256(RowKind.ACCOUNT, ColumnType.KEY_HASH, "", 0, 0, "hash of the bearer key"),
+  ACCOUNT_WEIGHT(
+      RowKind.ACCOUNT, ColumnType.WHOLE_NUMBER, "10", 1, 1000, "share of targets when short"),
+  CONCURRENT_LIMIT(
+      RowKind.ACCOUNT, ColumnType.WHOLE_NUMBER, "64", 1, 100_000, "open requests at one host"),
+  PRIORITY(RowKind.ACCOUNT, ColumnType.WHOLE_NUMBER, "5", 0, 9, "0 goes first at engines"),
+  KIND(RowKind.SERVICE, ColumnType.SERVICE_KIND, "generation", 0, 0, "generation or call"),
+  REPEATABLE(
+      RowKind.SERVICE, ColumnType.TRUTH, "false", 0, 0, "whether a call may run more than once"),
+  PLACEMENT(RowKind.SERVICE, ColumnType.PLACEMENT, "two-choices", 0, 0, "how a target is chosen"),
+  SECOND_PLACEMENT(
+      RowKind.SERVICE, ColumnType.PLACEMENT, "two-choices", 0, 0, "placement of the second arm"),
+  SECOND_SHARE(
+      RowKind.SERVICE, ColumnType.WHOLE_NUMBER, "0", 0, 100, "requests in 100 on the second arm"),
+  SUSPICION(
+      RowKind.SERVICE, ColumnType.SUSPICION, "balanced", 0, 0, "how soon silence means death"),
+  COPYING(RowKind.SERVICE, ColumnType.COPYING, "other-hall", 0, 0, "where copies are held"),
+  PATIENCE_MILLIS(
+      RowKind.SERVICE, ColumnType.WHOLE_NUMBER, "5000", 50, 600_000, "longest wait for a target"),
+  CALL_TIMEOUT_MILLIS(
+      RowKind.SERVICE, ColumnType.WHOLE_NUMBER, "5000", 50, 600_000, "longest run of a call"),
+  RETRY_PERCENT(
+      RowKind.SERVICE, ColumnType.WHOLE_NUMBER, "10", 0, 100, "retries for each 100 requests"),
+  MAXIMUM_TOKENS(
+      RowKind.SERVICE, ColumnType.WHOLE_NUMBER, "4096", 1, 1_000_000, "longest generation"),
+  DATA_CENTRE_WEIGHT(
+      RowKind.DATA_CENTRE, ColumnType.WHOLE_NUMBER, "10", 0, 1000, "0 takes no new work");
+
+  private final RowKind rowKind;
+  private final ColumnType type;
+  private final String standard;
+  private final long least;
+  private final long most;
+  private final String meaning;
+
+  Column(RowKind rowKind, ColumnType type, String standard, long least, long most, String meaning) {
+    this.rowKind = rowKind;
+    this.type = type;
+    this.standard = standard;
+    this.least = least;
+    this.most = most;
+    this.meaning = meaning;
+  }
+
+  /** Returns the name of the column in files and on the command line. */
+  public String word() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+
+  public RowKind rowKind() {
+    return rowKind;
+  }
+
+  /** Returns the value of a cell that was never set. */
+  public String standard() {
+    return standard;
+  }
+
+  public String meaning() {
+    return meaning;
+  }
+
+  /** Returns the rule that {@code text} would break in this column, if it breaks one. */
+  public Optional<String> brokenRule(String text) {
+    return type.brokenRule(text, least, most);
+  }
+
+  /**
+   * Returns the column of a kind of row with a name.
+   *
+   * @throws InvalidEditException if rows of this kind have no such column
+   */
+  public static Column of(RowKey row, String word) throws InvalidEditException {
+    for (Column column : values()) {
+      if (column.rowKind == row.kind() && column.word().equals(word)) {
+        return column;
+      }
+    }
+    throw new InvalidEditException(
+        row.toString(), word, "no such column for rows of kind " + row.kind().word());
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/table/ColumnType.java
@@ -0,0 +1,90 @@
+package org.gatereel.core.table;
+
+import java.util.Locale;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.gatereel.core.generation.CopyPolicy;
+import org.gatereel.core.generation.SuspicionPolicy;
+import org.gatereel.core.target.PlacementPolicy;
+
+/** What a column's cells may hold; a check returns the rule that the text breaks. */
+enum ColumnType {
+  WHOLE_NUMBER {
+    @Override
+    Optional<String> brokenRule(String text, long least, long most) {
+      try {
+        long value = Long.parseLong(text);
+        if (value >= least && value <= most) {
+          return Optional.empty();
+        }
+      } catch (NumberFormatException e) {
+        // Falls through to the same rule: the reader needs the range in both cases.
+      }
+      return Optional.of("\"" + text + "\" is not a whole number from " + least + " to " + most);
+    }
+  },
+  TRUTH {
+    @Override
+    Optional<String> brokenRule(String text, long least, long most) {
+      return oneOf(text, "true", "false");
+    }
+  },
+  KEY_HASH {
+    @Override
+    Optional<String> brokenRule(String text, long least, long most) {
+      return HASH.matcher(text).matches()
+          ? Optional.empty()
+          : Optional.of("is not the SHA-256 of a bearer key in 64 hexadecimal digits");
+    }
+  },
+  SERVICE_KIND {
+    @Override
+    Optional<String> brokenRule(String text, long least, long most) {
+      return oneOf(text, words(ServiceKind.values()));
+    }
+  },
+  PLACEMENT {
+    @Override
+    Optional<String> brokenRule(String text, long least, long most) {
+      return oneOf(text, words(PlacementPolicy.values()));
+    }
+  },
+  SUSPICION {
+    @Override
+    Optional<String> brokenRule(String text, long least, long most) {
+      return oneOf(text, words(SuspicionPolicy.values()));
+    }
+  },
+  COPYING {
+    @Override
+    Optional<String> brokenRule(String text, long least, long most) {
+      return oneOf(text, words(CopyPolicy.values()));
+    }
+  };
+
+  private static final Pattern HASH = Pattern.compile("[0-9a-f]{64}");
+
+  abstract Optional<String> brokenRule(String text, long least, long most);
+
+  /** Returns the word for a constant in cells. */
+  static String word(Enum<?> constant) {
+    return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
+  private static String[] words(Enum<?>[] constants) {
+    String[] words = new String[constants.length];
+    for (int index = 0; index < constants.length; index++) {
+      words[index] = word(constants[index]);
+    }
+    return words;
+  }
+
+  private static Optional<String> oneOf(String text, String... allowed) {
+    for (String word : allowed) {
+      if (word.equals(text)) {
+        return Optional.empty();
+      }
+    }
+    return Optional.of("\"" + text + "\" is none of " + String.join(", ", allowed));
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/table/PolicyTable.java
@@ -0,0 +1,141 @@
+package org.gatereel.core.table;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.gatereel.core.model.AccountId;
+import org.gatereel.core.model.DataCentre;
+import org.gatereel.core.model.ServiceName;
+
+/**
+ * The policy in force: the rows of the table at one revision.
+ *
+ * <p>The revision only goes up, one edit at a time or by a whole table of a higher revision, so
+ * that no stale read and no late message can bring an earlier policy back.
+ */
+public final class PolicyTable {
+  private static final int RECENT_EDITS = 512;
+
+  private final SortedMap<RowKey, TableEdit> latest = new TreeMap<>();
+  private final Map<String, Row> accountsByCredential = new HashMap<>();
+  private final List<TableEdit> recent = new ArrayList<>();
+  private long revision;
+
+  public long revision() {
+    return revision;
+  }
+
+  /** Applies an edit if it is the next one; returns whether it did. */
+  public boolean apply(TableEdit edit) {
+    if (edit.revision() != revision + 1) {
+      return false;
+    }
+    put(edit);
+    revision = edit.revision();
+    recent.add(edit);
+    if (recent.size() > RECENT_EDITS) {
+      recent.remove(0);
+    }
+    return true;
+  }
+
+  /** Takes over a whole table if its revision is higher; returns whether it did. */
+  public boolean replace(long newRevision, Collection<TableEdit> latestEdits) {
+    if (newRevision <= revision) {
+      return false;
+    }
+    latest.clear();
+    accountsByCredential.clear();
+    recent.clear();
+    latestEdits.forEach(this::put);
+    revision = newRevision;
+    return true;
+  }
+
+  /** Returns the edits after a revision, or empty if this host no longer has all of them. */
+  public Optional<List<TableEdit>> editsAfter(long have) {
+    List<TableEdit> edits = recent.stream().filter(edit -> edit.revision() > have).toList();
+    return edits.size() == revision - have ? Optional.of(edits) : Optional.empty();
+  }
+
+  /** Returns the latest edit of each row, deleted rows too, in the order of their revisions. */
+  public List<TableEdit> latestEdits() {
+    return latest.values().stream().sorted(Comparator.comparing(TableEdit::revision)).toList();
+  }
+
+  /** Returns the rows that are not deleted. */
+  public List<Row> rows() {
+    return latest.values().stream().map(TableEdit::row).filter(row -> !row.deleted()).toList();
+  }
+
+  /** Returns the latest edit of a row, even if it deleted the row. */
+  public Optional<TableEdit> latestEdit(RowKey key) {
+    return Optional.ofNullable(latest.get(key));
+  }
+
+  public Optional<Row> row(RowKey key) {
+    return latestEdit(key).map(TableEdit::row).filter(row -> !row.deleted());
+  }
+
+  public Optional<Row> service(ServiceName service) {
+    return row(new RowKey(RowKind.SERVICE, service.value()));
+  }
+
+  public Optional<Row> account(AccountId account) {
+    return row(new RowKey(RowKind.ACCOUNT, account.value()));
+  }
+
+  public Optional<Row> accountWithCredential(String credential) {
+    return Optional.ofNullable(accountsByCredential.get(credential));
+  }
+
+  /** Returns the weight of a data centre; one without a row has the standard weight. */
+  public int weight(DataCentre dataCentre) {
+    return row(new RowKey(RowKind.DATA_CENTRE, dataCentre.value()))
+        .map(row -> row.number(Column.DATA_CENTRE_WEIGHT))
+        .orElse(Integer.parseInt(Column.DATA_CENTRE_WEIGHT.standard()));
+  }
+
+  /**
+   * Returns the row that a change would make.
+   *
+   * @throws InvalidEditException if the change breaks a rule, or the row's name is not allowed
+   */
+  public Row preview(RowChange change) throws InvalidEditException {
+    RowNames.check(change.key());
+    Row present =
+        row(change.key()).orElseGet(() -> new Row(change.key(), 0, false, new TreeMap<>()));
+    Row changed = present.with(change, revision + 1);
+    checkCredentialIsNotShared(changed);
+    return changed;
+  }
+
+  private void checkCredentialIsNotShared(Row changed) throws InvalidEditException {
+    Row other = accountsByCredential.get(changed.text(Column.KEY_SHA256));
+    boolean shared = other != null && !other.key().equals(changed.key());
+    if (shared && changed.key().kind() == RowKind.ACCOUNT && !changed.deleted()) {
+      throw new InvalidEditException(
+          changed.key().toString(), Column.KEY_SHA256.word(), "is the key of " + other.key());
+    }
+  }
+
+  private void put(TableEdit edit) {
+    TableEdit before = latest.put(edit.row().key(), edit);
+    if (edit.row().key().kind() != RowKind.ACCOUNT) {
+      return;
+    }
+    if (before != null) {
+      accountsByCredential.remove(before.row().text(Column.KEY_SHA256));
+    }
+    String credential = edit.row().text(Column.KEY_SHA256);
+    if (!edit.row().deleted() && !credential.isEmpty()) {
+      accountsByCredential.put(credential, edit.row());
+    }
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/table/Row.java
@@ -0,0 +1,57 @@
+package org.gatereel.core.table;
+
+import java.util.Collections;
+import java.util.Locale;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * One row of the table, checked.
+ *
+ * @param revision the table revision at which this row was last changed
+ */
+public record Row(RowKey key, long revision, boolean deleted, SortedMap<String, String> cells) {
+  public Row {
+    cells = Collections.unmodifiableSortedMap(new TreeMap<>(cells));
+  }
+
+  /** Returns the text of a cell, or the column's standard value. */
+  public String text(Column column) {
+    return cells.getOrDefault(column.word(), column.standard());
+  }
+
+  public int number(Column column) {
+    return Integer.parseInt(text(column));
+  }
+
+  public boolean truth(Column column) {
+    return Boolean.parseBoolean(text(column));
+  }
+
+  /** Returns the constant that a cell names. */
+  public <E extends Enum<E>> E choice(Column column, Class<E> type) {
+    String name = text(column).toUpperCase(Locale.ROOT).replace('-', '_');
+    return Enum.valueOf(type, name);
+  }
+
+  /**
+   * Returns the row after a change, with all rules checked.
+   *
+   * @throws InvalidEditException if a cell breaks a rule
+   */
+  Row with(RowChange change, long newRevision) throws InvalidEditException {
+    SortedMap<String, String> changed = new TreeMap<>();
+    if (!change.deleted()) {
+      changed.putAll(cells);
+      for (var cell : change.cells().entrySet()) {
+        Column column = Column.of(key, cell.getKey());
+        var broken = column.brokenRule(cell.getValue());
+        if (broken.isPresent()) {
+          throw new InvalidEditException(key.toString(), cell.getKey(), broken.get());
+        }
+        changed.put(cell.getKey(), cell.getValue());
+      }
+    }
+    return new Row(key, newRevision, change.deleted(), changed);
+  }
+}
--- /dev/null
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/Daemon.java
@@ -0,0 +1,146 @@
+package org.gatereel.daemon;
+
+import java.security.SecureRandom;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.gatereel.adapters.HttpClients;
+import org.gatereel.adapters.platform.PlatformClient;
+import org.gatereel.adapters.targets.EngineClient;
+import org.gatereel.adapters.targets.ServiceClient;
+import org.gatereel.core.EntryHost;
+import org.gatereel.core.GatereelException;
+import org.gatereel.core.HostStatus;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.event.Event;
+import org.gatereel.core.event.EventCode;
+import org.gatereel.daemon.callers.CallerGate;
+import org.gatereel.daemon.callers.Exchanges;
+import org.gatereel.daemon.control.ActionRunner;
+import org.gatereel.daemon.control.ControlLoop;
+import org.gatereel.daemon.control.HostListPoller;
+import org.gatereel.daemon.control.Inbox;
+import org.gatereel.daemon.control.PeerSender;
+import org.gatereel.daemon.events.EventLog;
+import org.gatereel.daemon.kernel.Kernel;
+import org.gatereel.daemon.settings.Settings;
+import org.gatereel.wire.PeerLinks;
+
+/** One entry host: the services in their order, and the planned stop. */
+public final class Daemon implements AutoCloseable {
+  private static final long LOOK_MILLIS = 50;
+  private static final long ANSWER_MILLIS = 2_000;
+
+  private final Settings settings;
+  private final Kernel kernel = new Kernel();
+  private final EventLog events;
+  private final ControlLoop control;
+  private volatile boolean stopping;
+
+  /**
+   * Starts all services.
+   *
+   * @throws GatereelException if one cannot start; those before it are closed again
+   */
+  public Daemon(Settings settings) throws GatereelException {
+    this.settings = settings;
+    try {
+      events = kernel.start(Services.EVENTS, found -> new EventLog(settings));
+      control = startTraffic();
+    } catch (GatereelException e) {
+      kernel.close();
+      throw e;
+    }
+  }
+
+  private ControlLoop startTraffic() throws GatereelException {
+    Inbox inbox = new Inbox(events);
+    HttpClients clients = kernel.start(Services.CLIENTS, found -> new HttpClients());
+    PeerLinks links = kernel.start(Services.PEERS, found -> new PeerLinks(settings.host(), inbox));
+    Exchanges exchanges =
+        kernel.start(
+            Services.EXCHANGES, found -> new Exchanges(settings.mostWaitingBytes(), inbox::post));
+    PlatformClient platform = new PlatformClient(clients.platform(), settings.platform());
+    PeerSender peers = new PeerSender(links);
+    peers.learn(settings.peers());
+    ActionRunner runner =
+        new ActionRunner(
+            events,
+            exchanges,
+            platform,
+            new EngineClient(clients.streaming(), inbox),
+            new ServiceClient(clients.once(), inbox),
+            peers,
+            inbox::post);
+    EntryHost core = new EntryHost(settings.host(), settings.dataCentre(), new SecureRandom());
+    ControlLoop loop =
+        kernel.start(Services.CONTROL, found -> new ControlLoop(core, events, runner));
+    inbox.connect(loop);
+    links.listen(settings.peerAddress());
+    loop.start(settings.peers());
+    kernel.start(Services.HOSTS, found -> new HostListPoller(platform, peers, inbox));
+    kernel.start(
+        Services.CALLERS,
+        found ->
+            new CallerGate(
+                settings, exchanges, loop, events, platform, () -> !stopping, this::leave));
+    addGauges(loop, links);
+    return loop;
+  }
+
+  private void addGauges(ControlLoop loop, PeerLinks links) {
+    events.gauge("peer_bytes_sent", links::bytesSent);
+    events.gauge("peer_messages_sent", links::messagesSent);
+    events.gauge("table_revision", () -> status(loop).revision());
+    events.gauge("open_generations", () -> status(loop).openGenerations());
+    events.gauge("owned_generations", () -> status(loop).ownedGenerations());
+    events.gauge("held_copies", () -> status(loop).heldCopies());
+    events.gauge("waiting_requests", () -> status(loop).waiting());
+    events.gauge("open_calls", () -> status(loop).openCalls());
+  }
+
+  private static HostStatus status(ControlLoop loop) {
+    try {
+      return loop.ask(EntryHost::status).get(ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted", e);
+    } catch (ExecutionException | TimeoutException e) {
+      throw new IllegalStateException("the control thread does not answer", e);
+    }
+  }
+
+  /** Tells the balancer to send nothing new; requests that still come are served. */
+  public void leave() {
+    stopping = true;
+  }
+
+  /** Stops as planned: leaves the balancer, finishes what is open, then closes. */
+  public void stop() throws InterruptedException, GatereelException {
+    leave();
+    TimeUnit.MILLISECONDS.sleep(settings.balancerMillis());
+    control.post(new Event.DrainRequested());
+    long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.drainMillis());
+    while (openRequests() > 0 && System.nanoTime() < deadline) {
+      TimeUnit.MILLISECONDS.sleep(LOOK_MILLIS);
+    }
+    close();
+  }
+
+  private int openRequests() {
+    try {
+      return control.ask(EntryHost::open).get(ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (ExecutionException | TimeoutException e) {
+      return 1;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return 0;
+    }
+  }
+
+  @Override
+  public void close() throws GatereelException {
+    events.note(new Action.Note(EventCode.HOST_STOPPED, settings.host().value(), ""));
+    kernel.close();
+  }
+}
--- /dev/null
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/callers/CallerGate.java
@@ -0,0 +1,124 @@
+package org.gatereel.daemon.callers;
+
+import io.jooby.Context;
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.jooby.MediaType;
+import io.jooby.ServerOptions;
+import io.jooby.StatusCode;
+import io.jooby.netty.NettyServer;
+import java.util.function.BooleanSupplier;
+import org.gatereel.adapters.platform.PlatformClient;
+import org.gatereel.core.edit.TableHistory;
+import org.gatereel.core.model.Outcome;
+import org.gatereel.core.model.Problem;
+import org.gatereel.core.model.ProblemType;
+import org.gatereel.daemon.control.ControlLoop;
+import org.gatereel.daemon.events.EventLog;
+import org.gatereel.daemon.settings.Settings;
+
+/** The HTTP server for callers, operators and the balancer. */
+public final class CallerGate implements AutoCloseable {
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+  private static final int IO_THREADS = 2;
+  private static final int WORKER_THREADS = 2;
+
+  private final NettyServer server = new NettyServer();
+  private final EventLog events;
+  private final BooleanSupplier ready;
+
+  private record Health(String state) {}
+
+  /**
+   * Starts to serve.
+   *
+   * @param ready whether the balancer may send new requests
+   * @param drain starts a planned stop
+   * @throws HttpPortException if the address cannot be bound
+   */
+  public CallerGate(
+      Settings settings,
+      Exchanges exchanges,
+      ControlLoop control,
+      EventLog events,
+      PlatformClient platform,
+      BooleanSupplier ready,
+      Runnable drain)
+      throws HttpPortException {
+    this.events = events;
+    this.ready = ready;
+    Jooby application = Jooby.createApp(ExecutionMode.EVENT_LOOP, Jooby::new);
+    new CallerRoutes(exchanges).route(application);
+    new OperatorRoutes(
+            exchanges,
+            control,
+            events,
+            settings.operators(),
+            (after, done) -> platform.scan(TableHistory.PREFIX, TableHistory.key(after), done),
+            drain)
+        .route(application);
+    application.get("/healthz", context -> health(context, true));
+    application.get("/readyz", context -> health(context, ready.getAsBoolean()));
+    application.get("/metrics", this::metrics);
+    application.error(this::failed);
+    server.setOptions(options(settings));
+    try {
+      server.start(application);
+    } catch (RuntimeException e) {
+      throw new HttpPortException(settings.httpAddress(), e);
+    }
+  }
+
+  private static ServerOptions options(Settings settings) {
+    ServerOptions options = new ServerOptions();
+    options.setHost(settings.httpAddress().ip());
+    options.setPort(settings.httpAddress().port());
+    options.setIoThreads(IO_THREADS);
+    options.setWorkerThreads(WORKER_THREADS);
+    options.setMaxRequestSize(settings.mostBodyBytes());
+    options.setDefaultHeaders(false);
+    return options;
+  }
+
+  private static Context health(Context context, boolean good) {
+    context.setResponseCode(good ? OK : UNAVAILABLE);
+    context.setResponseType(MediaType.json);
+    return context.send(ProblemDocument.json(new Health(good ? "ready" : "not ready")));
+  }
+
+  private Context metrics(Context context) {
+    context.setResponseType(MediaType.text);
+    return context.send(events.scrape());
+  }
+
+  private void failed(Context context, Throwable cause, StatusCode status) {
+    ProblemDocument.answer(context, problem(context, cause, status));
+  }
+
+  private Problem problem(Context context, Throwable cause, StatusCode status) {
+    if (status.value() == ProblemType.BODY_TOO_LARGE.status()) {
+      return Problem.notRun(ProblemType.BODY_TOO_LARGE, "see mostBodyBytes in the settings");
+    }
+    if (status.value() == ProblemType.UNKNOWN_PATH.status()
+        || status == StatusCode.METHOD_NOT_ALLOWED) {
+      return Problem.notRun(
+          ProblemType.UNKNOWN_PATH, context.getMethod() + " " + context.getRequestPath());
+    }
+    if (status.value() < StatusCode.SERVER_ERROR_CODE) {
+      return Problem.notRun(ProblemType.MALFORMED_BODY, String.valueOf(cause.getMessage()));
+    }
+    events.failure("a request could not be handled", cause);
+    return new Problem(ProblemType.INTERNAL, Outcome.UNKNOWN, "see the log", 0);
+  }
+
+  /** Returns whether the balancer may send new requests. */
+  public boolean isReady() {
+    return ready.getAsBoolean();
+  }
+
+  @Override
+  public void close() {
+    server.stop();
+  }
+}
--- /dev/null
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/callers/Exchange.java
@@ -0,0 +1,123 @@
+package org.gatereel.daemon.callers;
+
+import io.jooby.Context;
+import io.jooby.MediaType;
+import io.jooby.Sender;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicLong;
+import org.gatereel.core.generation.EventId;
+import org.gatereel.core.model.Outcome;
+import org.gatereel.core.model.Problem;
+import org.gatereel.core.model.ProblemType;
+
+/** One open request of a caller; written to by the control thread only. */
+final class Exchange {
+  private static final MediaType EVENT_STREAM = MediaType.valueOf("text/event-stream");
+  private static final int OK = 200;
+
+  private final Context context;
+  private final int mostWaitingBytes;
+  private final Runnable gone;
+  private final AtomicLong waitingBytes = new AtomicLong();
+  private Sender sender;
+  private boolean ended;
+
+  private record Opened(String request) {}
+
+  private record Text(String text) {}
+
+  private record Length(int tokens) {}
+
+  Exchange(Context context, int mostWaitingBytes, Runnable gone) {
+    this.context = context;
+    this.mostWaitingBytes = mostWaitingBytes;
+    this.gone = gone;
+  }
+
+  void open(EventId id) {
+    if (ended) {
+      return;
+    }
+    context.setResponseCode(OK);
+    context.setResponseType(EVENT_STREAM);
+    context.setResponseHeader("Cache-Control", "no-store");
+    sender = context.responseSender();
+    write("open", id, new Opened(id.request().value()));
+  }
+
+  void token(EventId id, String token) {
+    write("token", id, new Text(token));
+    if (waitingBytes.get() > mostWaitingBytes && !ended) {
+      String detail = waitingBytes.get() + " bytes are waiting";
+      endStream(new Problem(ProblemType.SLOW_READER, Outcome.RAN, detail, 1));
+      gone.run();
+    }
+  }
+
+  void end(EventId id) {
+    write("end", id, new Length(id.offset()));
+    close();
+  }
+
+  /** Tells of a problem: in the stream if it is open, as the answer otherwise. */
+  void refuse(Problem problem) {
+    if (ended) {
+      return;
+    }
+    if (sender != null) {
+      endStream(problem);
+    } else {
+      ended = true;
+      ProblemDocument.answer(context, problem);
+    }
+  }
+
+  private void endStream(Problem problem) {
+    write("problem", null, ProblemDocument.of(problem));
+    close();
+  }
+
+  void answer(int status, MediaType type, byte[] body) {
+    if (!ended) {
+      ended = true;
+      context.setResponseCode(status);
+      context.setResponseType(type);
+      context.send(body);
+    }
+  }
+
+  /** Ends the exchange without an answer; the caller connects again. */
+  void disconnect() {
+    if (sender != null) {
+      close();
+    } else if (!ended) {
+      refuse(new Problem(ProblemType.DRAINING, Outcome.NOT_RUN, "connect again", 1));
+    }
+  }
+
+  private void close() {
+    if (!ended) {
+      ended = true;
+      sender.close();
+    }
+  }
+
+  private void write(String type, EventId id, Object data) {
+    if (ended) {
+      return;
+    }
+    String head = id == null ? "" : "id: " + id + "\n";
+    String body = new String(ProblemDocument.json(data), StandardCharsets.UTF_8);
+    String event = head + "event: " + type + "\ndata: " + body + "\n\n";
+    byte[] bytes = event.getBytes(StandardCharsets.UTF_8);
+    waitingBytes.addAndGet(bytes.length);
+    sender.write(bytes, (done, failure) -> written(bytes.length, failure));
+  }
+
+  private void written(int length, Throwable failure) {
+    waitingBytes.addAndGet(-length);
+    if (failure != null) {
+      gone.run();
+    }
+  }
+}
--- /dev/null
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/callers/HttpPortException.java
@@ -0,0 +1,13 @@
+package org.gatereel.daemon.callers;
+
+import org.gatereel.core.GatereelException;
+import org.gatereel.core.model.Address;
+
+/** The address for callers cannot be bound. */
+public final class HttpPortException extends GatereelException {
+  private static final long serialVersionUID = 1L;
+
+  public HttpPortException(Address address, Throwable cause) {
+    super("cannot listen for callers at " + address, cause);
+  }
+}
--- /dev/null
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/callers/ProblemDocument.java
@@ -0,0 +1,51 @@
+package org.gatereel.daemon.callers;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.jooby.Context;
+import io.jooby.MediaType;
+import org.gatereel.core.model.Outcome;
+import org.gatereel.core.model.Problem;
+
+/**
+ * A problem as RFC 9457 has it, with the outcome.
+ *
+ * @param type a URI reference that is the same for every problem of this type
+ * @param retryAfterMillis when to come back, 0 if that does not help
+ */
+public record ProblemDocument(
+    String type, String title, int status, String detail, Outcome outcome, long retryAfterMillis) {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final MediaType MEDIA_TYPE = MediaType.valueOf("application/problem+json");
+  private static final long MILLIS_A_SECOND = 1_000;
+
+  static ProblemDocument of(Problem problem) {
+    return new ProblemDocument(
+        problem.type().uri(),
+        problem.type().title(),
+        problem.type().status(),
+        problem.detail(),
+        problem.outcome(),
+        problem.retryAfterMillis());
+  }
+
+  /** Answers an exchange with a problem. */
+  static Context answer(Context context, Problem problem) {
+    context.setResponseCode(problem.type().status());
+    context.setResponseType(MEDIA_TYPE);
+    if (problem.retryAfterMillis() > 0) {
+      long seconds = (problem.retryAfterMillis() + MILLIS_A_SECOND - 1) / MILLIS_A_SECOND;
+      context.setResponseHeader("Retry-After", Long.toString(seconds));
+    }
+    return context.send(json(of(problem)));
+  }
+
+  /** Returns a value as JSON. */
+  static byte[] json(Object value) {
+    try {
+      return MAPPER.writeValueAsBytes(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("records can always be written", e);
+    }
+  }
+}
--- /dev/null
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/control/ActionRunner.java
@@ -0,0 +1,85 @@
+package org.gatereel.daemon.control;
+
+import java.util.function.Consumer;
+import org.gatereel.adapters.platform.PlatformClient;
+import org.gatereel.adapters.targets.EngineClient;
+import org.gatereel.adapters.targets.ServiceClient;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.event.Event;
+import org.gatereel.daemon.callers.Exchanges;
+import org.gatereel.daemon.events.EventLog;
+
+/** Carries out the core's actions through the ports. */
+public final class ActionRunner implements Consumer<Action> {
+  private final EventLog events;
+  private final Exchanges callers;
+  private final PlatformClient platform;
+  private final EngineClient engines;
+  private final ServiceClient services;
+  private final PeerSender peers;
+  private final Consumer<Event> inbox;
+
+  public ActionRunner(
+      EventLog events,
+      Exchanges callers,
+      PlatformClient platform,
+      EngineClient engines,
+      ServiceClient services,
+      PeerSender peers,
+      Consumer<Event> inbox) {
+    this.events = events;
+    this.callers = callers;
+    this.platform = platform;
+    this.engines = engines;
+    this.services = services;
+    this.peers = peers;
+    this.inbox = inbox;
+  }
+
+  @Override
+  public void accept(Action action) {
+    if (action instanceof Action.SendToken send) {
+      callers.sendToken(send);
+    } else if (action instanceof Action.SendPeer send) {
+      peers.send(send);
+    } else if (action instanceof Action.Note note) {
+      events.note(note);
+    } else if (action instanceof Action.Measure measure) {
+      events.measure(measure);
+    } else if (!runTarget(action) && !runPlatform(action)) {
+      callers.run(action);
+    }
+  }
+
+  private boolean runTarget(Action action) {
+    if (action instanceof Action.StartAttempt start) {
+      engines.start(start);
+    } else if (action instanceof Action.CancelAttempt cancel) {
+      engines.cancel(cancel.request(), cancel.attempt());
+    } else if (action instanceof Action.SendCall send) {
+      services.send(send);
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  private boolean runPlatform(Action action) {
+    if (action instanceof Action.Transact transact) {
+      platform.transact(
+          transact.writes(),
+          result -> inbox.accept(new Event.TransactionEnded(transact.ticket(), result)));
+    } else if (action instanceof Action.ReadRows read) {
+      platform.read(
+          read.keys(), result -> inbox.accept(new Event.ReadEnded(read.ticket(), result)));
+    } else if (action instanceof Action.ScanRows scan) {
+      platform.scan(
+          scan.prefix(),
+          scan.after(),
+          result -> inbox.accept(new Event.ReadEnded(scan.ticket(), result)));
+    } else {
+      return false;
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/control/ControlLoop.java
@@ -0,0 +1,100 @@
+package org.gatereel.daemon.control;
+
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.gatereel.core.EntryHost;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.event.Event;
+import org.gatereel.core.model.HostDescription;
+import org.gatereel.daemon.events.EventLog;
+
+/** The one thread for control state: it feeds the core with events and carries out its actions. */
+public final class ControlLoop implements AutoCloseable {
+  private static final long IDLE_MILLIS = 1_000;
+  private static final int STOP_MILLIS = 2_000;
+
+  private final EntryHost core;
+  private final EventLog events;
+  private final Consumer<Action> runner;
+  private final LinkedBlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
+  private final Thread thread = new Thread(this::run, "control");
+  private final CountDownLatch started = new CountDownLatch(1);
+  private volatile boolean closed;
+
+  public ControlLoop(EntryHost core, EventLog events, Consumer<Action> runner) {
+    this.core = core;
+    this.events = events;
+    this.runner = runner;
+    thread.setDaemon(true);
+  }
+
+  /** Starts the thread and the core. */
+  public void start(List<HostDescription> seeds) {
+    inbox.add(() -> perform(core.start(nowMillis(), seeds)));
+    thread.start();
+    started.countDown();
+  }
+
+  /** Passes an event on to the core; returns at once. */
+  public void post(Event event) {
+    inbox.add(() -> perform(core.handle(event, nowMillis())));
+  }
+
+  /** Asks the core something, on its thread. */
+  public <T> CompletableFuture<T> ask(Function<EntryHost, T> question) {
+    CompletableFuture<T> answer = new CompletableFuture<>();
+    inbox.add(() -> answer.complete(question.apply(core)));
+    return answer;
+  }
+
+  private static long nowMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
+  private void run() {
+    while (!closed) {
+      try {
+        Runnable next = inbox.poll(waitMillis(), TimeUnit.MILLISECONDS);
+        if (next != null) {
+          next.run();
+        }
+        if (isDue()) {
+          perform(core.advance(nowMillis()));
+        }
+      } catch (InterruptedException e) {
+        return;
+      } catch (RuntimeException e) {
+        // One event must not end the service of all others; the log has it for whoever is on call.
+        events.failure("an event could not be handled", e);
+      }
+    }
+  }
+
+  private long waitMillis() {
+    OptionalLong deadline = core.nextDeadline();
+    long wait = deadline.isPresent() ? deadline.getAsLong() - nowMillis() : IDLE_MILLIS;
+    return Math.max(0, Math.min(IDLE_MILLIS, wait));
+  }
+
+  private boolean isDue() {
+    OptionalLong deadline = core.nextDeadline();
+    return deadline.isPresent() && deadline.getAsLong() <= nowMillis();
+  }
+
+  private void perform(List<Action> actions) {
+    actions.forEach(runner);
+  }
+
+  @Override
+  public void close() throws InterruptedException {
+    closed = true;
+    thread.interrupt();
+    thread.join(STOP_MILLIS);
+  }
+}
--- /dev/null
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/control/HostListPoller.java
@@ -0,0 +1,52 @@
+package org.gatereel.daemon.control;
+
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.gatereel.adapters.platform.PlatformClient;
+import org.gatereel.core.event.Event;
+import org.gatereel.core.model.HostList;
+
+/** Reads the platform's list of hosts and targets again and again. */
+public final class HostListPoller implements AutoCloseable {
+  private static final long SHORTEST_MILLIS = 1_000;
+  private static final int READS_A_SECOND = 18;
+  private static final int MILLIS_A_SECOND = 1_000;
+
+  private final ScheduledExecutorService timer =
+      Executors.newSingleThreadScheduledExecutor(
+          task -> {
+            Thread thread = new Thread(task, "host-list");
+            thread.setDaemon(true);
+            return thread;
+          });
+  private final PlatformClient platform;
+  private final PeerSender peers;
+  private final Inbox inbox;
+  private volatile int hosts = 1;
+
+  public HostListPoller(PlatformClient platform, PeerSender peers, Inbox inbox) {
+    this.platform = platform;
+    this.peers = peers;
+    this.inbox = inbox;
+    timer.execute(this::poll);
+  }
+
+  private void poll() {
+    platform.hosts(this::seen);
+    // All hosts together read about as often whatever their number; news spreads among peers.
+    long interval = Math.max(SHORTEST_MILLIS, (long) hosts * MILLIS_A_SECOND / READS_A_SECOND);
+    timer.schedule(this::poll, interval, TimeUnit.MILLISECONDS);
+  }
+
+  private void seen(HostList list) {
+    hosts = Math.max(1, list.hosts().size());
+    peers.learn(list.hosts());
+    inbox.post(new Event.HostListSeen(list));
+  }
+
+  @Override
+  public void close() {
+    timer.shutdownNow();
+  }
+}
--- /dev/null
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/control/Inbox.java
@@ -0,0 +1,74 @@
+package org.gatereel.daemon.control;
+
+import org.gatereel.adapters.targets.TargetListener;
+import org.gatereel.core.event.Event;
+import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.model.HostId;
+import org.gatereel.core.model.RequestId;
+import org.gatereel.core.peer.PeerMessage;
+import org.gatereel.daemon.events.EventLog;
+import org.gatereel.wire.MalformedMessageException;
+import org.gatereel.wire.PeerListener;
+
+/** Turns what targets and peers send into events of the core. */
+public final class Inbox implements TargetListener, PeerListener {
+  private final EventLog events;
+  private volatile ControlLoop control;
+
+  public Inbox(EventLog events) {
+    this.events = events;
+  }
+
+  /** Names the loop that takes the events; what comes before is dropped, as before the start. */
+  public void connect(ControlLoop loop) {
+    control = loop;
+  }
+
+  /** Passes an event on. */
+  public void post(Event event) {
+    ControlLoop loop = control;
+    if (loop != null) {
+      loop.post(event);
+    }
+  }
+
+  @Override
+  public void token(RequestId request, int attempt, int offset, String token, int load) {
+    post(new Event.TokenArrived(request, attempt, offset, token, load));
+  }
+
+  @Override
+  public void finished(RequestId request, int attempt, int length) {
+    post(new Event.AttemptFinished(request, attempt, length));
+  }
+
+  @Override
+  public void failed(RequestId request, int attempt, TargetFailure failure) {
+    post(new Event.AttemptFailed(request, attempt, failure));
+  }
+
+  @Override
+  public void answered(long ticket, int status, String body, int load) {
+    post(new Event.CallAnswered(ticket, status, body, load));
+  }
+
+  @Override
+  public void callFailed(long ticket, TargetFailure failure) {
+    post(new Event.CallFailed(ticket, failure));
+  }
+
+  @Override
+  public void said(HostId from, PeerMessage message) {
+    post(new Event.PeerSaid(from, message));
+  }
+
+  @Override
+  public void unreachable(HostId peer) {
+    post(new Event.PeerUnreachable(peer));
+  }
+
+  @Override
+  public void malformed(String from, MalformedMessageException failure) {
+    events.failure("a message of peer " + from + " cannot be read", failure);
+  }
+}
--- /dev/null
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/control/PeerSender.java
@@ -0,0 +1,32 @@
+package org.gatereel.daemon.control;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.model.Address;
+import org.gatereel.core.model.HostDescription;
+import org.gatereel.core.model.HostId;
+import org.gatereel.wire.PeerLinks;
+
+/** Sends messages to peers at the addresses that the settings and the platform's list name. */
+public final class PeerSender {
+  private final PeerLinks links;
+  private final Map<HostId, Address> addresses = new ConcurrentHashMap<>();
+
+  public PeerSender(PeerLinks links) {
+    this.links = links;
+  }
+
+  /** Takes in where hosts are; a host that is no longer named keeps its address. */
+  public void learn(List<HostDescription> hosts) {
+    hosts.forEach(host -> addresses.put(host.id(), host.peerAddress()));
+  }
+
+  void send(Action.SendPeer send) {
+    Address address = addresses.get(send.peer());
+    if (address != null) {
+      links.send(send.peer(), address, send.message());
+    }
+  }
+}
--- /dev/null
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/events/EventLog.java
@@ -0,0 +1,136 @@
+package org.gatereel.daemon.events;
+
+import com.google.common.flogger.FluentLogger;
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.DistributionSummary;
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.Logger;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.event.EventCode;
+import org.gatereel.daemon.settings.Settings;
+
+/** Where events go: the log, the time line and the metrics. */
+public final class EventLog implements AutoCloseable {
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+  private static final double[] PERCENTILES = {0.5, 0.95, 0.99};
+  private static final int FIRST_WORKING_CODE = 200;
+  private static final int FIRST_TABLE_CODE = 400;
+
+  private final String host;
+  private final EventRing ring;
+  private final Logger root = LogManager.getLogManager().getLogger("");
+  private final AtomicLong sequence = new AtomicLong();
+  private final PrometheusMeterRegistry registry =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final Map<EventCode, Counter> counters = new EnumMap<>(EventCode.class);
+  private final Map<MeasureKey, DistributionSummary> summaries = new ConcurrentHashMap<>();
+
+  private record MeasureKey(String measurement, String service, String arm) {}
+
+  public EventLog(Settings settings) {
+    host = settings.host().value();
+    ring = new EventRing(settings.eventRing());
+    configureLogging(settings);
+    new JvmMemoryMetrics().bindTo(registry);
+    new ProcessorMetrics().bindTo(registry);
+    for (EventCode code : EventCode.values()) {
+      counters.put(
+          code,
+          Counter.builder("gatereel_events")
+              .description("numbered events, by name")
+              .tag("event", code.name())
+              .register(registry));
+    }
+  }
+
+  private void configureLogging(Settings settings) {
+    Handler handler = new ConsoleHandler();
+    handler.setFormatter(new JsonLogFormatter(host));
+    handler.setLevel(Level.ALL);
+    for (Handler present : root.getHandlers()) {
+      root.removeHandler(present);
+    }
+    root.addHandler(handler);
+    boolean quiet = settings.logLevel() == Settings.LogLevel.WARNING;
+    root.setLevel(quiet ? Level.WARNING : Level.INFO);
+  }
+
+  /** Takes in an event of the core. */
+  public void note(Action.Note note) {
+    EventCode code = note.code();
+    counters.get(code).increment();
+    ring.add(
+        new TimelineEntry(
+            sequence.incrementAndGet(),
+            System.currentTimeMillis(),
+            host,
+            code.number(),
+            code.name(),
+            note.subject(),
+            note.detail()));
+    // What happens to single requests goes to the time line only, or the log would be all of it.
+    boolean ofOneRequest = code.number() >= FIRST_WORKING_CODE && code.number() < FIRST_TABLE_CODE;
+    if (!ofOneRequest) {
+      LOGGER
+          .atInfo()
+          .with(
+              LogEvent.KEY, new LogEvent(code.number(), code.name(), note.subject(), note.detail()))
+          .log("event");
+    }
+  }
+
+  /** Takes in a measured value. */
+  public void measure(Action.Measure measure) {
+    MeasureKey key =
+        new MeasureKey(
+            measure.measurement().name(), measure.service().value(), measure.arm().name());
+    summaries.computeIfAbsent(key, this::summary).record(measure.value());
+  }
+
+  private DistributionSummary summary(MeasureKey key) {
+    return DistributionSummary.builder(
+            "gatereel_" + key.measurement().toLowerCase(java.util.Locale.ROOT))
+        .tag("service", key.service())
+        .tag("arm", key.arm())
+        .publishPercentiles(PERCENTILES)
+        .register(registry);
+  }
+
+  /** Logs a failure of this process itself. */
+  public void failure(String what, Throwable cause) {
+    LOGGER.atSevere().withCause(cause).log("%s", what);
+  }
+
+  /** Adds a value that is asked for when metrics are read. */
+  public void gauge(String name, Supplier<Number> value) {
+    io.micrometer.core.instrument.Gauge.builder("gatereel_" + name, value).register(registry);
+  }
+
+  /** Returns the metrics in Prometheus' text format. */
+  public String scrape() {
+    return registry.scrape();
+  }
+
+  /** Returns the time line of this process. */
+  public List<TimelineEntry> timeline(long sinceMillis, String subject) {
+    return ring.since(sinceMillis, subject);
+  }
+
+  @Override
+  public void close() {
+    registry.close();
+  }
+}
--- /dev/null
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/kernel/ServiceException.java
@@ -0,0 +1,16 @@
+package org.gatereel.daemon.kernel;
+
+import org.gatereel.core.GatereelException;
+
+/** A service of the daemon that cannot be started, found or closed. */
+public final class ServiceException extends GatereelException {
+  private static final long serialVersionUID = 1L;
+
+  public ServiceException(String service, String what) {
+    super("service " + service + " " + what);
+  }
+
+  public ServiceException(String service, String what, Throwable cause) {
+    super("service " + service + " " + what, cause);
+  }
+}
--- /dev/null
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/settings/SettingsReader.java
@@ -0,0 +1,116 @@
+package org.gatereel.daemon.settings;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.gatereel.core.model.Address;
+import org.gatereel.core.model.DataCentre;
+import org.gatereel.core.model.HostDescription;
+import org.gatereel.core.model.HostId;
+import org.gatereel.core.model.LifeState;
+
+/** Reads settings, which are JSON with comments, and reports all mistakes at once. */
+public final class SettingsReader {
+  private static final int DRAIN_MILLIS = 600_000;
+  private static final int BALANCER_MILLIS = 3_000;
+  private static final int LONGEST_MILLIS = 86_400_000;
+  private static final int BODY_BYTES = 1 << 20;
+  private static final int MOST_BYTES = 1 << 28;
+  private static final int WAITING_BYTES = 1 << 18;
+  private static final int LEAST_BYTES = 1 << 10;
+  private static final int RING = 4_096;
+  private static final int LARGEST_RING = 1 << 20;
+
+  private static final ObjectMapper MAPPER =
+      JsonMapper.builder()
+          .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+          .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+          .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+          .build();
+
+  private SettingsReader() {}
+
+  /**
+   * Reads a settings file.
+   *
+   * @throws SettingsException if the file cannot be read or has mistakes; it names all of them
+   */
+  public static Settings read(Path file) throws SettingsException {
+    try {
+      return parse(Files.readString(file));
+    } catch (IOException e) {
+      throw new SettingsException(
+          List.of(new SettingsException.Mistake("file", file.toString(), "a file to read")));
+    }
+  }
+
+  /**
+   * Reads settings from a text.
+   *
+   * @throws SettingsException if the text has mistakes; it names all of them
+   */
+  public static Settings parse(String text) throws SettingsException {
+    List<SettingsException.Mistake> mistakes = new ArrayList<>();
+    SettingsNode root = new SettingsNode(tree(text), "", mistakes);
+    Settings settings =
+        new Settings(
+            new HostId(root.name("host")),
+            new DataCentre(root.name("dataCentre")),
+            root.object("httpAddress", SettingsReader::address),
+            root.object("peerAddress", SettingsReader::address),
+            root.object("platform", SettingsReader::address),
+            root.list("peers", SettingsReader::peer),
+            root.list("operators", SettingsReader::operator),
+            root.number("drainMillis", 0, LONGEST_MILLIS, DRAIN_MILLIS),
+            root.number("balancerMillis", 0, LONGEST_MILLIS, BALANCER_MILLIS),
+            root.number("mostBodyBytes", LEAST_BYTES, MOST_BYTES, BODY_BYTES),
+            root.number("mostWaitingBytes", LEAST_BYTES, MOST_BYTES, WAITING_BYTES),
+            root.number("eventRing", 1, LARGEST_RING, RING),
+            root.choice("logLevel", Settings.LogLevel.class, Settings.LogLevel.INFO));
+    root.refuseUnknown();
+    if (!mistakes.isEmpty()) {
+      throw new SettingsException(mistakes);
+    }
+    return settings;
+  }
+
+  private static JsonNode tree(String text) throws SettingsException {
+    try {
+      return MAPPER.readTree(text);
+    } catch (JsonProcessingException e) {
+      String where =
+          e.getLocation() == null
+              ? "file"
+              : "line " + e.getLocation().getLineNr() + ", column " + e.getLocation().getColumnNr();
+      throw new SettingsException(
+          List.of(
+              new SettingsException.Mistake(
+                  where, e.getOriginalMessage(), "JSON, with // and /* */ comments")));
+    }
+  }
+
+  private static Address address(SettingsNode node) {
+    return new Address(node.ip("ip"), node.port("port"));
+  }
+
+  private static HostDescription peer(SettingsNode node) {
+    return new HostDescription(
+        new HostId(node.name("host")),
+        new DataCentre(node.name("dataCentre")),
+        node.object("peerAddress", SettingsReader::address),
+        node.object("httpAddress", SettingsReader::address),
+        LifeState.LIVE);
+  }
+
+  private static Settings.Operator operator(SettingsNode node) {
+    return new Settings.Operator(node.name("name"), node.hash("keySha256"));
+  }
+}
--- /dev/null
+++ b/gatereel-standins/src/main/java/org/gatereel/standins/Control.java
@@ -0,0 +1,53 @@
+package org.gatereel.standins;
+
+import io.jooby.Jooby;
+import java.util.function.Consumer;
+import java.util.function.DoubleConsumer;
+
+/** The paths by which a stand-in is told from outside to die, freeze, slow down or leave. */
+public final class Control {
+  private static final int OK = 200;
+  private static final int BAD = 400;
+
+  private final Consumer<Boolean> freeze;
+  private final DoubleConsumer slowDown;
+  private volatile boolean leaving;
+
+  private record Done(String command) {}
+
+  public Control(Consumer<Boolean> freeze, DoubleConsumer slowDown) {
+    this.freeze = freeze;
+    this.slowDown = slowDown;
+  }
+
+  /** Returns whether the stand-in takes no new requests. */
+  public boolean isLeaving() {
+    return leaving;
+  }
+
+  /** Adds {@code POST /control/{command}}, with {@code ?factor=} for slow. */
+  public void route(Jooby application) {
+    application.post(
+        "/control/{command}",
+        context -> {
+          String command = context.path("command").value();
+          double factor = context.query("factor").doubleValue(1);
+          boolean known = run(command, factor);
+          return StandInServer.json(context, known ? OK : BAD, new Done(command));
+        });
+  }
+
+  private boolean run(String command, double factor) {
+    switch (command) {
+      case "die" -> Runtime.getRuntime().halt(137);
+      case "freeze" -> freeze.accept(true);
+      case "thaw" -> freeze.accept(false);
+      case "slow" -> slowDown.accept(factor);
+      case "leave" -> leaving = true;
+      default -> {
+        return false;
+      }
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/gatereel-wire/src/main/java/org/gatereel/wire/PeerLinks.java
@@ -0,0 +1,188 @@
+package org.gatereel.wire;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import org.gatereel.core.model.Address;
+import org.gatereel.core.model.HostId;
+import org.gatereel.core.peer.PeerMessage;
+import org.gatereel.wire.generated.Envelope;
+
+/**
+ * Connections to other entry hosts: one each way between two hosts that talk, opened when the first
+ * message is sent.
+ *
+ * <p>Messages to one peer arrive in the order in which they were sent, or the peer is reported as
+ * unreachable. Nothing is sent again from here: whoever needs an answer asks again.
+ */
+public final class PeerLinks implements AutoCloseable {
+  private static final int CONNECT_MILLIS = 1_000;
+  private static final int MOST_WAITING_BYTES = 8 * 1024 * 1024;
+  private static final int QUIET_MILLIS = 0;
+  private static final int STOP_MILLIS = 500;
+
+  private final HostId self;
+  private final PeerListener listener;
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final Map<HostId, Link> links = new ConcurrentHashMap<>();
+  private final LongAdder bytesSent = new LongAdder();
+  private final LongAdder messagesSent = new LongAdder();
+  private Channel server;
+
+  private record Link(Address address, ChannelFuture opening) {}
+
+  public PeerLinks(HostId self, PeerListener listener) {
+    this.self = self;
+    this.listener = listener;
+  }
+
+  /**
+   * Starts to take connections of peers.
+   *
+   * @throws PeerPortException if the address cannot be bound
+   */
+  public void listen(Address address) throws PeerPortException {
+    ChannelFuture bound =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(new ProtobufVarint32FrameDecoder())
+                        .addLast(new ProtobufDecoder(Envelope.getDefaultInstance()))
+                        .addLast(new PeerReader(listener));
+                  }
+                })
+            .bind(address.ip(), address.port())
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new PeerPortException(address, bound.cause());
+    }
+    server = bound.channel();
+  }
+
+  /** Sends a message; if that fails, the listener learns that the peer is unreachable. */
+  public void send(HostId peer, Address address, PeerMessage message) {
+    Envelope envelope = MessageEncoder.encode(message);
+    bytesSent.add(envelope.getSerializedSize());
+    messagesSent.increment();
+    Link link = linkTo(peer, address);
+    if (link.opening().isDone()) {
+      write(peer, link, envelope);
+    } else {
+      link.opening().addListener(done -> write(peer, link, envelope));
+    }
+  }
+
+  private Link linkTo(HostId peer, Address address) {
+    return links.compute(
+        peer,
+        (id, known) -> {
+          boolean usable = known != null && known.address().equals(address) && !isBroken(known);
+          return usable ? known : new Link(address, connect(id, address));
+        });
+  }
+
+  private static boolean isBroken(Link link) {
+    return link.opening().isDone()
+        && (!link.opening().isSuccess() || !link.opening().channel().isActive());
+  }
+
+  private ChannelFuture connect(HostId peer, Address address) {
+    ChannelFuture opening =
+        new Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .handler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(new ProtobufVarint32LengthFieldPrepender())
+                        .addLast(new ProtobufEncoder());
+                  }
+                })
+            .connect(address.ip(), address.port());
+    opening.addListener(
+        done -> {
+          if (done.isSuccess()) {
+            opening.channel().write(MessageEncoder.hello(self));
+            opening.channel().closeFuture().addListener(closed -> listener.unreachable(peer));
+          } else {
+            listener.unreachable(peer);
+          }
+        });
+    return opening;
+  }
+
+  private void write(HostId peer, Link link, Envelope envelope) {
+    Channel channel = link.opening().channel();
+    if (!link.opening().isSuccess()) {
+      return;
+    }
+    long waiting = channel.unsafe().outboundBuffer() == null ? 0 : waitingBytes(channel);
+    if (waiting > MOST_WAITING_BYTES) {
+      // A peer that takes nothing for so long is as good as gone; a new connection starts afresh.
+      channel.close();
+      return;
+    }
+    channel
+        .writeAndFlush(envelope)
+        .addListener(
+            done -> {
+              if (!done.isSuccess()) {
+                listener.unreachable(peer);
+              }
+            });
+  }
+
+  private static long waitingBytes(Channel channel) {
+    return channel.unsafe().outboundBuffer().totalPendingWriteBytes();
+  }
+
+  /** Returns the bytes of the messages sent so far, framing left out. */
+  public long bytesSent() {
+    return bytesSent.sum();
+  }
+
+  public long messagesSent() {
+    return messagesSent.sum();
+  }
+
+  @Override
+  public void close() {
+    if (server != null) {
+      server.close();
+    }
+    links.values().forEach(link -> link.opening().channel().close());
+    group
+        .shutdownGracefully(QUIET_MILLIS, STOP_MILLIS, TimeUnit.MILLISECONDS)
+        .awaitUninterruptibly(STOP_MILLIS);
+  }
+}
--- /dev/null
+++ b/gatereel-wire/src/main/java/org/gatereel/wire/PeerPortException.java
@@ -0,0 +1,13 @@
+package org.gatereel.wire;
+
+import org.gatereel.core.GatereelException;
+import org.gatereel.core.model.Address;
+
+/** The address for peers cannot be bound. */
+public final class PeerPortException extends GatereelException {
+  private static final long serialVersionUID = 1L;
+
+  public PeerPortException(Address address, Throwable cause) {
+    super("cannot listen for peers at " + address, cause);
+  }
+}
