--- a/gatereel-core/src/main/java/org/gatereel/core/EntryHost.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/EntryHost.java
@@ -124,21 +124,24 @@
 
   private void moveTo(long now) {
     OptionalLong due = turn.timers().nextDeadline();
+    long lastRun = turn.now();
     turn.moveTo(now);
-    if (due.isPresent() && now - due.getAsLong() > PAUSE_MILLIS) {
+    long late = due.isPresent() ? now - Math.max(due.getAsLong(), lastRun) : 0;
+    if (late > PAUSE_MILLIS) {
       turn.notePause();
-      long late = now - due.getAsLong();
       turn.note(EventCode.PAUSE_NOTICED, turn.self().value(), late + " ms");
     }
   }
 
   private boolean handleCaller(Event event) {
     if (event instanceof Event.GenerationRequested request) {
-      if (mayTakeNew(request.caller())) {
+      if (mayTakeNew(request.caller(), Outcome.NOT_RUN)) {
         generations.requested(request);
       }
     } else if (event instanceof Event.CallRequested request) {
-      if (mayTakeNew(request.caller())) {
+      // Under the same key another host may have run the call already.
+      Outcome known = request.idempotencyKey().isPresent() ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+      if (mayTakeNew(request.caller(), known)) {
         calls.requested(request);
       }
     } else if (event instanceof Event.ResumeRequested request) {
@@ -153,12 +156,12 @@
     return true;
   }
 
-  private boolean mayTakeNew(long caller) {
+  private boolean mayTakeNew(long caller, Outcome outcome) {
     if (draining) {
       Problem problem =
           new Problem(
               ProblemType.DRAINING,
-              Outcome.NOT_RUN,
+              outcome,
               "connect again to reach another host",
               DRAINING_RETRY_MILLIS);
       turn.emit(new Action.Refuse(caller, problem));
@@ -209,7 +212,7 @@
     } else if (event instanceof Event.ReadEnded ended) {
       platform.ended(ended);
     } else if (event instanceof Event.PeerUnreachable unreachable) {
-      peerUnreachable(unreachable.peer());
+      peerUnreachable(unreachable);
     } else if (event instanceof Event.DrainRequested) {
       drain();
     }
@@ -221,10 +224,10 @@
     wantPump();
   }
 
-  private void peerUnreachable(HostId peer) {
-    members.unreachable(peer);
-    takeOvers.peerUnreachable(peer);
-    calls.peerUnreachable(peer);
+  private void peerUnreachable(Event.PeerUnreachable event) {
+    members.unreachable(event.peer());
+    takeOvers.peerUnreachable(event.peer(), event.processGone());
+    calls.peerUnreachable(event.peer());
   }
 
   private void drain() {
--- a/gatereel-core/src/main/java/org/gatereel/core/call/OnceDesk.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/call/OnceDesk.java
@@ -34,6 +34,7 @@
   private static final long REMEMBER_MILLIS = 600_000;
   private static final long ASK_MILLIS = 1_000;
   private static final long RETRY_MILLIS = 1_000;
+  private static final long SILENT_RETRY_MILLIS = 2_000;
   private static final int MOST_SWAPS = 4;
 
   private final Turn turn;
@@ -103,11 +104,7 @@
       Wish wish, CallRecord record, String value, Optional<String> present, int swaps) {
     if (present.isEmpty()) {
       turn.note(EventCode.CLAIM_FAILED, wish.call().executionId(), "the table did not answer");
-      endUnsent(
-          wish,
-          record,
-          Problem.notRun(
-              ProblemType.PLATFORM_UNAVAILABLE, "the claim was not confirmed", RETRY_MILLIS));
+      endUnsent(wish, record, unconfirmed("the claim was not confirmed"));
     } else if (present.get().equals(value)) {
       turn.note(EventCode.CLAIM_GRANTED, wish.call().executionId(), value);
       send(wish, record);
@@ -186,7 +183,7 @@
   private void ask(Wish wish, CallRecord record, HostId host, String present, int swaps) {
     turn.note(EventCode.CLAIM_TAKEN, wish.call().executionId(), "by " + host);
     if (host.equals(turn.self()) || !members.isAnswering(host)) {
-      endElsewhere(wish, record, alreadyClaimed(wish, host + " has it and does not answer"));
+      endElsewhere(wish, record, silent(wish, host));
       return;
     }
     long ticket = turn.nextTicket();
@@ -204,7 +201,7 @@
       endElsewhere(
           question.wish(),
           records.get(question.wish().key()),
-          alreadyClaimed(question.wish(), question.host() + " has it and does not answer"));
+          silent(question.wish(), question.host()));
     }
   }
 
@@ -220,19 +217,26 @@
   private void tell(Wish wish, CallRecord ended) {
     switch (ended.state()) {
       case ANSWERED -> wish.listener().answered(ended.status(), ended.body());
-      case NOT_SENT ->
-          wish.listener()
-              .failed(
-                  Problem.notRun(
-                      ProblemType.PLATFORM_UNAVAILABLE, "the call was not sent", RETRY_MILLIS));
+      case NOT_SENT -> wish.listener().failed(unconfirmed("the call was not sent from here"));
       default -> wish.listener().failed(alreadyClaimed(wish, "its target failed or is unknown"));
     }
   }
 
+  /** This host did not send the call; but another one may have, under the same key. */
+  private static Problem unconfirmed(String detail) {
+    return new Problem(ProblemType.PLATFORM_UNAVAILABLE, Outcome.UNKNOWN, detail, RETRY_MILLIS);
+  }
+
   private static Problem changed(Wish wish) {
     return Problem.notRun(ProblemType.REQUEST_CHANGED, "key " + wish.call().executionId());
   }
 
+  /** The host with the claim may come back; asking again is safe, and may then bring the answer. */
+  private static Problem silent(Wish wish, HostId host) {
+    String detail = wish.call().executionId() + " is with " + host + ", which does not answer";
+    return new Problem(ProblemType.ALREADY_CLAIMED, Outcome.UNKNOWN, detail, SILENT_RETRY_MILLIS);
+  }
+
   private static Problem alreadyClaimed(Wish wish, String detail) {
     return new Problem(ProblemType.ALREADY_CLAIMED, Outcome.UNKNOWN, detail, 0);
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/event/Event.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/Event.java
@@ -67,8 +67,13 @@
   /** A peer sent a message. */
   record PeerSaid(HostId from, PeerMessage message) implements Event {}
 
-  /** A message to a peer could not be delivered, or its connection broke. */
-  record PeerUnreachable(HostId peer) implements Event {}
+  /**
+   * A message to a peer could not be delivered, or its connection broke.
+   *
+   * @param processGone whether the peer's host refused the connection, so that the process that was
+   *     there has ended with all it kept in memory
+   */
+  record PeerUnreachable(HostId peer, boolean processGone) implements Event {}
 
   /** An operator asks for an edit of the table. */
   record EditRequested(
--- a/gatereel-core/src/main/java/org/gatereel/core/generation/CopyKeeper.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/generation/CopyKeeper.java
@@ -51,8 +51,7 @@
   }
 
   /** A copy handed over to a new owner. */
-  public record Handover(
-      GenerationSpec spec, int epoch, List<String> tokens, boolean finished, HostId formerOwner) {}
+  public record Handover(GenerationSpec spec, int epoch, List<String> tokens, boolean finished) {}
 
   public CopyKeeper(Turn turn) {
     this.turn = turn;
@@ -153,11 +152,25 @@
     if (newOwner.equals(turn.self())) {
       copies.remove(request);
     }
-    if (!former.equals(newOwner)) {
+    if (!former.equals(newOwner) && !former.equals(turn.self())) {
       fence(former, request, copy.epoch);
     }
     turn.note(EventCode.TAKEOVER_GRANTED, request.value(), newOwner + ", epoch " + copy.epoch);
-    return new Handover(copy.spec, copy.epoch, List.copyOf(copy.tokens), copy.finished, former);
+    return new Handover(copy.spec, copy.epoch, List.copyOf(copy.tokens), copy.finished);
+  }
+
+  /**
+   * Becomes the holder of a generation that this host owned.
+   *
+   * <p>An owner that hands over must keep a copy: whoever asked may have given up by now.
+   */
+  void keep(Handover handover) {
+    PeerMessage.CopyOpen open =
+        new PeerMessage.CopyOpen(
+            handover.spec(), handover.epoch(), handover.tokens(), handover.finished());
+    HeldCopy copy = new HeldCopy(turn.self(), open);
+    copy.touchedAt = turn.now();
+    copies.put(handover.spec().request(), copy);
   }
 
   /** Returns how many copies are held. */
--- a/gatereel-core/src/main/java/org/gatereel/core/generation/GenerationOwner.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/generation/GenerationOwner.java
@@ -160,18 +160,12 @@
     turn.emit(new Action.OpenStream(generation.caller, generation.eventId(turn.self())));
   }
 
-  /** Hands a generation over to another host and lets go of it. */
-  CopyKeeper.Handover handOver(RequestId request, HostId newOwner) {
+  /** Lets go of a generation for another host; what is returned is the only copy left. */
+  CopyKeeper.Handover giveUp(RequestId request) {
     Generation generation = generations.get(request);
     CopyKeeper.Handover handover =
         new CopyKeeper.Handover(
-            generation.spec,
-            generation.epoch + 1,
-            generation.tokensFrom(0),
-            generation.isFinished(),
-            turn.self());
-    turn.note(
-        EventCode.TAKEOVER_GRANTED, request.value(), newOwner + ", epoch " + handover.epoch());
+            generation.spec, generation.epoch, generation.tokensFrom(0), generation.isFinished());
     letGo(generation);
     return handover;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/generation/TakeOverDesk.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/generation/TakeOverDesk.java
@@ -129,9 +129,12 @@
       }
     }
 
-    private void unreachable(HostId host) {
+    private void unreachable(HostId host, boolean processGone) {
       if (pending.remove(host)) {
-        silent.add(host);
+        // A process that has ended took its memory along: there is nothing to wait for.
+        if (!processGone) {
+          silent.add(host);
+        }
         if (pending.isEmpty()) {
           timer.cancel();
           next();
@@ -222,7 +225,8 @@
     if (copyRefusal.isEmpty()) {
       answer = granted(ask.ticket(), copies.handOver(ask.request(), from));
     } else if (ownRefusal.isEmpty()) {
-      answer = granted(ask.ticket(), owner.handOver(ask.request(), from));
+      copies.keep(owner.giveUp(ask.request()));
+      answer = granted(ask.ticket(), copies.handOver(ask.request(), from));
     } else {
       TakeOverRefusal reason =
           copyRefusal.get() == TakeOverRefusal.MISSING ? ownRefusal.get() : copyRefusal.get();
@@ -233,15 +237,10 @@
 
   private static PeerMessage granted(long ticket, CopyKeeper.Handover handover) {
     return new PeerMessage.TakeOverGranted(
-        ticket,
-        handover.spec(),
-        handover.epoch(),
-        handover.tokens(),
-        handover.finished(),
-        handover.formerOwner());
+        ticket, handover.spec(), handover.epoch(), handover.tokens(), handover.finished());
   }
 
-  /** Takes over a generation that a peer hands over. */
+  /** Takes over a generation that a peer hands over; that peer keeps the copy. */
   public void granted(HostId from, PeerMessage.TakeOverGranted grant) {
     Search search = searches.get(grant.ticket());
     if (search == null) {
@@ -249,11 +248,8 @@
     }
     search.stop();
     CopyKeeper.Handover handover =
-        new CopyKeeper.Handover(
-            grant.spec(), grant.epoch(), grant.tokens(), grant.finished(), grant.formerOwner());
-    // A holder keeps its copy when it grants; an owner lets go of everything.
-    boolean fromHolder = !from.equals(grant.formerOwner());
-    adopt(handover, fromHolder ? Optional.of(from) : Optional.empty(), search.caller, search.after);
+        new CopyKeeper.Handover(grant.spec(), grant.epoch(), grant.tokens(), grant.finished());
+    adopt(handover, Optional.of(from), search.caller, search.after);
   }
 
   /** Goes on searching when a peer has nothing to hand over. */
@@ -265,8 +261,8 @@
   }
 
   /** Goes on searching when a peer turns out not to answer. */
-  public void peerUnreachable(HostId peer) {
-    List.copyOf(searches.values()).forEach(search -> search.unreachable(peer));
+  public void peerUnreachable(HostId peer, boolean processGone) {
+    List.copyOf(searches.values()).forEach(search -> search.unreachable(peer, processGone));
   }
 
   /** Notes that a caller's connection ended; returns whether it was searching here. */
--- a/gatereel-core/src/main/java/org/gatereel/core/peer/PeerMessage.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/peer/PeerMessage.java
@@ -42,12 +42,7 @@
 
   /** Hands a generation over under a new epoch. */
   record TakeOverGranted(
-      long ticket,
-      GenerationSpec spec,
-      int epoch,
-      List<String> tokens,
-      boolean finished,
-      HostId formerOwner)
+      long ticket, GenerationSpec spec, int epoch, List<String> tokens, boolean finished)
       implements PeerMessage {}
 
   /** Refuses to hand a generation over. */
--- a/gatereel-daemon/src/main/java/org/gatereel/daemon/control/Inbox.java
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/control/Inbox.java
@@ -63,8 +63,8 @@
   }
 
   @Override
-  public void unreachable(HostId peer) {
-    post(new Event.PeerUnreachable(peer));
+  public void unreachable(HostId peer, boolean processGone) {
+    post(new Event.PeerUnreachable(peer, processGone));
   }
 
   @Override
--- a/gatereel-wire/src/main/java/org/gatereel/wire/MessageDecoder.java
+++ b/gatereel-wire/src/main/java/org/gatereel/wire/MessageDecoder.java
@@ -128,8 +128,7 @@
         spec(granted.getSpec()),
         granted.getEpoch(),
         granted.getTokensList(),
-        granted.getFinished(),
-        new HostId(granted.getFormerOwner()));
+        granted.getFinished());
   }
 
   private static PeerMessage claimResult(ClaimResult result) {
--- a/gatereel-wire/src/main/java/org/gatereel/wire/MessageEncoder.java
+++ b/gatereel-wire/src/main/java/org/gatereel/wire/MessageEncoder.java
@@ -103,8 +103,7 @@
               .setSpec(spec(granted.spec()))
               .setEpoch(granted.epoch())
               .addAllTokens(granted.tokens())
-              .setFinished(granted.finished())
-              .setFormerOwner(granted.formerOwner().value()));
+              .setFinished(granted.finished()));
     } else if (message instanceof PeerMessage.TakeOverRefused refused) {
       envelope.setTakeOverRefused(
           TakeOverRefused.newBuilder()
--- a/gatereel-wire/src/main/java/org/gatereel/wire/PeerLinks.java
+++ b/gatereel-wire/src/main/java/org/gatereel/wire/PeerLinks.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -16,6 +17,7 @@
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+import java.net.ConnectException;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -133,14 +135,21 @@
         done -> {
           if (done.isSuccess()) {
             opening.channel().write(MessageEncoder.hello(self));
-            opening.channel().closeFuture().addListener(closed -> listener.unreachable(peer));
+            opening
+                .channel()
+                .closeFuture()
+                .addListener(closed -> listener.unreachable(peer, false));
           } else {
-            listener.unreachable(peer);
+            listener.unreachable(peer, isRefused(done.cause()));
           }
         });
     return opening;
   }
 
+  private static boolean isRefused(Throwable cause) {
+    return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+  }
+
   private void write(HostId peer, Link link, Envelope envelope) {
     Channel channel = link.opening().channel();
     if (!link.opening().isSuccess()) {
@@ -157,7 +166,7 @@
         .addListener(
             done -> {
               if (!done.isSuccess()) {
-                listener.unreachable(peer);
+                listener.unreachable(peer, false);
               }
             });
   }
--- a/gatereel-wire/src/main/java/org/gatereel/wire/PeerListener.java
+++ b/gatereel-wire/src/main/java/org/gatereel/wire/PeerListener.java
@@ -7,7 +7,12 @@
 public interface PeerListener {
   void said(HostId from, PeerMessage message);
 
-  void unreachable(HostId peer);
+  /**
+   * A message could not be delivered, or a connection broke.
+   *
+   * @param processGone whether the peer's host refused the connection
+   */
+  void unreachable(HostId peer, boolean processGone);
 
   /** A peer sent something that cannot be read; its connection is closed. */
   void malformed(String from, MalformedMessageException failure);
