--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/matrix/FaultMatrix.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/matrix/FaultMatrix.java
@@ -2,18 +2,27 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import org.gatereel.core.action.Action;
 import org.gatereel.proofs.world.FakeHost;
+import org.gatereel.proofs.world.Sabotage;
 
 /** Every fault at every step of a request's and an edit's life, singly and in pairs. */
 public final class FaultMatrix {
   private static final long SECOND_FAULT_DELAY = 150;
 
   private final long seed;
+  private final Sabotage sabotage;
 
   public FaultMatrix(long seed) {
+    this(seed, Sabotage.NONE);
+  }
+
+  /** Makes a matrix over hosts that are broken on purpose. */
+  FaultMatrix(long seed, Sabotage sabotage) {
     this.seed = seed;
+    this.sabotage = sabotage;
   }
 
   /** Runs every case; the order and the verdicts are the same on every run with one seed. */
@@ -37,33 +46,42 @@
    * @throws IllegalArgumentException if there is no such step or fault
    */
   public MatrixResult trace(String subject, String step, List<String> faults) {
+    return one(subject, step, faults, scene -> scene.world().watch((h, a) -> print(scene, h, a)));
+  }
+
+  /** Runs the one case with these names. */
+  MatrixResult one(String subject, String step, List<String> faults) {
+    return one(subject, step, faults, scene -> {});
+  }
+
+  private MatrixResult one(
+      String subject, String step, List<String> faults, Consumer<Scene> prepare) {
     return switch (subject) {
       case "generation" ->
-          trace(
+          one(
               subject,
-              new GenerationScene(seed),
+              prepared(new GenerationScene(seed), prepare),
               GenerationStep.valueOf(step),
               faults.stream().<Fault<GenerationScene>>map(GenerationFault::valueOf).toList());
       case "call" ->
-          trace(
+          one(
               subject,
-              new CallScene(seed),
+              prepared(new CallScene(seed), prepare),
               CallStep.valueOf(step),
               faults.stream().<Fault<CallScene>>map(CallFault::valueOf).toList());
       case "edit" ->
-          trace(
+          one(
               subject,
-              new EditScene(seed),
+              prepared(new EditScene(seed), prepare),
               EditStep.valueOf(step),
               faults.stream().<Fault<EditScene>>map(EditFault::valueOf).toList());
       default -> throw new IllegalArgumentException("no subject " + subject);
     };
   }
 
-  private static <S extends Scene> MatrixResult trace(
-      String subject, S scene, Step<S> step, List<Fault<S>> faults) {
-    scene.world().watch((host, action) -> print(scene, host, action));
-    return run(subject, scene, step, faults);
+  private static <S extends Scene> S prepared(S scene, Consumer<Scene> prepare) {
+    prepare.accept(scene);
+    return scene;
   }
 
   private static void print(Scene scene, FakeHost host, Action action) {
@@ -82,10 +100,10 @@
     List<MatrixResult> results = new ArrayList<>();
     for (Step<S> step : steps) {
       for (Fault<S> first : faults) {
-        results.add(run(subject, scenes.apply(seed), step, List.of(first)));
+        results.add(one(subject, scenes.apply(seed), step, List.of(first)));
         for (Fault<S> second : faults) {
           if (pairs && first != second) {
-            results.add(run(subject, scenes.apply(seed), step, List.of(first, second)));
+            results.add(one(subject, scenes.apply(seed), step, List.of(first, second)));
           }
         }
       }
@@ -93,8 +111,9 @@
     return results;
   }
 
-  private static <S extends Scene> MatrixResult run(
+  private <S extends Scene> MatrixResult one(
       String subject, S scene, Step<S> step, List<Fault<S>> faults) {
+    scene.world().hosts().forEach(host -> host.sabotage(sabotage));
     Trigger<S> trigger = new Trigger<>(scene, step, faults);
     scene.world().watch(trigger::saw);
     scene.begin();
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/world/FakeHost.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/world/FakeHost.java
@@ -21,6 +21,7 @@
   private final List<Event> backlog = new ArrayList<>();
   private EntryHost core;
   private int incarnation;
+  private Sabotage sabotage = Sabotage.NONE;
   private boolean paused;
   private long wakeAt = Long.MAX_VALUE;
 
@@ -133,7 +134,7 @@
       backlog.add(event);
       return;
     }
-    perform(core.handle(event, world.now()));
+    perform(core.handle(sabotage.change(event), world.now()));
   }
 
   private void advance() {
@@ -142,9 +143,14 @@
     }
   }
 
+  /** Breaks this host on purpose. */
+  public void sabotage(Sabotage kind) {
+    sabotage = kind;
+  }
+
   private void perform(List<Action> actions) {
     int started = incarnation;
-    for (Action action : actions) {
+    for (Action action : actions.stream().flatMap(a -> sabotage.change(a).stream()).toList()) {
       if (started != incarnation) {
         return;
       }
