--- /dev/null
+++ b/gatereel-core/src/test/java/org/gatereel/core/ArchitectureTest.java
@@ -0,0 +1,48 @@
+package org.gatereel.core;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noFields;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+@AnalyzeClasses(
+    packages = "org.gatereel.core",
+    importOptions = ImportOption.DoNotIncludeTests.class)
+class ArchitectureTest {
+  @ArchTest
+  static final ArchRule THE_CORE_HAS_NO_INPUT_OR_OUTPUT =
+      noClasses()
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "java.net..",
+              "java.nio.file..",
+              "java.nio.channels..",
+              "okhttp3..",
+              "io.netty..",
+              "io.jooby..",
+              "java.util.concurrent..")
+          .orShould()
+          .dependOnClassesThat()
+          .haveNameMatching("java.io.(File|Input|Output|Reader|Writer|Print).*");
+
+  @ArchTest
+  static final ArchRule THE_CORE_HAS_NO_CLOCK_OR_RANDOMNESS =
+      noClasses()
+          .should()
+          .callMethod(System.class, "currentTimeMillis")
+          .orShould()
+          .callMethod(System.class, "nanoTime")
+          .orShould()
+          .callMethod(Math.class, "random")
+          .orShould()
+          .dependOnClassesThat()
+          .haveNameMatching("java.time.Clock|java.util.Random|java.util.UUID|java.lang.Thread");
+
+  @ArchTest
+  static final ArchRule THE_CORE_HAS_NO_STATE_OF_THE_PROCESS =
+      noFields().that().areStatic().should().notBeFinal();
+}
--- /dev/null
+++ b/gatereel-core/src/test/java/org/gatereel/core/admission/FairQueueTest.java
@@ -0,0 +1,49 @@
+package org.gatereel.core.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.gatereel.core.model.AccountId;
+import org.junit.jupiter.api.Test;
+
+class FairQueueTest {
+  private static final AccountId FLOODER = new AccountId("flooder");
+  private static final AccountId SMALL = new AccountId("small");
+
+  @Test
+  void accountsThatWaitGetTurnsInProportionToTheirWeights() {
+    FairQueue<AccountId> queue = new FairQueue<>();
+    for (int number = 0; number < 300; number++) {
+      queue.add(FLOODER, 10, 1, FLOODER);
+      queue.add(SMALL, 30, 1, SMALL);
+    }
+    Map<AccountId, Integer> turns = new HashMap<>();
+    for (int turn = 0; turn < 200; turn++) {
+      turns.merge(queue.poll().orElseThrow(), 1, Integer::sum);
+    }
+    assertEquals(150, turns.get(SMALL), 2);
+  }
+
+  @Test
+  void aSmallRequestDoesNotWaitBehindAFloodOfLongOnes() {
+    FairQueue<AccountId> queue = new FairQueue<>();
+    for (int number = 0; number < 1_000; number++) {
+      queue.add(FLOODER, 10, 500, FLOODER);
+    }
+    queue.poll();
+    queue.add(SMALL, 10, 1, SMALL);
+    AccountId next = queue.poll().orElseThrow();
+    AccountId afterIt = queue.poll().orElseThrow();
+    assertTrue(next.equals(SMALL) || afterIt.equals(SMALL));
+  }
+
+  @Test
+  void anEntryThatWasRemovedGetsNoTurn() {
+    FairQueue<AccountId> queue = new FairQueue<>();
+    FairQueue.Entry<AccountId> entry = queue.add(SMALL, 1, 1, SMALL);
+    queue.remove(entry);
+    assertTrue(queue.poll().isEmpty());
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/test/java/org/gatereel/core/member/MembershipTest.java
@@ -0,0 +1,76 @@
+package org.gatereel.core.member;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.gatereel.core.internal.Turn;
+import org.gatereel.core.model.Address;
+import org.gatereel.core.model.DataCentre;
+import org.gatereel.core.model.HostDescription;
+import org.gatereel.core.model.HostId;
+import org.gatereel.core.model.LifeState;
+import org.gatereel.core.peer.PeerMessage;
+import org.junit.jupiter.api.Test;
+
+class MembershipTest {
+  private static final DataCentre HALL = new DataCentre("vic");
+
+  private static List<HostDescription> hosts(int count) {
+    List<HostDescription> hosts = new ArrayList<>();
+    Address address = new Address("127.0.0.1", 1);
+    for (int number = 0; number < count; number++) {
+      hosts.add(
+          new HostDescription(
+              new HostId("host-" + number), HALL, address, address, LifeState.LIVE));
+    }
+    return hosts;
+  }
+
+  private static Membership membership(String self, int count, Turn turn) {
+    Membership members = new Membership(turn, () -> new PeerMessage.Heartbeat(1, false, List.of()));
+    members.start(hosts(count));
+    assertFalse(members.find(new HostId(self)).isPresent());
+    return members;
+  }
+
+  private static Turn turn(String self) {
+    return new Turn(new HostId(self), HALL, new SplittableRandom(3));
+  }
+
+  @Test
+  void theNumberOfNeighboursDoesNotGrowWithTheNumberOfHosts() {
+    assertEquals(8, membership("host-0", 370, turn("host-0")).neighbours().size());
+    assertEquals(2, membership("host-0", 3, turn("host-0")).neighbours().size());
+  }
+
+  @Test
+  void neighboursAreMutualSoThatEachHearsTheOther() {
+    HostId first = new HostId("host-0");
+    for (HostId neighbour : membership("host-0", 50, turn("host-0")).neighbours()) {
+      Membership other = membership(neighbour.value(), 50, turn(neighbour.value()));
+      assertTrue(other.neighbours().contains(first));
+    }
+  }
+
+  @Test
+  void aSilentNeighbourIsLostAndComesBackWhenHeard() {
+    Turn turn = turn("host-0");
+    Membership members = membership("host-0", 3, turn);
+    HostId peer = new HostId("host-1");
+    List<HostId> lost = new ArrayList<>();
+    members.onLost(lost::add);
+    for (long now = 0; now <= 3_000; now += 500) {
+      turn.moveTo(now);
+      turn.timers().runDue(now);
+      members.heard(new HostId("host-2"));
+    }
+    assertEquals(List.of(peer), lost);
+    assertFalse(members.isAnswering(peer));
+    members.heard(peer);
+    assertTrue(members.isAnswering(peer));
+  }
+}
