--- a/gatereel-daemon/src/main/java/org/gatereel/daemon/callers/CallerRoutes.java
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/callers/CallerRoutes.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.jooby.Context;
 import io.jooby.Jooby;
+import java.util.List;
 import java.util.Optional;
 import java.util.regex.Pattern;
 import org.gatereel.core.event.Event;
@@ -17,6 +18,8 @@
 
 /** The paths of callers: generations and plain calls. */
 final class CallerRoutes {
+  private static final List<String> FORMS =
+      List.of("application/x-www-form-urlencoded", "multipart/form-data");
   private static final String LAST_EVENT_ID = "Last-Event-ID";
   private static final Pattern IDEMPOTENCY_KEY = Pattern.compile("[!-}]{1,128}");
   private static final ObjectMapper MAPPER =
@@ -43,6 +46,9 @@
     if (context.header(LAST_EVENT_ID).isPresent()) {
       return resume(context);
     }
+    if (isForm(context)) {
+      return formRefused(context);
+    }
     GenerationBody body;
     try {
       body = MAPPER.readValue(context.body().value(""), GenerationBody.class);
@@ -69,6 +75,15 @@
     return ProblemDocument.answer(context, Problem.notRun(ProblemType.MALFORMED_BODY, detail));
   }
 
+  /** A form is taken apart before it gets here, so that its text is no longer known. */
+  private static boolean isForm(Context context) {
+    return FORMS.stream().anyMatch(context.header("Content-Type").value("")::startsWith);
+  }
+
+  private static Context formRefused(Context context) {
+    return malformed(context, "send the body as application/json, not as a form");
+  }
+
   private Object resume(Context context) throws Exception {
     EventId after;
     try {
@@ -82,6 +97,9 @@
   }
 
   private Object call(Context context) throws Exception {
+    if (isForm(context)) {
+      return formRefused(context);
+    }
     String key = context.header("Idempotency-Key").value("");
     if (!key.isEmpty() && !IDEMPOTENCY_KEY.matcher(key).matches()) {
       String detail = "an Idempotency-Key has 1 to 128 printable ASCII characters, no blanks";
--- a/gatereel-standins/src/main/java/org/gatereel/standins/StandInMain.java
+++ b/gatereel-standins/src/main/java/org/gatereel/standins/StandInMain.java
@@ -12,6 +12,7 @@
 import org.gatereel.standins.engine.EngineStandIn;
 import org.gatereel.standins.load.AskCommand;
 import org.gatereel.standins.platform.PlatformStandIn;
+import org.gatereel.standins.relay.Relay;
 import org.gatereel.standins.service.ServiceStandIn;
 
 /** Starts one stand-in, or a tool that goes with them. */
@@ -54,6 +55,17 @@
     int cacheBlocks = 4_096;
   }
 
+  static final class RelayOptions extends ServerOptions {
+    @Parameter(names = "--to", required = true, description = "loopback port to pass on to")
+    int to;
+
+    @Parameter(
+        names = "--control-port",
+        required = true,
+        description = "port for POST /control/freeze (cut) and /control/thaw (heal)")
+    int controlPort;
+  }
+
   static final class PortsOptions {
     @Parameter(names = "--count", description = "how many free ports to print")
     int count = 1;
@@ -71,6 +83,7 @@
     ServiceOptions service = new ServiceOptions();
     AskCommand ask = new AskCommand();
     PortsOptions ports = new PortsOptions();
+    RelayOptions relay = new RelayOptions();
     JCommander commander =
         JCommander.newBuilder()
             .programName("standins")
@@ -79,6 +92,7 @@
             .addCommand("service", service)
             .addCommand("ask", ask)
             .addCommand("ports", ports)
+            .addCommand("relay", relay)
             .build();
     try {
       commander.parse(arguments);
@@ -105,6 +119,7 @@
                       engine.cacheBlocks)));
       case "service" -> serve(new ServiceStandIn(service.port, service.name, service.workMillis));
       case "ask" -> System.exit(ask.run());
+      case "relay" -> serveRelay(relay);
       case "ports" -> printFreePorts(ports.count);
       default -> {
         commander.usage();
@@ -126,6 +141,14 @@
     }
   }
 
+  private static void serveRelay(RelayOptions options) throws Exception {
+    Relay relay = new Relay(options.port, options.to);
+    Control control = new Control(relay::cut, factor -> {});
+    try (relay) {
+      serve(new StandInServer(options.controlPort, control::route));
+    }
+  }
+
   private static void serve(AutoCloseable standIn) throws Exception {
     try (standIn) {
       System.out.println("ready");
--- a/gatereel-standins/src/main/java/org/gatereel/standins/load/AskCommand.java
+++ b/gatereel-standins/src/main/java/org/gatereel/standins/load/AskCommand.java
@@ -30,11 +30,14 @@
   @Parameter(names = "--patience-millis", description = "how long to go on reconnecting")
   long patienceMillis = 30_000;
 
+  @Parameter(names = "--silence-millis", description = "silence after which to reconnect")
+  long silenceMillis = 2_000;
+
   /** Runs the command; returns the exit code. */
   public int run() throws Exception {
     OkHttpClient client =
         new OkHttpClient.Builder()
-            .readTimeout(Duration.ofSeconds(10))
+            .readTimeout(Duration.ofMillis(silenceMillis))
             .retryOnConnectionFailure(false)
             .build();
     GenerationCaller caller =
--- /dev/null
+++ b/gatereel-standins/src/main/java/org/gatereel/standins/relay/Relay.java
@@ -0,0 +1,104 @@
+package org.gatereel.standins.relay;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Passes TCP bytes on to one address, and can be cut as a link is: nothing arrives any more, and
+ * nobody is told.
+ */
+public final class Relay implements AutoCloseable {
+  private static final int BUFFER = 8_192;
+  private static final long CUT_LOOK_MILLIS = 5;
+
+  private final ServerSocket server;
+  private final int target;
+  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private volatile boolean cut;
+
+  public Relay(int port, int target) throws IOException {
+    this.target = target;
+    this.server = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
+    start("relay-accept", this::accept);
+  }
+
+  private static void start(String name, Runnable task) {
+    Thread thread = new Thread(task, name);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Cuts the link, or heals it; bytes that were sent meanwhile arrive then. */
+  public void cut(boolean on) {
+    cut = on;
+  }
+
+  private void accept() {
+    while (!server.isClosed()) {
+      try {
+        Socket in = server.accept();
+        Socket out = new Socket(InetAddress.getLoopbackAddress(), target);
+        sockets.add(in);
+        sockets.add(out);
+        start("relay-there", () -> pump(in, out));
+        start("relay-back", () -> pump(out, in));
+      } catch (IOException e) {
+        // The target refused or the relay is closed; the next connection is taken as usual.
+        continue;
+      }
+    }
+  }
+
+  private void pump(Socket from, Socket to) {
+    byte[] buffer = new byte[BUFFER];
+    try (from;
+        to) {
+      InputStream in = from.getInputStream();
+      OutputStream out = to.getOutputStream();
+      int length = in.read(buffer);
+      while (length >= 0) {
+        waitWhileCut();
+        out.write(buffer, 0, length);
+        out.flush();
+        length = in.read(buffer);
+      }
+    } catch (IOException e) {
+      // One side closed; try-with-resources closes the other.
+      return;
+    } finally {
+      sockets.remove(from);
+      sockets.remove(to);
+    }
+  }
+
+  private void waitWhileCut() throws IOException {
+    while (cut) {
+      try {
+        TimeUnit.MILLISECONDS.sleep(CUT_LOOK_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        throw new IOException("interrupted", e);
+      }
+    }
+  }
+
+  @Override
+  public void close() {
+    try {
+      server.close();
+      for (Socket socket : sockets) {
+        socket.close();
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
