--- a/gatereel-core/src/main/java/org/gatereel/core/action/Action.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/action/Action.java
@@ -62,6 +62,9 @@
   /** Sends a message to a peer. */
   record SendPeer(HostId peer, PeerMessage message) implements Action {}
 
+  /** Closes the connection to a peer, so that the next message goes over a new one. */
+  record DropLink(HostId peer) implements Action {}
+
   /** Asks the platform for a transaction. */
   record Transact(long ticket, List<TableWrite> writes) implements Action {}
 
--- a/gatereel-core/src/main/java/org/gatereel/core/member/Membership.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/member/Membership.java
@@ -134,6 +134,8 @@
       peer.lastHeard = turn.now();
     }
     if (peer.answering && turn.now() - peer.lastHeard > SILENCE_MILLIS) {
+      // The connection may be half open, and would swallow whatever is sent for minutes.
+      turn.emit(new Action.DropLink(id));
       lose(id, peer, "silent");
     }
   }
--- a/gatereel-daemon/src/main/java/org/gatereel/daemon/callers/CallerGate.java
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/callers/CallerGate.java
@@ -25,6 +25,11 @@
   private static final int IO_THREADS = 2;
   private static final int WORKER_THREADS = 2;
 
+  static {
+    // Jooby would close the server the moment the process is told to stop; open answers come first.
+    System.setProperty("jooby.useShutdownHook", "false");
+  }
+
   private final NettyServer server = new NettyServer();
   private final EventLog events;
   private final BooleanSupplier ready;
--- a/gatereel-daemon/src/main/java/org/gatereel/daemon/control/ActionRunner.java
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/control/ActionRunner.java
@@ -42,6 +42,8 @@
       callers.sendToken(send);
     } else if (action instanceof Action.SendPeer send) {
       peers.send(send);
+    } else if (action instanceof Action.DropLink drop) {
+      peers.drop(drop.peer());
     } else if (action instanceof Action.Note note) {
       events.note(note);
     } else if (action instanceof Action.Measure measure) {
--- a/gatereel-daemon/src/main/java/org/gatereel/daemon/control/PeerSender.java
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/control/PeerSender.java
@@ -23,6 +23,10 @@
     hosts.forEach(host -> addresses.put(host.id(), host.peerAddress()));
   }
 
+  void drop(HostId peer) {
+    links.drop(peer);
+  }
+
   void send(Action.SendPeer send) {
     Address address = addresses.get(send.peer());
     if (address != null) {
--- a/gatereel-standins/src/main/java/org/gatereel/standins/relay/Relay.java
+++ b/gatereel-standins/src/main/java/org/gatereel/standins/relay/Relay.java
@@ -44,12 +44,7 @@
   private void accept() {
     while (!server.isClosed()) {
       try {
-        Socket in = server.accept();
-        Socket out = new Socket(InetAddress.getLoopbackAddress(), target);
-        sockets.add(in);
-        sockets.add(out);
-        start("relay-there", () -> pump(in, out));
-        start("relay-back", () -> pump(out, in));
+        join(server.accept());
       } catch (IOException e) {
         // The target refused or the relay is closed; the next connection is taken as usual.
         continue;
@@ -57,6 +52,19 @@
     }
   }
 
+  private void join(Socket in) throws IOException {
+    try {
+      Socket out = new Socket(InetAddress.getLoopbackAddress(), target);
+      sockets.add(in);
+      sockets.add(out);
+      start("relay-there", () -> pump(in, out));
+      start("relay-back", () -> pump(out, in));
+    } catch (IOException e) {
+      in.close();
+      throw e;
+    }
+  }
+
   private void pump(Socket from, Socket to) {
     byte[] buffer = new byte[BUFFER];
     try (from;
--- a/gatereel-wire/src/main/java/org/gatereel/wire/PeerLinks.java
+++ b/gatereel-wire/src/main/java/org/gatereel/wire/PeerLinks.java
@@ -175,6 +175,14 @@
     return channel.unsafe().outboundBuffer().totalPendingWriteBytes();
   }
 
+  /** Closes the connection to a peer; the next message opens a new one. */
+  public void drop(HostId peer) {
+    Link link = links.remove(peer);
+    if (link != null) {
+      link.opening().channel().close();
+    }
+  }
+
   /** Returns the bytes of the messages sent so far, framing left out. */
   public long bytesSent() {
     return bytesSent.sum();
