Add bin/measure: six experiments over stand-ins

Cause: nothing was measured but by the fakes.

Change: resume, overhead, placement, flood, edits and cost, with HdrHistogram, open-loop arrivals and a fixed seed; every run writes JSON and prints a table.

--- a/gatereel-standins/src/main/java/org/gatereel/standins/Control.java
+++ b/gatereel-standins/src/main/java/org/gatereel/standins/Control.java
@@ -11,13 +11,20 @@
 
   private final Consumer<Boolean> freeze;
   private final DoubleConsumer slowDown;
+  private final Runnable reset;
   private volatile boolean leaving;
 
   private record Done(String command) {}
 
   public Control(Consumer<Boolean> freeze, DoubleConsumer slowDown) {
+    this(freeze, slowDown, () -> {});
+  }
+
+  /** Makes a control whose command {@code reset} breaks every open connection. */
+  public Control(Consumer<Boolean> freeze, DoubleConsumer slowDown, Runnable reset) {
     this.freeze = freeze;
     this.slowDown = slowDown;
+    this.reset = reset;
   }
 
   /** Returns whether the stand-in takes no new requests. */
@@ -43,6 +50,7 @@
       case "freeze" -> freeze.accept(true);
       case "thaw" -> freeze.accept(false);
       case "slow" -> slowDown.accept(factor);
+      case "reset" -> reset.run();
       case "leave" -> leaving = true;
       default -> {
         return false;
--- a/gatereel-standins/src/main/java/org/gatereel/standins/StandInMain.java
+++ b/gatereel-standins/src/main/java/org/gatereel/standins/StandInMain.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CountDownLatch;
 import org.gatereel.standins.engine.EngineStandIn;
 import org.gatereel.standins.load.AskCommand;
+import org.gatereel.standins.measure.MeasureCommand;
 import org.gatereel.standins.platform.PlatformStandIn;
 import org.gatereel.standins.relay.Relay;
 import org.gatereel.standins.service.ServiceStandIn;
@@ -83,6 +84,7 @@
     ServiceOptions service = new ServiceOptions();
     AskCommand ask = new AskCommand();
     PortsOptions ports = new PortsOptions();
+    MeasureCommand measure = new MeasureCommand();
     RelayOptions relay = new RelayOptions();
     JCommander commander =
         JCommander.newBuilder()
@@ -91,6 +93,7 @@
             .addCommand("engine", engine)
             .addCommand("service", service)
             .addCommand("ask", ask)
+            .addCommand("measure", measure)
             .addCommand("ports", ports)
             .addCommand("relay", relay)
             .build();
@@ -120,6 +123,7 @@
       case "service" -> serve(new ServiceStandIn(service.port, service.name, service.workMillis));
       case "ask" -> System.exit(ask.run());
       case "relay" -> serveRelay(relay);
+      case "measure" -> System.exit(measure.run());
       case "ports" -> printFreePorts(ports.count);
       default -> {
         commander.usage();
--- a/gatereel-standins/src/main/java/org/gatereel/standins/engine/EngineBatch.java
+++ b/gatereel-standins/src/main/java/org/gatereel/standins/engine/EngineBatch.java
@@ -60,6 +60,9 @@
     boolean token(int offset, String token, int load);
 
     void end(int length);
+
+    /** Closes the connection without an end. */
+    void broken();
   }
 
   /** One request in the batch or waiting for it. */
@@ -139,6 +142,14 @@
     slowFactor = factor;
   }
 
+  /** Breaks the connection of every stream, as if the process had died and come back. */
+  synchronized void reset() {
+    batch.forEach(stream -> stream.output.broken());
+    batch.clear();
+    waiting.forEach(stream -> stream.output.broken());
+    waiting.clear();
+  }
+
   /** Returns the load as last sampled. */
   int load() {
     return sampledLoad;
--- a/gatereel-standins/src/main/java/org/gatereel/standins/engine/EngineStandIn.java
+++ b/gatereel-standins/src/main/java/org/gatereel/standins/engine/EngineStandIn.java
@@ -57,7 +57,7 @@
                 settings.stepMicros(),
                 settings.prefillMicrosPerToken()),
             new PrefixCache(settings.cacheBlocks(), cacheEvents));
-    control = new Control(batch::freeze, batch::slowDown);
+    control = new Control(batch::freeze, batch::slowDown, batch::reset);
     server = new StandInServer(port, this::routes);
   }
 
@@ -137,6 +137,11 @@
       sender.close();
     }
 
+    @Override
+    public void broken() {
+      sender.close();
+    }
+
     private void write(String type, Object value) {
       try {
         String data = StandInServer.MAPPER.writeValueAsString(value);
