--- a/gatereel-adapters/src/main/java/org/gatereel/adapters/HttpClients.java
+++ b/gatereel-adapters/src/main/java/org/gatereel/adapters/HttpClients.java
@@ -13,7 +13,7 @@
   private static final int MOST_REQUESTS = 10_000;
   private static final int IDLE_CONNECTIONS = 64;
   private static final Duration CONNECT = Duration.ofMillis(800);
-  private static final Duration PLATFORM_CALL = Duration.ofMillis(1_000);
+  private static final Duration PLATFORM_CALL = Duration.ofSeconds(1);
 
   private final ExecutorService threads =
       Executors.newCachedThreadPool(
--- a/gatereel-control/src/main/java/org/gatereel/control/ControlMain.java
+++ b/gatereel-control/src/main/java/org/gatereel/control/ControlMain.java
@@ -32,18 +32,13 @@
     tableCommands.put("import", new TableFiles.Import());
     tableCommands.put("wait", new WaitCommand());
     commands.forEach((name, command) -> addCommand(commander, name, command));
-    commander.addCommand(TABLE, new TableGroup());
+    Help tableHelp = new Help();
+    commander.addCommand(TABLE, tableHelp);
     JCommander table = commander.getCommands().get(TABLE);
+    helps.put(table, tableHelp);
     tableCommands.forEach((name, command) -> addCommand(table, name, command));
   }
 
-  /** The options that each command takes after its name. */
-  @com.beust.jcommander.Parameters(commandDescription = "look at and edit the table")
-  private static final class TableGroup {
-    @com.beust.jcommander.Parameter(names = "--help", help = true, description = "show help")
-    private boolean help;
-  }
-
   /** Help for one command. */
   private static final class Help {
     @com.beust.jcommander.Parameter(names = "--help", help = true, description = "show help")
@@ -73,7 +68,8 @@
       return ExitCode.USAGE;
     }
     JCommander chosen = chosen();
-    boolean help = options.isHelp() || chosen == null || wantsHelp(chosen);
+    boolean isGroup = chosen != null && chosen.getObjects().get(0) instanceof Help;
+    boolean help = options.isHelp() || chosen == null || isGroup || wantsHelp(chosen);
     if (help) {
       (chosen == null ? commander : chosen).usage();
       return options.isHelp() || chosen != null ? ExitCode.DONE : ExitCode.USAGE;
@@ -89,7 +85,7 @@
 
   private boolean wantsHelp(JCommander chosen) {
     Help help = helps.get(chosen);
-    return help == null || help.wanted;
+    return help != null && help.wanted;
   }
 
   /** Returns the innermost command, or the table group if none of its commands was named. */
--- a/gatereel-core/src/main/java/org/gatereel/core/call/ClaimWriter.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/call/ClaimWriter.java
@@ -27,6 +27,7 @@
   private static final long DEADLINE_MILLIS = 1_500;
   private static final long DOWN_MILLIS = 500;
   private static final long AGAIN_MILLIS = 60;
+  private static final double BURST = 4;
 
   private final Turn turn;
   private final PlatformPort platform;
@@ -34,7 +35,8 @@
   private final Map<String, Claim> waiting = new LinkedHashMap<>();
   private boolean busy;
   private boolean flushPlanned;
-  private long lastFlush = Long.MIN_VALUE / 2;
+  private double allowance = BURST;
+  private long refilledAt;
   private long downUntil;
   private boolean down;
 
@@ -86,13 +88,23 @@
       return;
     }
     flushPlanned = true;
-    long due = Math.max(turn.now(), lastFlush + intervalMillis.getAsInt());
-    turn.timers().add(due, this::flush);
+    refill();
+    double missing = Math.max(0, 1 - allowance);
+    long wait = (long) Math.ceil(missing * intervalMillis.getAsInt());
+    turn.after(wait, this::flush);
+  }
+
+  /** Saves up transactions of quiet times, so that a lone claim need not wait for its turn. */
+  private void refill() {
+    double earned = (double) (turn.now() - refilledAt) / intervalMillis.getAsInt();
+    allowance = Math.min(BURST, allowance + earned);
+    refilledAt = turn.now();
   }
 
   private void flush() {
     flushPlanned = false;
-    lastFlush = turn.now();
+    refill();
+    allowance -= 1;
     List<Claim> group = new ArrayList<>();
     for (Claim claim : List.copyOf(waiting.values())) {
       if (group.size() < MOST_IN_GROUP) {
--- /dev/null
+++ b/gatereel-core/src/test/java/org/gatereel/core/generation/SuspicionPolicyTest.java
@@ -0,0 +1,57 @@
+package org.gatereel.core.generation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Random;
+import org.gatereel.core.target.GapTracker;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class SuspicionPolicyTest {
+  private static final int GAPS = 100_000;
+  private static final double MEDIAN_MILLIS = 26;
+  private static final double TAIL = 0.5;
+  private static final long SEED = 3;
+
+  /** Draws gaps with a log-normal tail: one in a thousand is over 120 ms. */
+  private static long gap(Random random) {
+    return Math.round(MEDIAN_MILLIS * Math.exp(TAIL * random.nextGaussian()));
+  }
+
+  @ParameterizedTest
+  @EnumSource(SuspicionPolicy.class)
+  void aLiveEngineWithAHeavyTailIsNeverSuspected(SuspicionPolicy policy) {
+    Random random = new Random(SEED);
+    GapTracker gaps = new GapTracker();
+    int suspected = 0;
+    for (int number = 0; number < GAPS; number++) {
+      long gap = gap(random);
+      suspected += gap >= policy.silenceMillis(gaps) ? 1 : 0;
+      gaps.add(gap);
+    }
+    assertEquals(0, suspected);
+  }
+
+  @Test
+  void anEngineThatWasFrozenIsNotGivenSecondsFromThenOn() {
+    GapTracker gaps = new GapTracker();
+    for (int number = 0; number < 1_000; number++) {
+      gaps.add((long) MEDIAN_MILLIS);
+    }
+    long before = SuspicionPolicy.THRIFTY.silenceMillis(gaps);
+    gaps.add(7_000);
+    assertEquals(before, SuspicionPolicy.THRIFTY.silenceMillis(gaps));
+  }
+
+  @Test
+  void aFrozenEngineIsSuspectedWithinASecondByTheEagerPolicy() {
+    Random random = new Random(SEED);
+    GapTracker gaps = new GapTracker();
+    for (int number = 0; number < GAPS; number++) {
+      gaps.add(gap(random));
+    }
+    assertTrue(SuspicionPolicy.EAGER.silenceMillis(gaps) < 1_000);
+  }
+}
--- a/gatereel-daemon/src/main/java/org/gatereel/daemon/callers/CallerGate.java
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/callers/CallerGate.java
@@ -99,7 +99,7 @@
     }
     return context.detach(
         detached -> {
-          control.ask(EntryHost::isReady).thenAccept(good -> health(detached, good));
+          var unused = control.ask(EntryHost::isReady).thenAccept(good -> health(detached, good));
           return detached;
         });
   }
@@ -118,7 +118,7 @@
       return Problem.notRun(ProblemType.BODY_TOO_LARGE, "see mostBodyBytes in the settings");
     }
     if (status.value() == ProblemType.UNKNOWN_PATH.status()
-        || status == StatusCode.METHOD_NOT_ALLOWED) {
+        || status.value() == StatusCode.METHOD_NOT_ALLOWED_CODE) {
       return Problem.notRun(
           ProblemType.UNKNOWN_PATH, context.getMethod() + " " + context.getRequestPath());
     }
--- a/gatereel-daemon/src/main/java/org/gatereel/daemon/callers/OperatorRoutes.java
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/callers/OperatorRoutes.java
@@ -102,7 +102,7 @@
   private static Object later(Context context, CompletableFuture<?> answer) throws Exception {
     return context.detach(
         detached -> {
-          answer.thenAccept(value -> json(detached, value));
+          var unused = answer.thenAccept(value -> json(detached, value));
           return detached;
         });
   }
@@ -122,7 +122,7 @@
     CompletableFuture<Optional<Row>> found = control.ask(core -> core.table().row(key));
     return context.detach(
         detached -> {
-          found.thenAccept(row -> rowFound(detached, key, row));
+          var unused = found.thenAccept(row -> rowFound(detached, key, row));
           return detached;
         });
   }
--- a/gatereel-daemon/src/main/java/org/gatereel/daemon/control/ControlLoop.java
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/control/ControlLoop.java
@@ -92,9 +92,13 @@
   }
 
   @Override
-  public void close() throws InterruptedException {
+  public void close() {
     closed = true;
     thread.interrupt();
-    thread.join(STOP_MILLIS);
+    try {
+      thread.join(STOP_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 }
--- a/gatereel-daemon/src/main/java/org/gatereel/daemon/control/HostListPoller.java
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/control/HostListPoller.java
@@ -36,7 +36,7 @@
     platform.hosts(this::seen);
     // All hosts together read about as often whatever their number; news spreads among peers.
     long interval = Math.max(SHORTEST_MILLIS, (long) hosts * MILLIS_A_SECOND / READS_A_SECOND);
-    timer.schedule(this::poll, interval, TimeUnit.MILLISECONDS);
+    var unused = timer.schedule(this::poll, interval, TimeUnit.MILLISECONDS);
   }
 
   private void seen(HostList list) {
--- a/gatereel-daemon/src/main/java/org/gatereel/daemon/events/EventLog.java
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/events/EventLog.java
@@ -97,7 +97,7 @@
     MeasureKey key =
         new MeasureKey(
             measure.measurement().name(), measure.service().value(), measure.arm().name());
-    summaries.computeIfAbsent(key, this::summary).record(measure.value());
+    summaries.computeIfAbsent(key, this::summary).record((double) measure.value());
   }
 
   private DistributionSummary summary(MeasureKey key) {
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/ProveMain.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/ProveMain.java
@@ -39,6 +39,9 @@
       description = "run one printed sequence and print its events: \"STEP N N,STEP N N\"")
   private List<String> replay = new ArrayList<>();
 
+  @Parameter(names = "--slopes", description = "measure memory and time of parts of the core")
+  private boolean slopes;
+
   @Parameter(names = "--json", description = "file for the results")
   private String json = "target/proofs.json";
 
@@ -61,6 +64,8 @@
     }
     if (main.help) {
       commander.usage();
+    } else if (main.slopes) {
+      new Slopes(System.out).print();
     } else if (main.trace.size() > 2) {
       List<String> faults = main.trace.subList(2, main.trace.size());
       System.out.println(
--- a/gatereel-standins/src/main/java/org/gatereel/standins/measure/FloodExperiment.java
+++ b/gatereel-standins/src/main/java/org/gatereel/standins/measure/FloodExperiment.java
@@ -87,7 +87,6 @@
         bench.caller(FLOODER).ask("assistant", prompt, FLOOD_TOKENS, stream, watcher);
       } catch (Exception e) {
         // The flooder is refused now and then; that is the point.
-        continue;
       }
     }
   }
--- a/gatereel-standins/src/main/java/org/gatereel/standins/platform/PlatformStandIn.java
+++ b/gatereel-standins/src/main/java/org/gatereel/standins/platform/PlatformStandIn.java
@@ -125,7 +125,9 @@
       }
       return context.detach(
           detached -> {
-            later.schedule(() -> applyLater(handler, detached), slowMillis, TimeUnit.MILLISECONDS);
+            var unused =
+                later.schedule(
+                    () -> applyLater(handler, detached), slowMillis, TimeUnit.MILLISECONDS);
             return detached;
           });
     };
--- a/gatereel-standins/src/main/java/org/gatereel/standins/relay/Relay.java
+++ b/gatereel-standins/src/main/java/org/gatereel/standins/relay/Relay.java
@@ -47,7 +47,6 @@
         join(server.accept());
       } catch (IOException e) {
         // The target refused or the relay is closed; the next connection is taken as usual.
-        continue;
       }
     }
   }
--- a/gatereel-standins/src/main/java/org/gatereel/standins/service/ServiceStandIn.java
+++ b/gatereel-standins/src/main/java/org/gatereel/standins/service/ServiceStandIn.java
@@ -66,16 +66,17 @@
   }
 
   private void runLater(Context context, String id, String body, long delayMillis) {
-    worker.schedule(
-        () -> {
-          if (frozen) {
-            runLater(context, id, body, FROZEN_LOOK_MILLIS);
-          } else {
-            run(context, id, body);
-          }
-        },
-        delayMillis,
-        TimeUnit.MILLISECONDS);
+    var unused =
+        worker.schedule(
+            () -> {
+              if (frozen) {
+                runLater(context, id, body, FROZEN_LOOK_MILLIS);
+              } else {
+                run(context, id, body);
+              }
+            },
+            delayMillis,
+            TimeUnit.MILLISECONDS);
   }
 
   private void run(Context context, String id, String body) {
--- a/gatereel-standins/src/test/java/org/gatereel/standins/DaemonCallersTest.java
+++ b/gatereel-standins/src/test/java/org/gatereel/standins/DaemonCallersTest.java
@@ -7,7 +7,9 @@
 import com.google.common.hash.Hashing;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -47,17 +49,21 @@
 
   @BeforeAll
   static void start() throws Exception {
-    List<Integer> ports = freePorts(5);
+    List<Integer> ports = freePorts(6);
     OPEN.add(new PlatformStandIn(ports.get(0), new PlatformStandIn.Limits(1_000, 10_000, 10, 100)));
     OPEN.add(
         new EngineStandIn(
             ports.get(1), new EngineStandIn.Settings("engine-1", 8, 1_000, 10, 1_000)));
     OPEN.add(new ServiceStandIn(ports.get(2), "points-1", 1));
     register(ports.get(0), "engine-1", TargetKind.ENGINE, "assistant", ports.get(1));
+    OPEN.add(
+        new EngineStandIn(ports.get(5), new EngineStandIn.Settings("engine-2", 8, 1, 10, 1_000)));
+    register(ports.get(0), "engine-2", TargetKind.ENGINE, "long", ports.get(5));
     register(ports.get(0), "points-1", TargetKind.PLAIN_SERVICE, "points", ports.get(2));
     String settings =
         """
         {"host": "entry-1", "dataCentre": "ollur", "mostBodyBytes": 65536,
+         "mostWaitingBytes": 65536,
          "httpAddress": {"ip": "127.0.0.1", "port": %d},
          "peerAddress": {"ip": "127.0.0.1", "port": %d},
          "platform": {"ip": "127.0.0.1", "port": %d}, "logLevel": "WARNING",
@@ -70,6 +76,7 @@
     setRow("account/ward", "\"key_sha256\": \"" + sha256(KEY) + "\"");
     setRow("account/other", "\"key_sha256\": \"" + sha256("other") + "\"");
     setRow("service/assistant", "\"kind\": \"generation\", \"maximum_tokens\": \"100\"");
+    setRow("service/long", "\"kind\": \"generation\", \"maximum_tokens\": \"100000\"");
     setRow("service/points", "\"kind\": \"call\"");
     awaitTrue(() -> get("/admin/status").body().contains("points-1"));
     assertEquals(200, get("/readyz").code());
@@ -224,6 +231,25 @@
     assertEquals("/problems/request-changed", type(post("/v1/calls/points", KEY, "key-1", "more")));
   }
 
+  @Test
+  void aSlowReaderIsEndedAndHurtsNobodyElse() throws Exception {
+    String body = "{\"service\": \"long\", \"prompt\": \"slow\", \"maximumTokens\": 90000}";
+    String request =
+        "POST /v1/generations HTTP/1.1\r\nHost: localhost\r\nAuthorization: Bearer "
+            + KEY
+            + "\r\nContent-Type: application/json\r\nContent-Length: "
+            + body.length()
+            + "\r\n\r\n"
+            + body;
+    try (Socket unread = new Socket()) {
+      unread.setReceiveBufferSize(4_096);
+      unread.connect(new InetSocketAddress("127.0.0.1", Integer.parseInt(base.substring(17))));
+      unread.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+      awaitTrue(() -> get("/admin/timeline").body().contains("CALLER_GONE"));
+      assertEquals(200, post("/v1/calls/points", KEY, "beside", "x").code());
+    }
+  }
+
   @Test
   void aBodyThatIsTooLargeIsATypedProblemAndHurtsNobodyElse() throws IOException {
     Answer answer = post("/v1/calls/points", KEY, "large", "x".repeat(200_000));
