--- a/gatereel-core/src/main/java/org/gatereel/core/admission/FairQueue.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/admission/FairQueue.java
@@ -25,7 +25,6 @@
     private final T item;
     private final double start;
     private final long sequence;
-    private boolean removed;
 
     private Entry(T item, double start, long sequence) {
       this.item = item;
@@ -49,7 +48,6 @@
 
   /** Takes a request out that no longer waits; harmless if it was already taken. */
   public void remove(Entry<T> entry) {
-    entry.removed = true;
     waiting.remove(entry);
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/call/OnceDesk.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/call/OnceDesk.java
@@ -244,7 +244,8 @@
   }
 
   private static Problem alreadyClaimed(Wish wish, String detail) {
-    return new Problem(ProblemType.ALREADY_CLAIMED, Outcome.UNKNOWN, detail, 0);
+    return new Problem(
+        ProblemType.ALREADY_CLAIMED, Outcome.UNKNOWN, wish.call().executionId() + ": " + detail, 0);
   }
 
   /** Takes in what a peer says about claims and calls. */
