Commit the package for targets, which the ignore list swallowed

Ruled out: missing dependencies (they resolved; only that package was not there).

A check stays with the landing: a fresh clone.

--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/target/TargetBook.java
@@ -0,0 +1,173 @@
+package org.gatereel.core.target;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.gatereel.core.event.EventCode;
+import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.internal.Turn;
+import org.gatereel.core.model.DataCentre;
+import org.gatereel.core.model.HostList;
+import org.gatereel.core.model.LifeState;
+import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.model.TargetDescription;
+import org.gatereel.core.model.TargetId;
+import org.gatereel.core.table.PolicyTable;
+
+/** The targets that this host knows, and the choice among them. */
+public final class TargetBook {
+  private final Turn turn;
+  private final PolicyTable table;
+  private final Map<TargetId, TargetState> targets = new LinkedHashMap<>();
+  private final Set<TargetId> leavingHints = new HashSet<>();
+  private final List<Consumer<TargetState>> leavingListeners = new ArrayList<>();
+  private long listVersion = -1;
+  private long sequence;
+
+  public TargetBook(Turn turn, PolicyTable table) {
+    this.turn = turn;
+    this.table = table;
+  }
+
+  /** Has {@code listener} called once for each target that turns out to be leaving. */
+  public void onLeaving(Consumer<TargetState> listener) {
+    leavingListeners.add(listener);
+  }
+
+  /** Takes in the platform's list, unless a later one was seen. */
+  public void see(HostList list) {
+    if (list.version() < listVersion) {
+      return;
+    }
+    listVersion = list.version();
+    Set<TargetId> named = new HashSet<>();
+    for (TargetDescription description : list.targets()) {
+      named.add(description.id());
+      seeTarget(description);
+    }
+    dropUnnamed(named);
+  }
+
+  private void seeTarget(TargetDescription description) {
+    TargetState known = targets.get(description.id());
+    if (known == null) {
+      known = new TargetState(description);
+      targets.put(description.id(), known);
+      turn.note(EventCode.TARGET_SEEN, description.id().value(), description.service().value());
+    }
+    known.update(description);
+    if (description.state() == LifeState.LEAVING || leavingHints.contains(description.id())) {
+      leaving(description.id());
+    }
+  }
+
+  private void dropUnnamed(Set<TargetId> named) {
+    for (TargetId id : List.copyOf(targets.keySet())) {
+      if (!named.contains(id)) {
+        leaving(id);
+        targets.remove(id);
+        turn.note(EventCode.TARGET_GONE, id.value(), "");
+      }
+    }
+    leavingHints.removeIf(id -> !named.contains(id) && !targets.containsKey(id));
+  }
+
+  /** Marks a target as leaving, whoever said so; returns whether that is news. */
+  public boolean leaving(TargetId id) {
+    leavingHints.add(id);
+    TargetState target = targets.get(id);
+    if (target == null || !target.markLeaving()) {
+      return false;
+    }
+    turn.note(EventCode.TARGET_LEAVING, id.value(), "open here: " + target.openHere());
+    leavingListeners.forEach(listener -> listener.accept(target));
+    return true;
+  }
+
+  /** Returns the targets that are leaving but still listed. */
+  public List<TargetId> leavingTargets() {
+    return targets.values().stream()
+        .filter(TargetState::isLeaving)
+        .map(target -> target.description().id())
+        .toList();
+  }
+
+  /** Chooses a target with room, in this data centre if there is one; empty if none has room. */
+  public Optional<TargetState> choose(
+      ServiceName service, PlacementPolicy policy, PlacementQuery query, Set<TargetId> without) {
+    List<TargetState> candidates =
+        usable(service).stream()
+            .filter(target -> target.hasRoom(turn.now(), query.overShare()))
+            .filter(target -> !without.contains(target.description().id()))
+            .toList();
+    if (candidates.isEmpty()) {
+      return Optional.empty();
+    }
+    Optional<TargetState> preferred =
+        candidates.stream()
+            .filter(target -> query.preferred().equals(Optional.of(target.description().id())))
+            .findFirst();
+    if (preferred.isPresent()) {
+      return preferred;
+    }
+    List<TargetState> near = candidates.stream().filter(this::isHere).toList();
+    return Optional.of(
+        policy.choose(near.isEmpty() ? candidates : near, query, turn.random(), sequence++));
+  }
+
+  /** Returns the targets of a service that may get new work, full ones too. */
+  public List<TargetState> usable(ServiceName service) {
+    return targets.values().stream()
+        .filter(target -> target.description().service().equals(service))
+        .filter(target -> target.isUsable(turn.now()))
+        .filter(target -> table.weight(target.description().dataCentre()) > 0)
+        .toList();
+  }
+
+  private boolean isHere(TargetState target) {
+    DataCentre there = target.description().dataCentre();
+    return there.equals(turn.dataCentre());
+  }
+
+  public Optional<TargetState> find(TargetId id) {
+    return Optional.ofNullable(targets.get(id));
+  }
+
+  /** Returns all targets, for status pages. */
+  public List<TargetState> all() {
+    return List.copyOf(targets.values());
+  }
+
+  /** Notes that a request was opened at a target. */
+  public void opened(TargetState target) {
+    target.opened();
+  }
+
+  /** Notes that a request at a target ended, however it did. */
+  public void closed(TargetState target) {
+    target.closed();
+  }
+
+  /** Notes a sign of life with the load that came with it. */
+  public void answered(TargetState target, int load) {
+    target.reported(load, turn.now());
+    if (target.answered()) {
+      turn.note(EventCode.TARGET_RECOVERED, target.description().id().value(), "");
+    }
+  }
+
+  /** Notes a failure; a goodbye makes the target a leaving one. */
+  public void failed(TargetState target, TargetFailure failure) {
+    TargetId id = target.description().id();
+    if (failure.saysLeaving()) {
+      leaving(id);
+    } else if (target.failed(failure, turn.now())) {
+      turn.note(EventCode.TARGET_FAILING, id.value(), failure.name());
+    }
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/target/TargetState.java
@@ -0,0 +1,124 @@
+package org.gatereel.core.target;
+
+import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.model.LifeState;
+import org.gatereel.core.model.TargetDescription;
+
+/** What this host knows of one target: its lagged load report and what this host sent since. */
+public final class TargetState {
+  private static final long FIRST_BACKOFF_MILLIS = 200;
+  private static final long LONGEST_BACKOFF_MILLIS = 5_000;
+  private static final long REPORT_HALF_LIFE_MILLIS = 1_000;
+  private static final int RESERVED_PART = 8;
+
+  private final GapTracker gaps = new GapTracker();
+  private TargetDescription description;
+  private boolean leaving;
+  private int openHere;
+  private int reportedLoad;
+  private int openAtReport;
+  private long reportedAt;
+  private long failingUntil;
+  private long backoffMillis = FIRST_BACKOFF_MILLIS;
+  private boolean failing;
+
+  TargetState(TargetDescription description) {
+    this.description = description;
+    this.leaving = description.state() == LifeState.LEAVING;
+  }
+
+  public TargetDescription description() {
+    return description;
+  }
+
+  public GapTracker gaps() {
+    return gaps;
+  }
+
+  public boolean isLeaving() {
+    return leaving;
+  }
+
+  /** Returns how many requests this host has open at the target. */
+  public int openHere() {
+    return openHere;
+  }
+
+  boolean isUsable(long now) {
+    return !leaving && now >= failingUntil;
+  }
+
+  /** Marks the target as leaving for good; a target that returns comes under a new id. */
+  boolean markLeaving() {
+    boolean first = !leaving;
+    leaving = true;
+    return first;
+  }
+
+  void update(TargetDescription latest) {
+    description = latest;
+  }
+
+  void opened() {
+    openHere++;
+  }
+
+  void closed() {
+    openHere = Math.max(0, openHere - 1);
+  }
+
+  void reported(int load, long now) {
+    reportedLoad = load;
+    openAtReport = openHere;
+    reportedAt = now;
+  }
+
+  /**
+   * Returns the load that the target probably has now.
+   *
+   * <p>The report is corrected by what this host opened and closed since. The part that other hosts
+   * caused fades, because nothing tells this host when their requests end.
+   */
+  public double estimatedLoad(long now) {
+    double others = Math.max(0, reportedLoad - openAtReport);
+    double age = (double) (now - reportedAt) / REPORT_HALF_LIFE_MILLIS;
+    return openHere + others * Math.pow(0.5, age);
+  }
+
+  /**
+   * Returns whether the target has room.
+   *
+   * @param overShare whether the last room is to be left for others, so that their small requests
+   *     need not wait until a long one ends
+   */
+  boolean hasRoom(long now, boolean overShare) {
+    int slots = description.slots();
+    int reserve = overShare && slots > 1 ? Math.max(1, slots / RESERVED_PART) : 0;
+    return estimatedLoad(now) < slots - reserve;
+  }
+
+  /** Passes the target over for a while that grows with each failure; returns whether it is new. */
+  boolean failed(TargetFailure failure, long now) {
+    if (failure == TargetFailure.FULL) {
+      // The refusal is a load report in itself: others fill the target.
+      reported(description.slots() + openHere, now);
+    }
+    if (failure == TargetFailure.FULL || failure == TargetFailure.ERROR) {
+      return false;
+    }
+    boolean first = !failing;
+    failing = true;
+    failingUntil = now + backoffMillis;
+    backoffMillis = Math.min(LONGEST_BACKOFF_MILLIS, backoffMillis * 2);
+    return first;
+  }
+
+  /** Notes a sign of life; returns whether the target was failing. */
+  boolean answered() {
+    boolean recovered = failing;
+    failing = false;
+    failingUntil = 0;
+    backoffMillis = FIRST_BACKOFF_MILLIS;
+    return recovered;
+  }
+}
