--- a/gatereel-core/src/main/java/org/gatereel/core/EntryHost.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/EntryHost.java
@@ -25,7 +25,6 @@
 import org.gatereel.core.model.Outcome;
 import org.gatereel.core.model.Problem;
 import org.gatereel.core.model.ProblemType;
-import org.gatereel.core.model.TargetId;
 import org.gatereel.core.peer.PeerMessage;
 import org.gatereel.core.platform.PlatformPort;
 import org.gatereel.core.table.PolicyTable;
@@ -375,9 +374,4 @@
   public PolicyTable table() {
     return table;
   }
-
-  /** Returns a target, for whoever drives health checks. */
-  public boolean knows(TargetId target) {
-    return book.find(target).isPresent();
-  }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/generation/Generation.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/generation/Generation.java
@@ -114,10 +114,6 @@
     return ++lastAttempt;
   }
 
-  int lastAttempt() {
-    return lastAttempt;
-  }
-
   void workedAt(TargetId target) {
     lastTarget = target;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/generation/GenerationOwner.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/generation/GenerationOwner.java
@@ -19,7 +19,6 @@
 import org.gatereel.core.model.Problem;
 import org.gatereel.core.model.ProblemType;
 import org.gatereel.core.model.RequestId;
-import org.gatereel.core.model.TargetId;
 import org.gatereel.core.peer.PeerMessage;
 import org.gatereel.core.peer.TakeOverRefusal;
 import org.gatereel.core.table.PolicyTable;
@@ -354,9 +353,4 @@
   public int size() {
     return generations.size();
   }
-
-  /** Returns the engine that a caller's generation is at, for status pages. */
-  public Optional<TargetId> targetOf(RequestId request) {
-    return find(request).flatMap(Generation::lastTarget);
-  }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/table/PolicyTable.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/table/PolicyTable.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
-import org.gatereel.core.model.AccountId;
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.ServiceName;
 
@@ -87,10 +86,6 @@
     return row(new RowKey(RowKind.SERVICE, service.value()));
   }
 
-  public Optional<Row> account(AccountId account) {
-    return row(new RowKey(RowKind.ACCOUNT, account.value()));
-  }
-
   public Optional<Row> accountWithCredential(String credential) {
     return Optional.ofNullable(accountsByCredential.get(credential));
   }
