Give every command of gatereelctl its help; test that a silent peer's connection is dropped

Change: help is looked for before anything else and shown for the innermost command that the words name. The mended half-open connections had no test of their own beside bin/prove-processes; MembershipTest has one now.

--- a/gatereel-control/src/main/java/org/gatereel/control/ControlMain.java
+++ b/gatereel-control/src/main/java/org/gatereel/control/ControlMain.java
@@ -2,6 +2,7 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.gatereel.control.table.TableCommands;
@@ -11,6 +12,7 @@
 /** The command {@code gatereelctl}. */
 public final class ControlMain {
   private static final String TABLE = "table";
+  private static final String HELP = "--help";
 
   private final GlobalOptions options = new GlobalOptions();
   private final Map<String, Command> commands = new LinkedHashMap<>();
@@ -18,7 +20,7 @@
   private final JCommander commander =
       JCommander.newBuilder().programName("gatereelctl").addObject(options).build();
 
-  private ControlMain() {
+  ControlMain() {
     commands.put("status", new HostCommands.Status());
     commands.put("timeline", new HostCommands.Timeline());
     commands.put("drain", new HostCommands.Drain());
@@ -32,27 +34,16 @@
     tableCommands.put("import", new TableFiles.Import());
     tableCommands.put("wait", new WaitCommand());
     commands.forEach((name, command) -> addCommand(commander, name, command));
-    Help tableHelp = new Help();
-    commander.addCommand(TABLE, tableHelp);
+    commander.addCommand(TABLE, new Group());
     JCommander table = commander.getCommands().get(TABLE);
-    helps.put(table, tableHelp);
     tableCommands.forEach((name, command) -> addCommand(table, name, command));
   }
 
-  /** Help for one command. */
-  private static final class Help {
-    @com.beust.jcommander.Parameter(names = "--help", help = true, description = "show help")
-    private boolean wanted;
-  }
-
-  private final Map<JCommander, Help> helps = new LinkedHashMap<>();
+  /** Holds the commands about the table together; it has no options of its own. */
+  private static final class Group {}
 
-  private void addCommand(JCommander parent, String name, Command command) {
+  private static void addCommand(JCommander parent, String name, Command command) {
     parent.addCommand(name, command);
-    JCommander added = parent.getCommands().get(name);
-    Help help = new Help();
-    helps.put(added, help);
-    added.addObject(help);
   }
 
   /** Runs the command that the arguments name; the exit codes are those of {@link ExitCode}. */
@@ -60,7 +51,11 @@
     System.exit(new ControlMain().run(arguments).number());
   }
 
-  private ExitCode run(String... arguments) {
+  ExitCode run(String... arguments) {
+    if (Arrays.asList(arguments).contains(HELP)) {
+      named(arguments).usage();
+      return ExitCode.DONE;
+    }
     try {
       commander.parse(arguments);
     } catch (ParameterException e) {
@@ -68,11 +63,9 @@
       return ExitCode.USAGE;
     }
     JCommander chosen = chosen();
-    boolean isGroup = chosen != null && chosen.getObjects().get(0) instanceof Help;
-    boolean help = options.isHelp() || chosen == null || isGroup || wantsHelp(chosen);
-    if (help) {
-      (chosen == null ? commander : chosen).usage();
-      return options.isHelp() || chosen != null ? ExitCode.DONE : ExitCode.USAGE;
+    if (chosen == null || !(chosen.getObjects().get(0) instanceof Command)) {
+      named(arguments).usage();
+      return ExitCode.USAGE;
     }
     Command command = (Command) chosen.getObjects().get(0);
     try (AdminClient client = new AdminClient(options.hosts(), options.key())) {
@@ -83,9 +76,13 @@
     }
   }
 
-  private boolean wantsHelp(JCommander chosen) {
-    Help help = helps.get(chosen);
-    return help != null && help.wanted;
+  /** Returns the innermost command that the words name, whatever else is missing or wrong. */
+  private JCommander named(String... words) {
+    JCommander innermost = commander;
+    for (String word : words) {
+      innermost = innermost.getCommands().getOrDefault(word, innermost);
+    }
+    return innermost;
   }
 
   /** Returns the innermost command, or the table group if none of its commands was named. */
--- a/gatereel-core/src/test/java/org/gatereel/core/member/MembershipTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/member/MembershipTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import org.gatereel.core.action.Action;
 import org.gatereel.core.internal.Turn;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
@@ -69,6 +70,8 @@
       members.heard(new HostId("host-2"));
     }
     assertEquals(List.of(peer), lost);
+    // A half-open connection would swallow every later message.
+    assertTrue(turn.takeActions().contains(new Action.DropLink(peer)));
     assertFalse(members.isAnswering(peer));
     members.heard(peer);
     assertTrue(members.isAnswering(peer));
