--- a/gatereel-daemon/src/main/java/org/gatereel/daemon/callers/Exchange.java
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/callers/Exchange.java
@@ -91,7 +91,8 @@
     if (sender != null) {
       close();
     } else if (!ended) {
-      refuse(new Problem(ProblemType.DRAINING, Outcome.NOT_RUN, "connect again", 1));
+      // What the request has come to is known to the core only, which was not asked.
+      refuse(new Problem(ProblemType.DRAINING, Outcome.UNKNOWN, "connect again", 1));
     }
   }
 
