Send a prompt where it was read before, lend repeats within a data centre, doubt data centres by degree

Cause: a caller whose host was killed resumes at another host, which sends it to any engine; the prompt is read anew, a pause of more than a second. Change: hosts rank the engines of their data centre by a hash of the prompt's largest part (PromptAffinity, PromptParts) and prefer the first two unless they are loaded. Ruled out: telling each other which engine read what, which costs messages and is lost with the host. 2. Cause: each of 74 hosts had its own part of the retry budget, about four repeats in ten seconds. When engines of a data centre end, a few hosts need many at once: 14 RETRY_BUDGET_SPENT at eleven hosts, of 157 streams there 9 refused and 6 interrupted, while the budget of all was hardly used. Change: half of what is allowed beside the ratio is lent on demand by the host that reads the store for the data centre (RetryBudgets, RepeatPort, RepeatClient); a request that waits for the answer ends truthfully at its deadline, at a stop, or when its caller leaves. Ruled out: leases renewed with each question for documents, which in the steady state come to the same equal parts. 3. Cause: a host with few requests had seen one failure in each data centre and then doubted all alike, so that eight tries within 7 ms went to the one that was down. Change: doubt grows with the number of failures; tries whose connection did not come about are counted apart (TryCount).

--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -39,6 +39,8 @@
   REQUEST_ANSWERED(315, "The caller was given a target's whole answer."),
   RETRY_BUDGET_SPENT(316, "A request is not tried again: its service's retry budget is spent."),
   STREAM_PAUSED(317, "A stream's next event came later than its route's longest pause."),
+  REPEATS_LENT(
+      318, "Another host asked for repeats out of the data centre's part of the retry budget."),
   CLAIM_GRANTED(320, "The Idempotency-Key was claimed for this host."),
   CLAIM_TAKEN(321, "The Idempotency-Key was claimed before."),
   CLAIM_FAILED(322, "The platform did not confirm the claim; the call was not sent."),
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -20,9 +20,6 @@
  * one is closed. Whether a request may be tried again is decided here and nowhere else.
  */
 public final class Exchange {
-  /** Tries that certainly did not run do not count as attempts, but must end somewhere. */
-  private static final int MOST_TRIES = 8;
-
   private static final int FIRST_ERROR_STATUS = 500;
 
   private final Forwarder forwarder;
@@ -43,8 +40,7 @@
   private Attempt attempt;
   private Answer fallback;
   private final StreamRelay relay;
-  private int tries;
-  private int runs;
+  private final TryCount tries = new TryCount();
   private boolean mayHaveRun;
   private boolean begun;
   private boolean passedOn;
@@ -136,7 +132,7 @@
   }
 
   private void tryNext() {
-    if (tries >= MOST_TRIES) {
+    if (tries.isUsedUp()) {
       giveUp(mayHaveRun ? Refusal.TARGET_FAILED : Refusal.OVERLOADED);
       return;
     }
@@ -150,13 +146,17 @@
   }
 
   private Optional<TargetState> chooseTarget() {
-    Optional<TargetState> fresh = forwarder.selector().choose(service, tried);
+    Optional<TargetState> fresh = choose(tried);
     boolean tryAgainThere = fresh.isEmpty() && isResumableStream();
-    return tryAgainThere ? forwarder.selector().choose(service, Set.of()) : fresh;
+    return tryAgainThere ? choose(Set.of()) : fresh;
+  }
+
+  private Optional<TargetState> choose(Set<TargetId> without) {
+    return forwarder.selector().choose(service, without, request.promptPart());
   }
 
   private void dispatch(TargetState target, Optional<String> from) {
-    tries++;
+    tries.begin();
     tried.add(target.description().id());
     attempt = new Attempt(this, target, from.isPresent(), context.now());
     forwarder.targets().opened(target);
@@ -171,7 +171,7 @@
             copyTo,
             from,
             begun);
-    log.forwarded(route, dispatch, target, tries);
+    log.forwarded(route, dispatch, target, tries.begun());
     attempt.started(forwarder.port().send(dispatch, attempt));
     silence.watch(attempt);
   }
@@ -234,15 +234,15 @@
       }
     }
     settle(from);
-    runs++;
+    tries.ran();
     forwarder.targets().answered(from.target());
     Answer answer = new Answer(from.head(), from.takeBody());
-    if (!begun && from.head().status() >= FIRST_ERROR_STATUS && mayTryAgain() && mayRepeatNow()) {
+    if (!begun && from.head().status() >= FIRST_ERROR_STATUS && mayTryAgain()) {
       fallback = answer;
       log.note(
           EventCode.CALL_RETRIED,
           "target=" + from.target().description().id() + " status=" + from.head().status());
-      tryNext();
+      repeat();
       return;
     }
     if (isStream(from)) {
@@ -275,9 +275,12 @@
     settle(from);
     from.cancel();
     log.failed(from, failure, ran);
+    if (failure == TargetFailure.NOT_CONNECTED) {
+      tries.unreached();
+    }
     if (ran) {
       mayHaveRun = true;
-      runs++;
+      tries.ran();
     }
     if (from.isContinuation() && failure == TargetFailure.FULL) {
       // The copy is not there; that says nothing of the target's load.
@@ -296,21 +299,30 @@
       abort("ANSWER_BROKEN");
       return;
     }
-    boolean again = !ran || mayTryAgain();
-    if (again && (!from.mayHaveRun() || mayRepeatNow())) {
-      tryNext();
+    if (ran && !mayTryAgain()) {
+      giveUp(Refusal.TARGET_FAILED);
+    } else if (from.mayHaveRun()) {
+      repeat();
     } else {
-      giveUp(mayHaveRun ? Refusal.TARGET_FAILED : Refusal.OVERLOADED);
+      tryNext();
     }
   }
 
-  /** Takes one repeat out of the service's budget, if there is one. */
-  private boolean mayRepeatNow() {
-    boolean allowed = forwarder.budgets().spend(service);
-    if (!allowed) {
-      log.note(EventCode.RETRY_BUDGET_SPENT, "service=" + service);
+  /** Tries again if the service's budget has a repeat left, which may be known only later. */
+  private void repeat() {
+    forwarder.budgets().take(service, this::repeatIfGranted);
+  }
+
+  private void repeatIfGranted(boolean granted) {
+    if (over) {
+      return;
+    }
+    if (granted) {
+      tryNext();
+      return;
     }
-    return allowed;
+    log.note(EventCode.RETRY_BUDGET_SPENT, "service=" + service);
+    giveUp(mayHaveRun ? Refusal.TARGET_FAILED : Refusal.OVERLOADED);
   }
 
   private boolean isResumableStream() {
@@ -319,7 +331,7 @@
   }
 
   private boolean mayTryAgain() {
-    return route.mayRepeat() && runs < route.attempts() && context.now() < deadline;
+    return route.mayRepeat() && tries.runs() < route.attempts() && context.now() < deadline;
   }
 
   private void deadlinePassed() {
@@ -380,7 +392,7 @@
   /** Returns how far the request has come, for the log. */
   String progress() {
     return "tries="
-        + tries
+        + tries.begun()
         + " lastEvent="
         + relay.lastEventId().orElse(-1)
         + " millis="
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardRequest.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardRequest.java
@@ -30,4 +30,12 @@
 
   /** Returns the tokens of the prompt, or 0 if there is none. */
   long promptTokens();
+
+  /**
+   * Returns the name of the largest part of the prompt.
+   *
+   * <p>An engine that has read the part lately need not read it again for another request that has
+   * the same one, as when a caller resumes a stream at another host.
+   */
+  Optional<String> promptPart();
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -5,10 +5,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.IntSupplier;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.target.TargetRegistry;
 import org.gatereel.core.target.TargetState;
@@ -30,7 +30,8 @@
   /**
    * Makes a forwarder.
    *
-   * @param hosts tells how many hosts share the limits of all
+   * @param directory the hosts that share the limits of all
+   * @param repeats the way to the one that lends repeats
    */
   public Forwarder(
       CoreContext context,
@@ -39,7 +40,8 @@
       ForwardPolicy policy,
       TargetPort port,
       ForwardObserver observer,
-      IntSupplier hosts) {
+      HostDirectory directory,
+      RepeatPort repeats) {
     this.context = context;
     this.targets = targets;
     this.configuration = configuration;
@@ -47,7 +49,7 @@
     this.port = port;
     this.observer = observer;
     this.selector = new TargetSelector(context, targets);
-    this.budgets = new RetryBudgets(context, policy.retryLimit(), hosts);
+    this.budgets = new RetryBudgets(context, policy.retryLimit(), directory, repeats);
     this.stopPlan = new StopPlan(context);
   }
 
@@ -139,6 +141,13 @@
     }
   }
 
+  /** Lends repeats of a service's requests to another host; returns how many. */
+  public int lendRepeats(ServiceName service, int count) {
+    int lent = budgets.lend(service, count);
+    context.note(EventCode.REPEATS_LENT, service.value(), "asked=" + count + " lent=" + lent);
+    return lent;
+  }
+
   void over(Exchange exchange) {
     open.remove(exchange);
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/HostDirectory.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/HostDirectory.java
@@ -15,7 +15,7 @@
  * Knows the other hosts, from the entries that all keep in the platform's store.
  *
  * <p>It serves two ends for which a rough picture is enough: what all hosts may do together is
- * dealt out in equal parts, and hosts ask each other for documents. An entry is written anew once a
+ * dealt out or lent, and hosts ask each other for documents. An entry is written anew once a
  * minute; one that is not is soon counted no longer, and later removed by whoever writes next.
  */
 public final class HostDirectory {
@@ -115,6 +115,11 @@
     return Math.max(least, counted.size());
   }
 
+  /** Returns how many of them are in this data centre; at least one. */
+  public int hostsHere() {
+    return Math.max(1, readers.size());
+  }
+
   /**
    * Returns the host that reads the store for this data centre; empty if that is this one, or if no
    * other is known. Hosts that were found not to answer are passed over.
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RetryBudgets.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RetryBudgets.java
@@ -1,51 +1,127 @@
 package org.gatereel.core.forward;
 
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.IntSupplier;
+import java.util.Queue;
+import java.util.function.Consumer;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.ServiceName;
 
 /**
  * This host's part of each service's retry budget.
  *
- * <p>Repeats in proportion to requests follow from what this host was asked itself; what is allowed
- * beside is divided by the number of hosts. So the sum of all parts stays within the budget as long
- * as hosts know how many they are; one that counts too few, as right after a first start, may take
- * more than its part.
+ * <p>Repeats in proportion to requests follow from what this host was asked itself. Of what is
+ * allowed beside, one half is dealt out in equal parts, so that a host which reaches nobody has its
+ * own. The other half is lent by one host of each data centre, the one that also reads the store:
+ * when engines fail, a few hosts need many repeats at once and the others none.
+ *
+ * <p>So the sum of all parts stays within the budget as long as hosts know how many they are and
+ * agree on who lends. One that counts too few, as right after a first start, may take more than its
+ * part; while a lender is replaced, two of them may each lend their data centre's part once.
  */
 final class RetryBudgets {
   /** Kept back for what hosts count a little differently than an observer of all. */
   private static final double MARGIN = 0.9;
 
+  private static final double LENT_PART = 0.5;
+
   private final CoreContext context;
   private final ForwardPolicy.RetryLimit limit;
-  private final IntSupplier hosts;
-  private final Map<ServiceName, RetryWindow> windows = new HashMap<>();
+  private final HostDirectory directory;
+  private final RepeatPort port;
+  private final Map<ServiceName, Budget> budgets = new HashMap<>();
+
+  /** What this host knows of one service's budget. */
+  private final class Budget {
+    private final ServiceName service;
+    private final RetryWindow own;
+    private final RetryWindow lent;
+    private final Queue<Consumer<Boolean>> waiting = new ArrayDeque<>();
+    private boolean asking;
+
+    private Budget(ServiceName service) {
+      this.service = service;
+      this.own = new RetryWindow(limit.windowMillis(), context.now());
+      this.lent = new RetryWindow(limit.windowMillis(), context.now());
+    }
+
+    private boolean takeOwn() {
+      double slack = (1 - LENT_PART) * MARGIN * limit.slack() / directory.hosts();
+      if (!own.hasRoom(context.now(), MARGIN * limit.ratio(), slack)) {
+        return false;
+      }
+      own.countRepeat(context.now());
+      return true;
+    }
+
+    private int lend(int count) {
+      double part = (double) directory.hostsHere() / directory.hosts();
+      double slack = LENT_PART * MARGIN * limit.slack() * part;
+      int lending = 0;
+      while (lending < count && lent.hasRoom(context.now(), 0, slack)) {
+        lent.countRepeat(context.now());
+        lending++;
+      }
+      return lending;
+    }
+
+    /** Asks for as many repeats as are waited for, unless an answer is still to come. */
+    private void borrow() {
+      if (asking || waiting.isEmpty()) {
+        return;
+      }
+      asking = true;
+      int count = waiting.size();
+      directory
+          .reader(context.now())
+          .ifPresentOrElse(
+              lender -> port.borrow(lender, service, count, given -> borrowed(count, given)),
+              () -> borrowed(count, lend(count)));
+    }
+
+    private void borrowed(int asked, int given) {
+      asking = false;
+      for (int index = 0; index < asked; index++) {
+        waiting.remove().accept(index < given);
+      }
+      borrow();
+    }
+  }
 
-  RetryBudgets(CoreContext context, ForwardPolicy.RetryLimit limit, IntSupplier hosts) {
+  RetryBudgets(
+      CoreContext context,
+      ForwardPolicy.RetryLimit limit,
+      HostDirectory directory,
+      RepeatPort port) {
     this.context = context;
     this.limit = limit;
-    this.hosts = hosts;
+    this.directory = directory;
+    this.port = port;
   }
 
   /** Notes a first request for a service. */
   void earn(ServiceName service) {
-    window(service).countRequest(context.now());
+    budget(service).own.countRequest(context.now());
   }
 
-  /** Takes one repeat; returns whether there was one. */
-  boolean spend(ServiceName service) {
-    double slack = MARGIN * limit.slack() / Math.max(1, hosts.getAsInt());
-    if (!window(service).hasRoom(context.now(), MARGIN * limit.ratio(), slack)) {
-      return false;
+  /** Takes one repeat; {@code answer} is told, at once or later, whether there is one. */
+  void take(ServiceName service, Consumer<Boolean> answer) {
+    Budget budget = budget(service);
+    if (budget.takeOwn()) {
+      answer.accept(true);
+      return;
     }
-    window(service).countRepeat(context.now());
-    return true;
+    budget.waiting.add(answer);
+    budget.borrow();
+  }
+
+  /** Lends repeats to a host of this data centre; returns how many of those asked for. */
+  int lend(ServiceName service, int count) {
+    return budget(service).lend(count);
   }
 
-  private RetryWindow window(ServiceName service) {
-    return windows.computeIfAbsent(
-        service, name -> new RetryWindow(limit.windowMillis(), context.now()));
+  private Budget budget(ServiceName service) {
+    return budgets.computeIfAbsent(service, Budget::new);
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSelector.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSelector.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.ServiceName;
@@ -16,12 +15,16 @@
 
 /**
  * Chooses targets for forwarded requests: the least loaded by this host's estimate, near ones first
- * among equals, and those of a data centre where most targets fail last.
+ * among equals, those first that have probably read the prompt already, and those of a data centre
+ * where most targets fail last.
  */
 final class TargetSelector {
   private static final double FAR_PENALTY = 0.3;
   private static final double FAILING_PENALTY = 100;
+
+  /** For each target of a data centre that failed lately beyond those that worked. */
   private static final double DOUBTED_DATA_CENTRE_PENALTY = 10;
+
   private static final long EVIDENCE_MILLIS = 1_500;
   private static final double COPY_LOAD = 0.3;
   private static final double JITTER = 0.25;
@@ -34,9 +37,14 @@
     this.targets = targets;
   }
 
-  /** Chooses a target for a run; one that fails just now only if there is no other. */
-  Optional<TargetState> choose(ServiceName service, Set<TargetId> without) {
-    return best(service, target -> !without.contains(target.description().id()));
+  /**
+   * Chooses a target for a run; one that fails just now only if there is no other.
+   *
+   * @param promptPart the part of the prompt that an engine may have read already
+   */
+  Optional<TargetState> choose(
+      ServiceName service, Set<TargetId> without, Optional<String> promptPart) {
+    return best(service, promptPart, target -> !without.contains(target.description().id()));
   }
 
   /**
@@ -49,32 +57,35 @@
     DataCentre there = runner.description().dataCentre();
     DataCentre here = context.dataCentre();
     if (!there.equals(here)) {
-      Optional<TargetState> near = best(service, target -> isSound(target, here, service));
+      Optional<TargetState> near =
+          best(service, Optional.empty(), target -> isSound(target, here, service));
       if (near.isPresent()) {
         return near;
       }
     }
     Optional<TargetState> apart =
-        best(service, target -> !target.description().dataCentre().equals(there));
-    return apart.isPresent() ? apart : best(service, target -> target != runner);
+        best(service, Optional.empty(), target -> !target.description().dataCentre().equals(there));
+    return apart.isPresent() ? apart : best(service, Optional.empty(), target -> target != runner);
   }
 
   private boolean isSound(TargetState target, DataCentre dataCentre, ServiceName service) {
     return target.description().dataCentre().equals(dataCentre)
         && !target.isFailing(context.now())
-        && !doubted(targets.listed(service)).contains(dataCentre);
+        && !doubts(targets.listed(service)).containsKey(dataCentre);
   }
 
-  private Optional<TargetState> best(ServiceName service, Predicate<TargetState> allowed) {
+  private Optional<TargetState> best(
+      ServiceName service, Optional<String> promptPart, Predicate<TargetState> allowed) {
     List<TargetState> listed = targets.listed(service);
-    Set<DataCentre> doubted = doubted(listed);
+    Map<DataCentre, Integer> doubts = doubts(listed);
+    PromptAffinity affinity = PromptAffinity.of(promptPart, listed, context);
     TargetState best = null;
     double bestCost = Double.POSITIVE_INFINITY;
     for (TargetState target : listed) {
       if (!allowed.test(target)) {
         continue;
       }
-      double cost = cost(target, doubted);
+      double cost = cost(target, doubts) - affinity.bonus(target);
       if (cost < bestCost) {
         best = target;
         bestCost = cost;
@@ -84,19 +95,19 @@
   }
 
   /**
-   * Returns the data centres where lately more targets failed than worked.
+   * Returns the data centres where lately more targets failed than worked, and by how many.
    *
-   * <p>Only what this host has seen itself counts: a target that it did not ask says nothing.
+   * <p>Only what this host has seen itself counts: a target that it did not ask says nothing. A
+   * host with few requests may have seen failures alone, so how many there were decides between
+   * two.
    */
-  private Set<DataCentre> doubted(List<TargetState> listed) {
-    Map<DataCentre, Integer> balance = new HashMap<>();
+  private Map<DataCentre, Integer> doubts(List<TargetState> listed) {
+    Map<DataCentre, Integer> doubts = new HashMap<>();
     for (TargetState target : listed) {
-      balance.merge(target.description().dataCentre(), evidence(target), Integer::sum);
+      doubts.merge(target.description().dataCentre(), -evidence(target), Integer::sum);
     }
-    return balance.entrySet().stream()
-        .filter(entry -> entry.getValue() < 0)
-        .map(Map.Entry::getKey)
-        .collect(Collectors.toSet());
+    doubts.values().removeIf(failures -> failures <= 0);
+    return doubts;
   }
 
   /** Returns 1 if the target worked lately, -1 if it failed since, 0 if neither is known. */
@@ -108,7 +119,7 @@
     return target.lastSignAt() > since ? 1 : 0;
   }
 
-  private double cost(TargetState target, Set<DataCentre> doubted) {
+  private double cost(TargetState target, Map<DataCentre, Integer> doubts) {
     DataCentre there = target.description().dataCentre();
     double cost =
         target.estimatedLoad(context.now())
@@ -120,8 +131,8 @@
     if (target.isFailing(context.now())) {
       cost += FAILING_PENALTY;
     }
-    if (doubted.contains(there) && evidence(target) <= 0) {
-      cost += DOUBTED_DATA_CENTRE_PENALTY;
+    if (evidence(target) <= 0) {
+      cost += DOUBTED_DATA_CENTRE_PENALTY * doubts.getOrDefault(there, 0);
     }
     return cost;
   }
--- /dev/null
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/FailingDataCentreTest.java
@@ -0,0 +1,76 @@
+package org.gatereel.core.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.model.TargetDescription;
+import org.gatereel.core.model.TargetId;
+import org.gatereel.core.target.TargetState;
+import org.junit.jupiter.api.Test;
+
+/** What a host does whose own experience of a data centre's targets is thin. */
+class FailingDataCentreTest {
+  private final ForwardWorld world = new ForwardWorld();
+  private final ForwardWorld.Caller caller = new ForwardWorld.Caller();
+
+  private void list(int north, int south) {
+    List<TargetDescription> targets = new ArrayList<>();
+    for (int index = 0; index < north; index++) {
+      targets.add(ForwardWorld.target("n" + index, ForwardWorld.ENGINES, "north"));
+    }
+    for (int index = 0; index < south; index++) {
+      targets.add(ForwardWorld.target("s" + index, ForwardWorld.ENGINES, "south"));
+    }
+    world.list(targets.toArray(TargetDescription[]::new));
+  }
+
+  @Test
+  void ofTwoDoubtedDataCentresTheOneWithFewerFailuresIsTried() {
+    list(8, 8);
+    failed("n0");
+    failed("n1");
+    failed("s0");
+
+    assertEquals("s", askAnew().target().substring(0, 1));
+  }
+
+  private ForwardWorld.SentCall askAnew() {
+    world.ask("/stream/x", new ForwardWorld.Caller());
+    return world.last();
+  }
+
+  private void failed(String name) {
+    TargetState target = world.targets.find(new TargetId(name)).orElseThrow();
+    world.targets.failed(target, TargetFailure.NOT_CONNECTED);
+  }
+
+  @Test
+  void targetsThatCannotBeReachedDoNotEndARequestEarly() {
+    list(14, 0);
+    world.ask("/stream/x", caller);
+
+    for (int failure = 0; failure < 13; failure++) {
+      world.fail(world.last(), TargetFailure.NOT_CONNECTED);
+    }
+
+    assertNull(caller.refusal);
+    assertEquals(14, world.sent.size());
+  }
+
+  @Test
+  void targetsThatRefuseDoEndItAtLast() {
+    list(14, 0);
+    world.ask("/stream/x", caller);
+
+    for (int refusal = 0; refusal < 8; refusal++) {
+      world.last().notRun(503);
+    }
+
+    assertTrue(caller.isOver());
+    assertEquals(8, world.sent.size());
+  }
+}
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.IntConsumer;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.AccountId;
@@ -31,14 +32,15 @@
   static final long TIMEOUT_MILLIS = 20_000;
   private static final long START = 1_000_000;
 
-  final CoreContext context =
-      new CoreContext(new HostId("h1"), new DataCentre("north"), new SplittableRandom(20261202));
-  final ConfigurationKeeper keeper =
-      new ConfigurationKeeper(context, new ConfigurationKeeper.Bounds(true, 5_000, 2_000));
-  final TargetRegistry targets = new TargetRegistry(context, new PolicyTable());
+  final CoreContext context;
+  final HostDirectory directory;
+  final List<IntConsumer> borrowing = new ArrayList<>();
+  final ConfigurationKeeper keeper;
+  final TargetRegistry targets;
   final List<SentCall> sent = new ArrayList<>();
   final List<SentProbe> probes = new ArrayList<>();
   final Forwarder forwarder;
+  Optional<String> promptPart = Optional.empty();
   private long listVersion;
 
   /** A request at a target. */
@@ -99,7 +101,8 @@
       Optional<String> key,
       OptionalLong remainingMillis,
       OptionalLong lastEventId,
-      long promptTokens)
+      long promptTokens,
+      Optional<String> promptPart)
       implements ForwardRequest {}
 
   /** What a caller got. */
@@ -155,6 +158,15 @@
   }
 
   ForwardWorld() {
+    this(20261202);
+  }
+
+  ForwardWorld(long seed) {
+    context =
+        new CoreContext(new HostId("h1"), new DataCentre("north"), new SplittableRandom(seed));
+    directory = new HostDirectory(context, new Address("10.0.1.1", 7_215));
+    keeper = new ConfigurationKeeper(context, new ConfigurationKeeper.Bounds(true, 5_000, 2_000));
+    targets = new TargetRegistry(context, new PolicyTable());
     context.moveTo(START);
     TargetPort port =
         new TargetPort() {
@@ -178,7 +190,8 @@
             ForwardPolicy.STANDARD,
             port,
             new IgnoringObserver(),
-            () -> 16);
+            directory,
+            (lender, service, count, answer) -> borrowing.add(answer));
     keeper.learn(configuration(1).build(), context.now());
     list(
         target("e1", ENGINES, "north"),
@@ -270,7 +283,8 @@
             Optional.of(KEY),
             OptionalLong.empty(),
             OptionalLong.empty(),
-            8_000),
+            8_000,
+            promptPart),
         caller);
   }
 
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -17,12 +17,14 @@
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.HostId;
+import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.table.PolicyTable;
 import org.gatereel.core.target.TargetRegistry;
 import org.gatereel.forward.http.CallerServer;
 import org.gatereel.forward.http.StatusServer;
 import org.gatereel.forward.http.TargetConnector;
 import org.gatereel.forward.log.ForwardLog;
+import org.gatereel.forward.peer.RepeatClient;
 import org.gatereel.forward.settings.ForwardSettings;
 
 /** One forwarding process: its thread, its core, its listeners, and how it starts and stops. */
@@ -49,6 +51,7 @@
   private final TargetListKeeper targetList;
   private final HostDirectory directory;
   private final DocumentCache documents = new DocumentCache();
+  private final RepeatClient repeats;
   private final Forwarder forwarder;
   private final ForwardMetrics metrics = new ForwardMetrics();
   private final CallerServer callers;
@@ -86,6 +89,7 @@
     targets = new TargetRegistry(context, new PolicyTable());
     targetList = new TargetListKeeper(targets, bounds.knownWithinMillis());
     directory = new HostDirectory(context, ForwardSettings.address(settings.peers()));
+    repeats = new RepeatClient(control);
     forwarder =
         new Forwarder(
             context,
@@ -94,7 +98,8 @@
             policy(bounds),
             new TargetConnector(control, dialect),
             metrics,
-            directory::hosts);
+            directory,
+            repeats);
     callers = new CallerServer(control, configuration, forwarder, dialect.headers());
     status = new StatusServer(loop).page(readyPath, this::readiness);
     metricsServer =
@@ -144,6 +149,13 @@
     return documents;
   }
 
+  /** Lends repeats of a service's requests to another host; returns how many of those asked for. */
+  public int lendRepeats(ServiceName service, int count) {
+    int[] lent = new int[1];
+    control.run(() -> lent[0] = forwarder.lendRepeats(service, count));
+    return lent[0];
+  }
+
   /** Returns what takes in the entries of all hosts. */
   public HostDirectory directory() {
     return directory;
@@ -230,6 +242,7 @@
   @Override
   public void close() {
     callers.close();
+    repeats.close();
     status.close();
     metricsServer.close();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
--- a/gatereel-forward/src/main/java/org/gatereel/forward/HeaderNames.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/HeaderNames.java
@@ -13,6 +13,7 @@
  * @param signature the mark of a target's own answer
  * @param notRun a target's promise that it did not run the request
  * @param tokenCounts the tokens of the prompt and the most that come out, joined by a comma
+ * @param promptParts the parts of the prompt in their order, each as name:tokens, joined by commas
  * @param copyTo the address of the engine that is to hold a copy of the run
  * @param continueFrom the copy that a run goes on from
  * @param urgency 0 for the most urgent
@@ -27,6 +28,7 @@
     String signature,
     String notRun,
     String tokenCounts,
+    String promptParts,
     String copyTo,
     String continueFrom,
     String urgency,
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/IncomingRequest.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/IncomingRequest.java
@@ -23,7 +23,8 @@
     Optional<String> key,
     OptionalLong remainingMillis,
     OptionalLong lastEventId,
-    long promptTokens)
+    long promptTokens,
+    Optional<String> promptPart)
     implements ForwardRequest {
 
   /**
@@ -48,7 +49,8 @@
         single(headers, names.key()),
         number(headers, names.remainingMillis()),
         number(headers, HeaderNames.LAST_EVENT_ID),
-        firstNumber(headers, names.tokenCounts()));
+        firstNumber(headers, names.tokenCounts()),
+        PromptParts.largest(headers.get(names.promptParts())));
   }
 
   @Override
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerServer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerServer.java
@@ -1,35 +1,57 @@
 package org.gatereel.forward.peer;
 
 import io.netty.channel.EventLoop;
+import java.util.function.ToIntBiFunction;
 import org.gatereel.core.forward.DocumentCache;
 import org.gatereel.core.model.Address;
+import org.gatereel.core.model.ServiceName;
 import org.gatereel.forward.ControlThread;
 import org.gatereel.forward.http.StatusServer;
 
 /**
- * Answers other hosts that ask for documents; whether their proof is too old is the asker's to say.
+ * Answers other hosts that ask for documents, or for repeats of a service's requests.
+ *
+ * <p>Whether the proof of a document is too old is the asker's to say.
  */
 public final class PeerServer implements AutoCloseable {
   private static final int OK = 200;
+  private static final StatusServer.Page MALFORMED = new StatusServer.Page(400, "malformed\n");
 
   private final DocumentCache known;
+  private final ToIntBiFunction<ServiceName, Integer> lend;
   private final StatusServer server;
 
-  /** Makes a server; nothing is bound yet. */
-  public PeerServer(EventLoop loop, DocumentCache known) {
+  /**
+   * Makes a server; nothing is bound yet.
+   *
+   * @param lend lends repeats of a service's requests, and returns how many of those asked for
+   */
+  public PeerServer(
+      EventLoop loop, DocumentCache known, ToIntBiFunction<ServiceName, Integer> lend) {
     this.known = known;
-    this.server = new StatusServer(loop).query(PeerDocuments.PATH, this::answer);
+    this.lend = lend;
+    this.server =
+        new StatusServer(loop)
+            .query(PeerDocuments.PATH, this::documents)
+            .query(RepeatLending.PATH, this::repeats);
   }
 
   public void start(Address address) {
     server.start(address);
   }
 
-  private StatusServer.Page answer(String question) {
+  private StatusServer.Page documents(String question) {
     return new StatusServer.Page(
         OK, PeerDocuments.answer(question, known, ControlThread.nowMillis()));
   }
 
+  private StatusServer.Page repeats(String question) {
+    return RepeatLending.read(question)
+        .map(asked -> lend.applyAsInt(asked.service(), asked.count()))
+        .map(lent -> new StatusServer.Page(OK, Integer.toString(lent)))
+        .orElse(MALFORMED);
+  }
+
   @Override
   public void close() {
     server.close();
