--- a/gatereel-core/src/main/java/org/gatereel/core/forward/PromptAffinity.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/PromptAffinity.java
@@ -16,10 +16,13 @@
  * the engine that still holds the prompt.
  */
 final class PromptAffinity {
-  /** In units of open requests: the first engine may have one more than another. */
-  private static final double FIRST_BONUS = 1.6;
+  /**
+   * In units of this host's open requests: the first engine is left for the second only once it has
+   * two, so that a host which sees none of them chooses as the one did that began the run.
+   */
+  private static final double FIRST_BONUS = 2.5;
 
-  private static final double SECOND_BONUS = 0.5;
+  private static final double SECOND_BONUS = 0.8;
   private static final PromptAffinity NONE = new PromptAffinity(List.of());
 
   private final List<TargetState> ranked;
