Take a target that restarted under another name as evidence against its data centre

Cause: when the engines of a data centre end and come back under other names, hosts hold lists that are up to 1.4 s old. Ruled out: reading the list again at a 421, since the reader of the data centre does not know more yet. Change: the failure is kept with the target as long as the list names it, and counts when data centres are compared. Test, seen to fail without the change: FailingDataCentreTest.aTargetThatHasRestartedUnderAnotherNameCastsDoubtOnThoseBesideIt.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSelector.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSelector.java
@@ -71,13 +71,13 @@
   private boolean isSound(TargetState target, DataCentre dataCentre, ServiceName service) {
     return target.description().dataCentre().equals(dataCentre)
         && !target.isFailing(context.now())
-        && !doubts(targets.listed(service)).containsKey(dataCentre);
+        && !doubts(service).containsKey(dataCentre);
   }
 
   private Optional<TargetState> best(
       ServiceName service, Optional<String> promptPart, Predicate<TargetState> allowed) {
     List<TargetState> listed = targets.listed(service);
-    Map<DataCentre, Integer> doubts = doubts(listed);
+    Map<DataCentre, Integer> doubts = doubts(service);
     PromptAffinity affinity = PromptAffinity.of(promptPart, listed, context);
     TargetState best = null;
     double bestCost = Double.POSITIVE_INFINITY;
@@ -101,9 +101,9 @@
    * host with few requests may have seen failures alone, so how many there were decides between
    * two.
    */
-  private Map<DataCentre, Integer> doubts(List<TargetState> listed) {
+  private Map<DataCentre, Integer> doubts(ServiceName service) {
     Map<DataCentre, Integer> doubts = new HashMap<>();
-    for (TargetState target : listed) {
+    for (TargetState target : targets.known(service)) {
       doubts.merge(target.description().dataCentre(), -evidence(target), Integer::sum);
     }
     doubts.values().removeIf(failures -> failures <= 0);
--- a/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
@@ -153,10 +153,16 @@
         .toList();
   }
 
-  /** Returns the targets of a service that are not leaving, those that fail just now too. */
-  public List<TargetState> listed(ServiceName service) {
+  /** Returns the targets of a service that the platform's list names, the leaving ones too. */
+  public List<TargetState> known(ServiceName service) {
     return targets.values().stream()
         .filter(target -> target.description().service().equals(service))
+        .toList();
+  }
+
+  /** Returns the targets of a service that are not leaving, those that fail just now too. */
+  public List<TargetState> listed(ServiceName service) {
+    return known(service).stream()
         .filter(target -> !target.isLeaving())
         .filter(target -> table.weight(target.description().dataCentre()) > 0)
         .toList();
@@ -210,6 +216,7 @@
   public void failed(TargetState target, TargetFailure failure) {
     TargetId id = target.description().id();
     if (failure.saysLeaving()) {
+      target.noteGone(context.now());
       leaving(id);
     } else if (target.failed(failure, context.now())) {
       context.note(EventCode.TARGET_FAILING, id.value(), failure.name());
--- a/gatereel-core/src/main/java/org/gatereel/core/target/TargetState.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/target/TargetState.java
@@ -132,6 +132,11 @@
     return first;
   }
 
+  /** Notes that the target said goodbye, or that another one answers at its address. */
+  void noteGone(long now) {
+    lastFailureAt = now;
+  }
+
   /** Notes that bytes came from the target. */
   public void noteSign(long now) {
     lastSignAt = now;
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/FailingDataCentreTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/FailingDataCentreTest.java
@@ -48,6 +48,25 @@
     world.targets.failed(target, TargetFailure.NOT_CONNECTED);
   }
 
+  @Test
+  void aTargetThatHasRestartedUnderAnotherNameCastsDoubtOnThoseBesideIt() {
+    list(8, 8);
+    world.ask("/stream/x", caller);
+    assertEquals("n", world.last().target().substring(0, 1));
+
+    world.last().notRun(421);
+
+    assertEquals("s", world.last().target().substring(0, 1));
+  }
+
+  @Test
+  void aTargetThatIsListedAsLeavingCastsNone() {
+    list(8, 8);
+    world.targets.leaving(new TargetId("n0"));
+
+    assertEquals("n", askAnew().target().substring(0, 1));
+  }
+
   @Test
   void targetsThatCannotBeReachedDoNotEndARequestEarly() {
     list(14, 0);
