--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSelector.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSelector.java
@@ -99,7 +99,8 @@
    *
    * <p>Only what this host has seen itself counts: a target that it did not ask says nothing. A
    * host with few requests may have seen failures alone, so how many there were decides between
-   * two.
+   * two. A target found to have ended counts as well: those beside it may have ended with it, which
+   * the list does not tell yet.
    */
   private Map<DataCentre, Integer> doubts(ServiceName service) {
     Map<DataCentre, Integer> doubts = new HashMap<>();
