Let no prompt prefer an engine where its host has a request already

Change: the preference is worth less than one open request; an engine that still reads a prompt of this host counts as two more. Tests: PromptAffinityTest, the two on engines that are passed over; the one for two requests is replaced.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
@@ -17,6 +17,7 @@
   private boolean sent;
   private boolean closed;
   private boolean hasEvents;
+  private boolean reading;
   private long lastSignAt;
 
   Attempt(Exchange exchange, TargetState target, boolean continuation, long now) {
@@ -79,6 +80,22 @@
 
   void noteEvents() {
     hasEvents = true;
+    endReading();
+  }
+
+  /** Notes that the target has a prompt to read before it answers, unless it has it in a copy. */
+  void beginReading() {
+    if (!continuation) {
+      reading = true;
+      target.noteReading(1);
+    }
+  }
+
+  private void endReading() {
+    if (reading) {
+      reading = false;
+      target.noteReading(-1);
+    }
   }
 
   /** Returns when the target last showed that it works on this attempt. */
@@ -95,6 +112,7 @@
   boolean close() {
     boolean first = !closed;
     closed = true;
+    endReading();
     return first;
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -160,6 +160,9 @@
     tried.add(target.description().id());
     attempt = new Attempt(this, target, from.isPresent(), context.now());
     forwarder.targets().opened(target);
+    if (route.kind() == RouteKind.STREAM) {
+      attempt.beginReading();
+    }
     Optional<Address> copyTo = copiesRuns ? copies.begin(target) : Optional.empty();
     Dispatch dispatch =
         new Dispatch(
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/PromptAffinity.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/PromptAffinity.java
@@ -17,12 +17,12 @@
  */
 final class PromptAffinity {
   /**
-   * In units of this host's open requests: the first engine is left for the second only once it has
-   * two, so that a host which sees none of them chooses as the one did that began the run.
+   * In units of this host's open requests, and less than one of them: two requests at one engine
+   * slow each other down, which costs every stream more than resumed ones gain.
    */
-  private static final double FIRST_BONUS = 2.5;
+  private static final double FIRST_BONUS = 0.7;
 
-  private static final double SECOND_BONUS = 0.8;
+  private static final double SECOND_BONUS = 0.4;
   private static final PromptAffinity NONE = new PromptAffinity(List.of());
 
   private final List<TargetState> ranked;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSelector.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSelector.java
@@ -27,6 +27,10 @@
 
   private static final long EVIDENCE_MILLIS = 1_500;
   private static final double COPY_LOAD = 0.3;
+
+  /** Two prompts at one engine hold each other up, and all that runs there. */
+  private static final double READING_LOAD = 2;
+
   private static final double JITTER = 0.25;
 
   private final CoreContext context;
@@ -125,6 +129,7 @@
     double cost =
         target.estimatedLoad(context.now())
             + COPY_LOAD * target.copiesHere()
+            + READING_LOAD * target.readingHere()
             + JITTER * context.random().nextDouble();
     if (!there.equals(context.dataCentre())) {
       cost += FAR_PENALTY;
--- a/gatereel-core/src/main/java/org/gatereel/core/target/TargetState.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/target/TargetState.java
@@ -16,6 +16,7 @@
   private boolean leaving;
   private int openHere;
   private int copiesHere;
+  private int readingHere;
   private int reportedLoad;
   private int openAtReport;
   private long reportedAt;
@@ -72,6 +73,16 @@
     return copiesHere;
   }
 
+  /** Returns how many prompts of this host's requests the target is probably reading. */
+  public int readingHere() {
+    return readingHere;
+  }
+
+  /** Notes that the target begins to read a prompt, or has read it or let it go. */
+  public void noteReading(int change) {
+    readingHere = Math.max(0, readingHere + change);
+  }
+
   /** Notes that a copy is made at the target, or given up there. */
   public void noteCopies(int change) {
     copiesHere = Math.max(0, copiesHere + change);
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/PromptAffinityTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/PromptAffinityTest.java
@@ -55,11 +55,30 @@
   void anEngineThatHasMoreRequestsThanOthersIsPassedOver() {
     ForwardWorld world = host(1);
     String preferred = targetFor(world, "part");
-    targetFor(world, "part");
+    world.last().accepted().head(200, true).event(1);
 
     assertNotEquals(preferred, targetFor(world, "part"));
   }
 
+  @Test
+  void anEngineThatStillReadsAPromptIsPassedOver() {
+    ForwardWorld world = host(1);
+    String preferred = targetFor(world, "part");
+
+    assertNotEquals(preferred, targetFor(world, "part"));
+  }
+
+  @Test
+  void aPromptThatWasLetGoIsNotReadAnyMore() {
+    ForwardWorld world = host(1);
+    world.promptPart = Optional.of("part");
+    Exchange exchange = world.ask("/stream/x", new ForwardWorld.Caller()).orElseThrow();
+    String preferred = world.last().target();
+    exchange.callerGone();
+
+    assertEquals(preferred, targetFor(world, "part"));
+  }
+
   @Test
   void anEngineThatFailsIsPassedOverForTheSecondThatAllHostsPrefer() {
     String second = afterFailure(host(1));
