--- a/gatereel-standins/src/main/java/org/gatereel/standins/StandInMain.java
+++ b/gatereel-standins/src/main/java/org/gatereel/standins/StandInMain.java
@@ -32,8 +32,8 @@
   }
 
   static final class PlatformOptions extends ServerOptions {
-    @Parameter(names = "--writes", description = "writes a second")
-    double writes = 100;
+    @Parameter(names = "--writes", description = "writing calls a second")
+    double writes = 400;
 
     @Parameter(names = "--reads", description = "reads a second")
     double reads = 2_000;
