--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/Consideration.java
@@ -0,0 +1,101 @@
+package org.gatereel.core.choice;
+
+/**
+ * One reason for which a target is better or worse than another, in units of one open request.
+ *
+ * <p>Each is a cost, so that a reason to prefer a target is negative.
+ */
+public enum Consideration {
+  /** Requests share the steps of an engine, or the workers of a plain service. */
+  OPEN {
+    @Override
+    double cost(Candidate candidate) {
+      return candidate.open();
+    }
+  },
+  /** Two prompts at one engine hold each other up, and all that runs there. */
+  READING {
+    @Override
+    double cost(Candidate candidate) {
+      return READING_LOAD * candidate.reading();
+    }
+  },
+  /** A copy may become a run, and takes memory until then. */
+  COPIES {
+    @Override
+    double cost(Candidate candidate) {
+      return COPY_LOAD * candidate.copies();
+    }
+  },
+  /** An engine out of memory drops the newest run, whose prompt is then read again. */
+  MEMORY {
+    @Override
+    double cost(Candidate candidate) {
+      return candidate.isCrowded() ? DOUBTED_LOAD : 0;
+    }
+  },
+  /** Bytes between data centres are paid for, and a cut between them breaks the request. */
+  DISTANCE {
+    @Override
+    double cost(Candidate candidate) {
+      return candidate.isFar() ? FAR_LOAD : 0;
+    }
+  },
+  /** This host saw it fail and waits before it asks again. */
+  FAILING {
+    @Override
+    double cost(Candidate candidate) {
+      return candidate.isFailing() ? FAILING_LOAD : 0;
+    }
+  },
+  /** Another host saw it fail: a reason to ask elsewhere first, no proof. */
+  FAILED_ELSEWHERE {
+    @Override
+    double cost(Candidate candidate) {
+      return candidate.failedElsewhere() ? DOUBTED_LOAD : 0;
+    }
+  },
+  /** Others of its data centre failed just now, and they often fail together. */
+  DATA_CENTRE_DOUBTED {
+    @Override
+    double cost(Candidate candidate) {
+      return DOUBTED_LOAD * candidate.doubts();
+    }
+  },
+  /** It has read the prompt before, which spares all that runs there the time to read it. */
+  PROMPT_READ {
+    @Override
+    double cost(Candidate candidate) {
+      return candidate.hasReadPrompt() ? -PROMPT_LOAD : 0;
+    }
+  },
+  /** Hosts that know the same must not all choose the same. */
+  JITTER {
+    @Override
+    double cost(Candidate candidate) {
+      return JITTER_LOAD * candidate.situation().random().nextDouble();
+    }
+  };
+
+  /** Beside the request itself, which counts as open: the new prompt waits for the other one. */
+  private static final double READING_LOAD = 0.3;
+
+  /** About one copy in seven is used. */
+  private static final double COPY_LOAD = 0.3;
+
+  private static final double FAR_LOAD = 0.3;
+
+  /** Larger than any load, so that a failing target is chosen only if there is no other. */
+  private static final double FAILING_LOAD = 100;
+
+  /** Larger than loads usually differ, smaller than what this host saw itself. */
+  private static final double DOUBTED_LOAD = 10;
+
+  /** What a prompt costs the runs of an engine that has usual company. */
+  private static final double PROMPT_LOAD = 5;
+
+  /** Less than the smallest difference that matters otherwise. */
+  private static final double JITTER_LOAD = 0.25;
+
+  abstract double cost(Candidate candidate);
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/TargetSelector.java
@@ -0,0 +1,99 @@
+package org.gatereel.core.choice;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.load.LoadExchange;
+import org.gatereel.core.model.DataCentre;
+import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.model.TargetId;
+import org.gatereel.core.target.TargetRegistry;
+import org.gatereel.core.target.TargetState;
+
+/** Chooses targets for forwarded requests: those of which the considerations cost least. */
+public final class TargetSelector {
+  private final CoreContext context;
+  private final TargetRegistry targets;
+  private final LoadExchange loads;
+
+  /** Makes a selector; {@code loads} tells what other hosts have at targets. */
+  public TargetSelector(CoreContext context, TargetRegistry targets, LoadExchange loads) {
+    this.context = context;
+    this.targets = targets;
+    this.loads = loads;
+  }
+
+  /** Chooses a target for a run; one that fails just now only if there is no other. */
+  public Optional<TargetChoice> choose(TargetQuery query, Set<TargetId> without) {
+    return best(query, target -> !without.contains(target.description().id()));
+  }
+
+  /**
+   * Chooses who is to hold a copy of a run's memory: in another data centre than the runner.
+   *
+   * <p>A runner in another data centre than this host has its copy in this host's, so that one of
+   * the two is within reach when the data centre is cut off.
+   */
+  public Optional<TargetState> chooseCopyHolder(TargetQuery query, TargetState runner) {
+    DataCentre there = runner.description().dataCentre();
+    DataCentre here = context.dataCentre();
+    if (!there.equals(here)) {
+      Optional<TargetState> near = holder(query, target -> isSound(target, here, query.service()));
+      if (near.isPresent()) {
+        return near;
+      }
+    }
+    Optional<TargetState> apart =
+        holder(query, target -> !target.description().dataCentre().equals(there));
+    return apart.isPresent() ? apart : holder(query, target -> target != runner);
+  }
+
+  private Optional<TargetState> holder(TargetQuery query, Predicate<TargetState> allowed) {
+    return best(query.withoutReader(), allowed).map(TargetChoice::target);
+  }
+
+  /** Returns whether nothing speaks against a target that is known, nor against those beside it. */
+  public boolean isSound(TargetState target, ServiceName service) {
+    return !target.isLeaving() && isSound(target, target.description().dataCentre(), service);
+  }
+
+  private boolean isSound(TargetState target, DataCentre dataCentre, ServiceName service) {
+    return target.description().dataCentre().equals(dataCentre)
+        && !target.isFailing(context.now())
+        && doubts(service).of(dataCentre) == 0;
+  }
+
+  private Optional<TargetChoice> best(TargetQuery query, Predicate<TargetState> allowed) {
+    List<TargetState> listed = targets.listed(query.service());
+    Situation situation =
+        new Situation(
+            context.now(),
+            context.dataCentre(),
+            query.fitting(),
+            doubts(query.service()),
+            query.readAt(),
+            context.random());
+    TargetChoice best = null;
+    for (TargetState target : listed) {
+      if (!allowed.test(target)) {
+        continue;
+      }
+      Candidate candidate =
+          new Candidate(target, loads.othersAt(target.description().id()), situation);
+      TargetChoice choice = TargetChoice.of(candidate);
+      if (best == null || choice.cost() < best.cost()) {
+        best = choice;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private DataCentreDoubts doubts(ServiceName service) {
+    return DataCentreDoubts.of(
+        targets.known(service),
+        target ->
+            Evidence.of(target, loads.othersAt(target.description().id()), context.now()).doubt());
+  }
+}
--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -45,6 +45,8 @@
   CLAIM_TAKEN(321, "The Idempotency-Key was claimed before."),
   CLAIM_FAILED(322, "The platform did not confirm the claim; the call was not sent."),
   CLAIMS_WRITTEN(323, "A group of claims was written in one transaction."),
+  PROMPT_LOCATED(
+      330, "Engines were asked which of them keeps the prompt of a stream that is resumed."),
   EDIT_ACCEPTED(400, "An edit of the table was committed."),
   EDIT_REFUSED(401, "An edit of the table was refused."),
   EDIT_UNKNOWN(402, "The answer to an edit was lost; its edit id is read back."),
@@ -64,7 +66,10 @@
   PLATFORM_LOST(600, "The platform does not answer."),
   PLATFORM_REACHED(601, "The platform answers again."),
   READER_LOST(602, "The host that reads the store for this data centre has nothing fresh."),
-  HOSTS_KNOWN(603, "The number of hosts known here, or their reader, is another one.");
+  HOSTS_KNOWN(603, "The number of hosts known here, or their reader, is another one."),
+  LOADS_HEARD(610, "Another host begins to tell what it has open at engines."),
+  LOADS_LAPSED(611, "A host has not told its load for too long; it does not count any more."),
+  LOADS_UNDELIVERED(612, "A host does not take what this one tells it; it is tried again later.");
 
   private final int number;
   private final String meaning;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/CopyPlan.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/CopyPlan.java
@@ -1,6 +1,7 @@
 package org.gatereel.core.forward;
 
 import java.util.Optional;
+import org.gatereel.core.choice.TargetQuery;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.target.TargetState;
@@ -25,8 +26,8 @@
   }
 
   /** Chooses a holder for a run that is about to begin at {@code runner}. */
-  Optional<Address> begin(TargetState runner) {
-    hold(forwarder.selector().chooseCopyHolder(service, runner));
+  Optional<Address> begin(TargetState runner, TargetQuery query) {
+    hold(forwarder.selector().chooseCopyHolder(query, runner));
     return holder.map(state -> state.description().address());
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -3,6 +3,8 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.gatereel.core.choice.TargetChoice;
+import org.gatereel.core.choice.TargetQuery;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.internal.CoreContext;
@@ -38,6 +40,7 @@
   private final CopyPlan copies;
   private final ExchangeLog log;
   private Attempt attempt;
+  private TargetQuery query;
   private Answer fallback;
   private final StreamRelay relay;
   private final TryCount tries = new TryCount();
@@ -58,14 +61,14 @@
     this.route = allowed.route();
     this.account = allowed.account();
     this.service = route.chooseService(context.random().nextDouble());
+    Optional<ServicePlan.EnginePlan> engine =
+        allowed.configuration().service(service).flatMap(ServicePlan::engine);
     this.copiesRuns =
         route.kind() == RouteKind.STREAM
-            && allowed
-                .configuration()
-                .service(service)
-                .flatMap(ServicePlan::engine)
-                .map(ServicePlan.EnginePlan::copiesRuns)
-                .orElse(false);
+            && engine.map(ServicePlan.EnginePlan::copiesRuns).orElse(false);
+    int fitting =
+        engine.map(plan -> plan.fitting(request.promptTokens())).orElse(Integer.MAX_VALUE);
+    this.query = new TargetQuery(service, Optional.empty(), fitting);
     this.startedAt = context.now();
     this.deadline =
         startedAt
@@ -80,6 +83,20 @@
   /** Begins to look for a target. */
   void start() {
     forwarder.budgets().earn(service);
+    if (copiesRuns && request.lastEventId().isPresent() && request.promptPart().isPresent()) {
+      forwarder.prompts().locate(service, request.promptPart().get(), this::located);
+    } else {
+      tryNext();
+    }
+  }
+
+  /** A caller came back for the rest of a stream; the engine that has its prompt is asked first. */
+  private void located(Optional<TargetId> reader) {
+    if (over) {
+      return;
+    }
+    reader.ifPresent(target -> query = query.readAt(target));
+    log.note(EventCode.PROMPT_LOCATED, "target=" + reader.map(TargetId::value).orElse("-"));
     tryNext();
   }
 
@@ -137,7 +154,8 @@
       return;
     }
     Optional<MemoryCopy> copy = copies.take();
-    Optional<TargetState> chosen = copy.isPresent() ? copy.map(MemoryCopy::holder) : chooseTarget();
+    Optional<TargetChoice> chosen =
+        copy.isPresent() ? copy.map(MemoryCopy::holder).map(TargetChoice::only) : chooseTarget();
     if (chosen.isEmpty()) {
       giveUp(mayHaveRun ? Refusal.TARGET_FAILED : Refusal.NO_TARGET);
       return;
@@ -145,17 +163,18 @@
     dispatch(chosen.get(), copy.map(MemoryCopy::name));
   }
 
-  private Optional<TargetState> chooseTarget() {
-    Optional<TargetState> fresh = choose(tried);
+  private Optional<TargetChoice> chooseTarget() {
+    Optional<TargetChoice> fresh = choose(tried);
     boolean tryAgainThere = fresh.isEmpty() && isResumableStream();
     return tryAgainThere ? choose(Set.of()) : fresh;
   }
 
-  private Optional<TargetState> choose(Set<TargetId> without) {
-    return forwarder.selector().choose(service, without, request.promptPart());
+  private Optional<TargetChoice> choose(Set<TargetId> without) {
+    return forwarder.selector().choose(query, without);
   }
 
-  private void dispatch(TargetState target, Optional<String> from) {
+  private void dispatch(TargetChoice choice, Optional<String> from) {
+    TargetState target = choice.target();
     tries.begin();
     tried.add(target.description().id());
     attempt = new Attempt(this, target, from.isPresent(), context.now());
@@ -163,7 +182,7 @@
     if (route.kind() == RouteKind.STREAM) {
       attempt.beginReading();
     }
-    Optional<Address> copyTo = copiesRuns ? copies.begin(target) : Optional.empty();
+    Optional<Address> copyTo = copiesRuns ? copies.begin(target, query) : Optional.empty();
     Dispatch dispatch =
         new Dispatch(
             request,
@@ -174,7 +193,8 @@
             copyTo,
             from,
             begun);
-    log.forwarded(route, dispatch, target, tries.begun());
+    log.forwarded(route, dispatch, choice, tries.begun());
+    forwarder.loads().changed();
     attempt.started(forwarder.port().send(dispatch, attempt));
     silence.watch(attempt);
   }
@@ -223,6 +243,7 @@
   /** The first event of an attempt is here. */
   void firstEvent(Attempt from) {
     silence.watch(from);
+    forwarder.loads().changed();
     log.note(EventCode.FIRST_TOKEN, "target=" + from.target().description().id());
   }
 
@@ -383,6 +404,7 @@
     silence.stop();
     copies.stop();
     forwarder.targets().closed(ended.target());
+    forwarder.loads().changed();
   }
 
   private void finish() {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
@@ -1,9 +1,9 @@
 package org.gatereel.core.forward;
 
+import org.gatereel.core.choice.TargetChoice;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.model.Address;
-import org.gatereel.core.target.TargetState;
 
 /** The log lines of one request, each with what decided and how far the request had come. */
 final class ExchangeLog {
@@ -23,7 +23,7 @@
     forwarder.context().note(code, request.id(), inputs + separator + exchange.progress());
   }
 
-  void forwarded(Route route, Dispatch dispatch, TargetState target, int tries) {
+  void forwarded(Route route, Dispatch dispatch, TargetChoice choice, int tries) {
     ConfigurationKeeper configuration = forwarder.configuration();
     String inputs =
         "route="
@@ -31,9 +31,11 @@
             + " try="
             + tries
             + " target="
-            + target.description().id()
-            + " load="
-            + target.estimatedLoad(forwarder.context().now())
+            + dispatch.target().id()
+            + " costs="
+            + choice.reasons()
+            + " loadsAgeMillis="
+            + forwarder.loads().ageMillis()
             + " copyAt="
             + dispatch.copyTo().map(Address::toString).orElse("-")
             + " fromCopy="
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -5,9 +5,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.gatereel.core.choice.TargetSelector;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.load.LoadExchange;
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.target.TargetRegistry;
@@ -21,9 +23,11 @@
   private final ForwardPolicy policy;
   private final TargetPort port;
   private final ForwardObserver observer;
+  private final LoadExchange loads;
   private final TargetSelector selector;
   private final RetryBudgets budgets;
   private final StopPlan stopPlan;
+  private final PromptLocator prompts;
   private final Set<Exchange> open = new LinkedHashSet<>();
   private final Set<TargetId> probing = new HashSet<>();
 
@@ -32,6 +36,7 @@
    *
    * @param directory the hosts that share the limits of all
    * @param repeats the way to the one that lends repeats
+   * @param loads what hosts tell each other of their load at targets
    */
   public Forwarder(
       CoreContext context,
@@ -41,16 +46,19 @@
       TargetPort port,
       ForwardObserver observer,
       HostDirectory directory,
-      RepeatPort repeats) {
+      RepeatPort repeats,
+      LoadExchange loads) {
     this.context = context;
     this.targets = targets;
     this.configuration = configuration;
     this.policy = policy;
     this.port = port;
     this.observer = observer;
-    this.selector = new TargetSelector(context, targets);
+    this.loads = loads;
+    this.selector = new TargetSelector(context, targets, loads);
     this.budgets = new RetryBudgets(context, policy.retryLimit(), directory, repeats);
     this.stopPlan = new StopPlan(context);
+    this.prompts = new PromptLocator(context, targets, port);
   }
 
   /** Takes a whole request in; it is answered through {@code caller}, perhaps at once. */
@@ -130,6 +138,7 @@
   private void lost(TargetState target, long askedAt) {
     context.note(EventCode.TARGET_UNREACHABLE, target.description().id().value(), "");
     targets.failed(target, TargetFailure.TIMEOUT);
+    loads.changed();
     for (Exchange exchange : List.copyOf(open)) {
       boolean concerned =
           exchange.mayMove()
@@ -185,10 +194,18 @@
     return port;
   }
 
+  LoadExchange loads() {
+    return loads;
+  }
+
   TargetSelector selector() {
     return selector;
   }
 
+  PromptLocator prompts() {
+    return prompts;
+  }
+
   RetryBudgets budgets() {
     return budgets;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/HostDirectory.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/HostDirectory.java
@@ -1,13 +1,17 @@
 package org.gatereel.core.forward;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.internal.Rendezvous;
+import org.gatereel.core.load.GathererDirectory;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
 
@@ -18,7 +22,7 @@
  * dealt out or lent, and hosts ask each other for documents. An entry is written anew once a
  * minute; one that is not is soon counted no longer, and later removed by whoever writes next.
  */
-public final class HostDirectory {
+public final class HostDirectory implements GathererDirectory {
   /** Assumed until all hosts of a deployment that starts at once have had time to write. */
   private static final int LEAST_AT_START = 16;
 
@@ -29,12 +33,20 @@
   private static final int MOST_REMOVED = 50;
   private static final String READERS = "readers";
 
+  /**
+   * Up to so many hosts one reads the store for all data centres: each asks it 2.5 times a second,
+   * and an answer takes it about 0.1 ms.
+   */
+  private static final int MOST_FOR_ONE_READER = 24;
+
   private final CoreContext context;
   private final String self;
   private final Address address;
   private final Map<Address, Long> avoidedUntil = new HashMap<>();
   private List<Entry> counted = List.of();
   private List<Entry> readers = List.of();
+  private Optional<Entry> readerOfAll = Optional.empty();
+  private List<List<Address>> readersElsewhere = List.of();
   private int readings;
 
   /**
@@ -70,6 +82,8 @@
     List<Entry> ranked = Rendezvous.rank(READERS, here, Entry::host);
     noteChange(before, ranked);
     readers = ranked;
+    readersElsewhere = rankElsewhere();
+    readerOfAll = rankReaderOfAll();
     if (isOwnFresh(entries, storeMillis)) {
       return Optional.empty();
     }
@@ -77,6 +91,25 @@
     return Optional.of(new Update(own, outdated(entries, storeMillis)));
   }
 
+  private Optional<Entry> rankReaderOfAll() {
+    return counted.size() > MOST_FOR_ONE_READER
+        ? Optional.empty()
+        : Rendezvous.rank(READERS, counted, Entry::host).stream().findFirst();
+  }
+
+  private List<List<Address>> rankElsewhere() {
+    Map<DataCentre, List<Entry>> elsewhere = new TreeMap<>(Comparator.comparing(DataCentre::value));
+    for (Entry entry : counted) {
+      if (!entry.dataCentre().equals(context.dataCentre())) {
+        elsewhere.computeIfAbsent(entry.dataCentre(), any -> new ArrayList<>()).add(entry);
+      }
+    }
+    return elsewhere.values().stream()
+        .map(entries -> Rendezvous.rank(READERS, entries, Entry::host))
+        .map(ranked -> ranked.stream().map(Entry::address).toList())
+        .toList();
+  }
+
   private void noteChange(int before, List<Entry> ranked) {
     String first = firstOf(ranked);
     if (counted.size() != before || !first.equals(firstOf(readers))) {
@@ -121,19 +154,45 @@
   }
 
   /**
-   * Returns the host that reads the store for this data centre; empty if that is this one, or if no
-   * other is known. Hosts that were found not to answer are passed over.
+   * Returns the host that reads the store for this one; empty if that is this one, or if no other
+   * is known.
+   *
+   * <p>Where hosts are few, one reads for all data centres. While it does not answer, as when its
+   * data centre is cut off, the first host of each data centre reads for its own.
    */
   public Optional<Address> reader(long now) {
-    for (Entry entry : readers) {
-      if (entry.host().equals(self)) {
-        return Optional.empty();
-      }
-      if (avoidedUntil.getOrDefault(entry.address(), now) <= now) {
-        return Optional.of(entry.address());
-      }
+    if (readerOfAll.isPresent() && readerOfAll.get().host().equals(self)) {
+      return Optional.empty();
     }
-    return Optional.empty();
+    return readerOfAll
+        .map(Entry::address)
+        .filter(address -> !isAvoided(address, now))
+        .or(() -> lender(now));
+  }
+
+  /**
+   * Returns the host that lends repeats to those of this data centre, and the next one to read the
+   * store for them; empty if that is this one. Hosts that were found not to answer are passed over.
+   */
+  public Optional<Address> lender(long now) {
+    return before().stream().filter(address -> !isAvoided(address, now)).findFirst();
+  }
+
+  private boolean isAvoided(Address address, long now) {
+    return avoidedUntil.getOrDefault(address, now) > now;
+  }
+
+  @Override
+  public List<Address> before() {
+    return readers.stream()
+        .takeWhile(entry -> !entry.host().equals(self))
+        .map(Entry::address)
+        .toList();
+  }
+
+  @Override
+  public List<List<Address>> elsewhere() {
+    return readersElsewhere;
   }
 
   /** Passes a host over as a reader until a time. */
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RetryBudgets.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RetryBudgets.java
@@ -74,7 +74,7 @@
       asking = true;
       int count = waiting.size();
       directory
-          .reader(context.now())
+          .lender(context.now())
           .ifPresentOrElse(
               lender -> port.borrow(lender, service, count, given -> borrowed(count, given)),
               () -> borrowed(count, lend(count)));
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ServicePlan.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ServicePlan.java
@@ -16,5 +16,14 @@
    * @param cacheTokens how many tokens an engine holds, running and cached
    * @param copiesRuns whether an engine copies a run's memory to another one as it grows
    */
-  public record EnginePlan(long cacheTokens, boolean copiesRuns) {}
+  public record EnginePlan(long cacheTokens, boolean copiesRuns) {
+    /** What a run makes beside its prompt, as a part of it: some 1,000 tokens after 5,000. */
+    private static final double OUTPUT_PART = 0.2;
+
+    /** Returns how many runs with prompts of a size an engine's memory holds; at least one. */
+    int fitting(long promptTokens) {
+      double each = promptTokens * (1 + OUTPUT_PART);
+      return each > 0 ? Math.max(1, (int) (cacheTokens / each)) : Integer.MAX_VALUE;
+    }
+  }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StopPlan.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/StopPlan.java
@@ -15,6 +15,12 @@
   private static final double GAIN = 1.0 / 8;
   private static final double SAFETY = 1.5;
 
+  /**
+   * How long streams last as far as a host knows that has not seen one end: some 130 events of 40
+   * ms, after a second for the prompt.
+   */
+  private static final double ASSUMED_STREAM_MILLIS = 6_000;
+
   private final CoreContext context;
   private final Map<RouteKind, Double> usualMillis = new EnumMap<>(RouteKind.class);
   private long takesUntil = Long.MAX_VALUE;
@@ -41,7 +47,8 @@
     if (context.now() >= takesUntil) {
       return false;
     }
-    double needed = SAFETY * usualMillis.getOrDefault(kind, 0.0);
+    double assumed = kind == RouteKind.STREAM ? ASSUMED_STREAM_MILLIS : 0;
+    double needed = SAFETY * usualMillis.getOrDefault(kind, assumed);
     return endsAt == Long.MAX_VALUE || context.now() + needed <= endsAt;
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetPort.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetPort.java
@@ -1,5 +1,8 @@
 package org.gatereel.core.forward;
 
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.model.TargetDescription;
 
@@ -11,6 +14,13 @@
   /** Asks a target whether it works at all; the answer is given exactly once. */
   void probe(TargetDescription target, long timeoutMillis, ProbeListener listener);
 
+  /**
+   * Asks an engine which parts of prompts it keeps; the answer is given exactly once, and is empty
+   * if none came in time.
+   */
+  void listPrompts(
+      TargetDescription target, long timeoutMillis, Consumer<Optional<Set<String>>> answer);
+
   /** A request that a target has. */
   interface Call {
     /** Closes the connection at once; nothing more is heard of it. */
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/Contribution.java
@@ -0,0 +1,58 @@
+package org.gatereel.core.load;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.gatereel.core.model.Address;
+import org.gatereel.core.model.TargetId;
+
+/** What one sender has said last, under a lease that each of its reports renews. */
+final class Contribution {
+  private final Map<TargetId, TargetLoad> loads = new HashMap<>();
+  private Address replyTo;
+  private long session;
+  private long sequence = Long.MIN_VALUE;
+  private long heardAt;
+
+  /** Takes a report in; returns false if it builds on one that is not known here. */
+  boolean take(LoadReport report, long now) {
+    boolean sameSession = sequence != Long.MIN_VALUE && report.session() == session;
+    if (sameSession && report.sequence() <= sequence) {
+      // Came late, over a connection that was given up; what is known is younger.
+      return true;
+    }
+    boolean whole = report.builtOn().isEmpty();
+    boolean follows = sameSession && !whole && report.builtOn().getAsLong() == sequence;
+    if (!whole && !follows) {
+      return false;
+    }
+    if (whole) {
+      loads.clear();
+    }
+    report.loads().forEach(this::put);
+    replyTo = report.replyTo();
+    session = report.session();
+    sequence = report.sequence();
+    heardAt = now;
+    return true;
+  }
+
+  private void put(TargetId target, TargetLoad load) {
+    if (load.isNone()) {
+      loads.remove(target);
+    } else {
+      loads.put(target, load);
+    }
+  }
+
+  Map<TargetId, TargetLoad> loads() {
+    return loads;
+  }
+
+  Address replyTo() {
+    return replyTo;
+  }
+
+  long heardAt() {
+    return heardAt;
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
@@ -0,0 +1,123 @@
+package org.gatereel.core.load;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.gatereel.core.model.Address;
+import org.gatereel.core.model.HostId;
+import org.gatereel.core.model.TargetId;
+
+/**
+ * What one receiver has been told, so that it is told only what changed.
+ *
+ * <p>Reports follow each other no faster than the link's share of control traffic allows, and not
+ * before the last one was received: what changes meanwhile goes out with the next.
+ */
+final class LoadLink {
+  /**
+   * Control traffic is to stay below 7 KB a second a host; a host that does not gather has one link
+   * out and one in, nearly all of it the gatherer's.
+   */
+  private static final int BYTES_PER_SECOND = 5_000;
+
+  /** Heads of question and answer with what a report says of its sender, as counted on the wire. */
+  private static final int REPORT_BYTES = 330;
+
+  /** One target in a report, as counted on the wire. */
+  private static final int TARGET_BYTES = 28;
+
+  private static final long FIRST_BACKOFF_MILLIS = 250;
+  private static final long LONGEST_BACKOFF_MILLIS = 4_000;
+
+  /** Whom a link leads to, and what is said there. */
+  record Receiver(Address address, LoadScope scope, Optional<HostId> host) {}
+
+  private final Receiver receiver;
+  private Map<TargetId, TargetLoad> told = new HashMap<>();
+  private OptionalLong lastSequence = OptionalLong.empty();
+  private long sentAt = Long.MIN_VALUE / 2;
+  private long nextAt = Long.MIN_VALUE / 2;
+  private long backoffMillis = FIRST_BACKOFF_MILLIS;
+  private boolean underWay;
+
+  LoadLink(Receiver receiver) {
+    this.receiver = receiver;
+  }
+
+  Receiver receiver() {
+    return receiver;
+  }
+
+  /** Returns when a report may be sent again. */
+  long nextAt() {
+    return nextAt;
+  }
+
+  boolean isUnderWay() {
+    return underWay;
+  }
+
+  /** Returns whether the last report was lost, so that this receiver is better not relied on. */
+  boolean isFailing(long now) {
+    return backoffMillis > FIRST_BACKOFF_MILLIS && now < nextAt;
+  }
+
+  /** Makes the next report out of the present loads; empty if there is no need of one. */
+  Optional<LoadReport> next(
+      Map<TargetId, TargetLoad> loads, LoadExchange.Sender sender, long sequence, long now) {
+    boolean whole = lastSequence.isEmpty();
+    Map<TargetId, TargetLoad> changed = whole ? loads : changes(loads);
+    boolean beat = now - sentAt >= LoadExchange.HEARTBEAT_MILLIS;
+    if (changed.isEmpty() && !beat && !whole) {
+      return Optional.empty();
+    }
+    LoadReport report =
+        new LoadReport(
+            sender.host(),
+            sender.address(),
+            receiver.scope(),
+            sender.session(),
+            sequence,
+            lastSequence,
+            changed);
+    told = new HashMap<>(loads);
+    sentAt = now;
+    nextAt = now + pauseMillis(changed.size());
+    lastSequence = OptionalLong.of(sequence);
+    underWay = true;
+    return Optional.of(report);
+  }
+
+  private Map<TargetId, TargetLoad> changes(Map<TargetId, TargetLoad> loads) {
+    Map<TargetId, TargetLoad> changes = new HashMap<>();
+    loads.forEach(
+        (target, load) -> {
+          if (!load.equals(told.get(target))) {
+            changes.put(target, load);
+          }
+        });
+    told.keySet().stream()
+        .filter(target -> !loads.containsKey(target))
+        .forEach(target -> changes.put(target, TargetLoad.NONE));
+    return changes;
+  }
+
+  private static long pauseMillis(int targets) {
+    return (REPORT_BYTES + (long) targets * TARGET_BYTES) * 1_000 / BYTES_PER_SECOND;
+  }
+
+  /** Notes what became of the report that was under way. */
+  void settled(LoadPort.Receipt receipt, long now) {
+    underWay = false;
+    switch (receipt) {
+      case TAKEN -> backoffMillis = FIRST_BACKOFF_MILLIS;
+      case WHOLE_NEEDED -> lastSequence = OptionalLong.empty();
+      case LOST -> {
+        lastSequence = OptionalLong.empty();
+        nextAt = now + backoffMillis;
+        backoffMillis = Math.min(LONGEST_BACKOFF_MILLIS, 2 * backoffMillis);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadReport.java
@@ -0,0 +1,31 @@
+package org.gatereel.core.load;
+
+import java.util.Map;
+import java.util.OptionalLong;
+import org.gatereel.core.model.Address;
+import org.gatereel.core.model.HostId;
+import org.gatereel.core.model.TargetId;
+
+/**
+ * One message of a host about targets.
+ *
+ * @param sender who says it
+ * @param replyTo where the sender takes reports itself
+ * @param session drawn at random by each process, so that a restarted sender is told apart
+ * @param sequence rises with each report of a session
+ * @param builtOn the sequence of the report that this one changes; if there is none, this one is
+ *     whole, and targets that it does not name have no load
+ * @param loads the present load of each target that is named
+ */
+public record LoadReport(
+    HostId sender,
+    Address replyTo,
+    LoadScope scope,
+    long session,
+    long sequence,
+    OptionalLong builtOn,
+    Map<TargetId, TargetLoad> loads) {
+  public LoadReport {
+    loads = Map.copyOf(loads);
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/test/java/org/gatereel/core/choice/ConsiderationTest.java
@@ -0,0 +1,200 @@
+package org.gatereel.core.choice;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.forward.HostDirectory;
+import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.load.LoadExchange;
+import org.gatereel.core.load.LoadReport;
+import org.gatereel.core.load.LoadScope;
+import org.gatereel.core.load.TargetLoad;
+import org.gatereel.core.model.Address;
+import org.gatereel.core.model.DataCentre;
+import org.gatereel.core.model.HostId;
+import org.gatereel.core.model.HostList;
+import org.gatereel.core.model.LifeState;
+import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.model.TargetDescription;
+import org.gatereel.core.model.TargetId;
+import org.gatereel.core.model.TargetKind;
+import org.gatereel.core.table.PolicyTable;
+import org.gatereel.core.target.TargetRegistry;
+import org.gatereel.core.target.TargetState;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Each consideration alone decides between engines that are alike otherwise. */
+class ConsiderationTest {
+  private static final ServiceName ENGINES = new ServiceName("engines");
+  private static final Address ELSEWHERE = new Address("10.0.9.9", 7_200);
+  private static final int FITTING = 8;
+
+  private final CoreContext context =
+      new CoreContext(new HostId("h1"), new DataCentre("north"), new SplittableRandom(1));
+  private final TargetRegistry targets = new TargetRegistry(context, new PolicyTable());
+  private final LoadExchange loads =
+      new LoadExchange(
+          context,
+          targets,
+          new HostDirectory(context, ELSEWHERE),
+          ELSEWHERE,
+          (to, report, receipt) -> {});
+  private final TargetSelector selector = new TargetSelector(context, targets, loads);
+  private final TargetQuery query = new TargetQuery(ENGINES, Optional.empty(), FITTING);
+  private long sequence;
+
+  @BeforeEach
+  void listEngines() {
+    context.moveTo(1_000_000);
+    targets.see(
+        new HostList(
+            1,
+            List.of(),
+            List.of(engine("n1", "north"), engine("n2", "north"), engine("s1", "south"))));
+  }
+
+  private static TargetDescription engine(String id, String dataCentre) {
+    return new TargetDescription(
+        new TargetId(id),
+        TargetKind.ENGINE,
+        ENGINES,
+        new DataCentre(dataCentre),
+        new Address("10.0.0." + id.hashCode() % 200, 80),
+        64,
+        LifeState.LIVE);
+  }
+
+  private TargetState target(String id) {
+    return targets.find(new TargetId(id)).orElseThrow();
+  }
+
+  private void othersHave(Map<String, TargetLoad> told) {
+    Map<TargetId, TargetLoad> named = new HashMap<>();
+    told.forEach((id, load) -> named.put(new TargetId(id), load));
+    loads.take(
+        new LoadReport(
+            new HostId("h2"),
+            ELSEWHERE,
+            LoadScope.DATA_CENTRE,
+            1,
+            ++sequence,
+            OptionalLong.empty(),
+            named));
+  }
+
+  private static TargetLoad open(int count) {
+    return new TargetLoad(count, 0, 0, TargetLoad.NEVER);
+  }
+
+  private TargetChoice choose(TargetQuery asked) {
+    return selector.choose(asked, Set.of()).orElseThrow();
+  }
+
+  private String chosen() {
+    return choose(query).target().description().id().value();
+  }
+
+  @Test
+  void whatOtherHostsHaveOpenCountsLikeOwnRequests() {
+    othersHave(Map.of("n1", open(2)));
+    targets.opened(target("n2"));
+    targets.opened(target("n2"));
+    targets.opened(target("n2"));
+
+    // Three of one's own there, two of others' here, and one hop to an engine without any.
+    assertEquals("s1", chosen());
+    othersHave(Map.of("n1", open(2), "s1", open(2)));
+    assertEquals("n1", chosen());
+  }
+
+  @Test
+  void amongEqualsNearOnesAreTakenAndNotAlwaysTheSame() {
+    Set<String> used = new HashSet<>();
+    for (int round = 0; round < 50; round++) {
+      used.add(chosen());
+    }
+
+    assertEquals(Set.of("n1", "n2"), used);
+  }
+
+  @Test
+  void anEngineThatReadsAPromptIsPassedOverForOneThatRunsAsMuch() {
+    othersHave(Map.of("n1", new TargetLoad(1, 1, 0, TargetLoad.NEVER), "n2", open(1)));
+    targets.opened(target("s1"));
+
+    assertEquals("n2", chosen());
+  }
+
+  @Test
+  void anEngineThatFailedElsewhereIsAskedLastUntilTheNewsIsOld() {
+    othersHave(Map.of("n1", new TargetLoad(0, 0, 0, context.now()), "n2", open(2), "s1", open(2)));
+    assertEquals("n2", chosen());
+    context.moveTo(context.now() + 1_600);
+
+    assertEquals("n1", chosen());
+  }
+
+  @Test
+  void aSignSinceThenOutweighsWhatOthersSaw() {
+    othersHave(
+        Map.of("n1", new TargetLoad(0, 0, 0, context.now() - 10), "n2", open(1), "s1", open(1)));
+    target("n1").noteSign(context.now());
+
+    assertEquals("n1", chosen());
+  }
+
+  @Test
+  void aDataCentreWhereMostFailedElsewhereIsAvoided() {
+    targets.see(
+        new HostList(
+            2,
+            List.of(),
+            List.of(
+                engine("n1", "north"),
+                engine("n2", "north"),
+                engine("n3", "north"),
+                engine("s1", "south"))));
+    TargetLoad failed = new TargetLoad(0, 0, 0, context.now());
+    othersHave(Map.of("n1", failed, "n2", failed, "s1", open(4)));
+
+    assertEquals("s1", chosen());
+  }
+
+  @Test
+  void anEngineThatFailedHereIsTheLastResort() {
+    targets.failed(target("n1"), TargetFailure.TIMEOUT);
+    targets.failed(target("n2"), TargetFailure.TIMEOUT);
+    othersHave(Map.of("s1", open(FITTING + 5)));
+
+    assertEquals("s1", chosen());
+    assertTrue(selector.choose(query, Set.of(new TargetId("s1"))).isPresent());
+  }
+
+  @Test
+  void theEngineThatHasReadThePromptIsPreferredUnlessItIsFull() {
+    othersHave(Map.of("s1", open(4)));
+    TargetQuery resumed = query.readAt(new TargetId("s1"));
+    assertEquals("s1", choose(resumed).target().description().id().value());
+    othersHave(Map.of("s1", open(FITTING)));
+
+    assertNotEquals("s1", choose(resumed).target().description().id().value());
+  }
+
+  @Test
+  void theLogNamesWhatDecided() {
+    othersHave(Map.of("n1", open(1), "n2", open(1), "s1", new TargetLoad(0, 0, 1, 0)));
+
+    assertEquals("COPIES:0.3,DISTANCE:0.3", choose(query).reasons());
+  }
+}
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/DocumentRefresherTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/DocumentRefresherTest.java
@@ -130,10 +130,19 @@
     assertFalse(sources.store.isEmpty());
   }
 
+  /** Has this host read for all, beside one in another data centre that ranks after it. */
+  private void knowFarHostThatDoesNotRead() {
+    int number = 0;
+    do {
+      number++;
+      Entry far = new Entry("far" + number, SOUTH, PEER, 0);
+      directory.learn(List.of(new Entry("self", NORTH, SELF, 0), far), 0);
+    } while (directory.reader(0).isPresent());
+  }
+
   @Test
   void aHostThatTheStoreTurnsAwayLearnsFromAnyOtherHost() {
-    knowReader(SOUTH);
-    directory.learn(List.of(new Entry("far", SOUTH, PEER, 0)), 0);
+    knowFarHostThatDoesNotRead();
     refresh(1_000);
     sources.answerStore(new StoreAnswer.Failed("status 503"));
     assertEquals(List.of(PEER), sources.peers);
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
@@ -7,9 +7,11 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.load.LoadExchange;
 import org.gatereel.core.model.AccountId;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
@@ -39,8 +41,11 @@
   final TargetRegistry targets;
   final List<SentCall> sent = new ArrayList<>();
   final List<SentProbe> probes = new ArrayList<>();
+  final List<PromptQuestion> promptQuestions = new ArrayList<>();
+  final LoadExchange loads;
   final Forwarder forwarder;
   Optional<String> promptPart = Optional.empty();
+  OptionalLong lastEventId = OptionalLong.empty();
   private long listVersion;
 
   /** A request at a target. */
@@ -91,6 +96,9 @@
   /** A probe of a target. */
   record SentProbe(TargetDescription target, TargetPort.ProbeListener listener) {}
 
+  /** A question to an engine which parts of prompts it keeps. */
+  record PromptQuestion(String target, Consumer<Optional<Set<String>>> answer) {}
+
   record Head(int status, boolean declaresNotRun, boolean isAuthentic, boolean isEventStream)
       implements AnswerHead {}
 
@@ -181,7 +189,16 @@
           public void probe(TargetDescription target, long millis, ProbeListener listener) {
             probes.add(new SentProbe(target, listener));
           }
+
+          @Override
+          public void listPrompts(
+              TargetDescription target, long millis, Consumer<Optional<Set<String>>> answer) {
+            promptQuestions.add(new PromptQuestion(target.id().value(), answer));
+          }
         };
+    Address address = new Address("10.0.1.1", 7_215);
+    loads =
+        new LoadExchange(context, targets, directory, address, (receiver, report, receipt) -> {});
     forwarder =
         new Forwarder(
             context,
@@ -191,7 +208,8 @@
             port,
             new IgnoringObserver(),
             directory,
-            (lender, service, count, answer) -> borrowing.add(answer));
+            (lender, service, count, answer) -> borrowing.add(answer),
+            loads);
     keeper.learn(configuration(1).build(), context.now());
     list(
         target("e1", ENGINES, "north"),
@@ -282,7 +300,7 @@
             path,
             Optional.of(KEY),
             OptionalLong.empty(),
-            OptionalLong.empty(),
+            lastEventId,
             8_000,
             promptPart),
         caller);
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/HostDirectoryTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/HostDirectoryTest.java
@@ -108,13 +108,38 @@
   }
 
   @Test
-  void aHostOfAnotherDataCentreIsNoReader() {
-    HostDirectory directory = directory(9);
-    directory.learn(young(5, SOUTH), NOW);
+  void whereHostsAreManyAHostOfAnotherDataCentreIsNoReader() {
+    HostDirectory directory = directory(99);
+    directory.learn(young(25, SOUTH), NOW);
     assertEquals(Optional.empty(), directory.reader(0));
     assertTrue(directory.anyOther(new SplittableRandom(1)).isPresent());
   }
 
+  @Test
+  void whereHostsAreFewOneReadsForAllDataCentres() {
+    List<Entry> entries = new ArrayList<>(young(5, NORTH));
+    entries.add(new Entry("h6", SOUTH, address(6), NOW));
+    List<Optional<Address>> readers =
+        entries.stream()
+            .map(entry -> directory(Integer.parseInt(entry.host().substring(1))))
+            .peek(directory -> directory.learn(entries, NOW))
+            .map(directory -> directory.reader(0))
+            .toList();
+    assertEquals(1, readers.stream().filter(Optional::isEmpty).count());
+    assertEquals(1, readers.stream().flatMap(Optional::stream).distinct().count());
+  }
+
+  @Test
+  void aSilentReaderOfAllIsReplacedByTheFirstOfTheOwnDataCentreAndLendsNothingElsewhere() {
+    HostDirectory directory = directory(99);
+    directory.learn(young(5, SOUTH), NOW);
+    Address far = directory.reader(0).orElseThrow();
+    assertEquals(Optional.empty(), directory.lender(0));
+    directory.avoid(far, 100);
+    assertEquals(Optional.empty(), directory.reader(99));
+    assertEquals(Optional.of(far), directory.reader(100));
+  }
+
   @Test
   void aReaderThatDoesNotAnswerIsReplacedByTheNextForAWhile() {
     List<Entry> entries = young(5, NORTH);
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/PlainForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/PlainForwardingTest.java
@@ -53,6 +53,15 @@
     assertEquals(Refusal.STOPPING, caller.refusal);
   }
 
+  @Test
+  void takesNoStreamWhileStoppingIfItIsNotKnownHowLongStreamsLast() {
+    world.forwarder.beginStop(world.context.now() + 2_600, world.context.now() + 7_100);
+
+    world.ask("/stream/x", caller);
+    assertEquals(Refusal.STOPPING, caller.refusal);
+    assertTrue(world.ask("/safe/x", new ForwardWorld.Caller()).isPresent());
+  }
+
   @Test
   void takesNoStreamWhileStoppingThatWouldBeCutOff() {
     world.ask("/stream/x", new ForwardWorld.Caller());
--- /dev/null
+++ b/gatereel-core/src/test/java/org/gatereel/core/load/LoadExchangeTest.java
@@ -0,0 +1,191 @@
+package org.gatereel.core.load;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import java.util.OptionalLong;
+import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.model.HostId;
+import org.gatereel.core.model.TargetId;
+import org.junit.jupiter.api.Test;
+
+class LoadExchangeTest {
+  private static final String[] NAMES = {
+    "north-1", "north-2", "north-3", "south-1", "south-2", "west-1"
+  };
+  private static final long SETTLED_MILLIS = 1_500;
+
+  /** A few hops, each within the time that changes are gathered and a link's pause. */
+  private static final long TOLD_MILLIS = 500;
+
+  private static LoadWorld settled() {
+    LoadWorld world = LoadWorld.of(NAMES);
+    world.pass(SETTLED_MILLIS);
+    return world;
+  }
+
+  @Test
+  void whatAHostHasOpenIsKnownToAllOthersOnceAndNotToItself() {
+    LoadWorld world = settled();
+    for (LoadWorld.Host opener : world.hosts.values()) {
+      opener.open(2);
+      world.pass(TOLD_MILLIS);
+
+      for (LoadWorld.Host host : world.hosts.values()) {
+        assertEquals(host == opener ? 0 : 2, host.othersOpen(), opener.name + " to " + host.name);
+      }
+      opener.close(2);
+      world.pass(TOLD_MILLIS);
+      assertTrue(world.hosts.values().stream().allMatch(host -> host.othersOpen() == 0));
+    }
+  }
+
+  @Test
+  void loadsOfSeveralHostsAddUp() {
+    LoadWorld world = settled();
+    world.hosts.values().forEach(host -> host.open(1));
+    world.pass(TOLD_MILLIS);
+
+    assertTrue(world.hosts.values().stream().allMatch(host -> host.othersOpen() == 5));
+  }
+
+  @Test
+  void aFailureThatOneHostSawIsToldWithItsTime() {
+    LoadWorld world = settled();
+    LoadWorld.Host witness = world.member("north");
+    witness.targets.failed(witness.engineState(), TargetFailure.TIMEOUT);
+    long failedAt = witness.context.now();
+    witness.loads.changed();
+    world.pass(TOLD_MILLIS);
+
+    assertEquals(failedAt, world.host("west-1").loads.othersAt(LoadWorld.ENGINE).failedAt());
+  }
+
+  @Test
+  void whatAHostThatEndedHadOpenIsForgotten() {
+    LoadWorld world = settled();
+    LoadWorld.Host ended = world.member("south");
+    ended.open(3);
+    world.pass(TOLD_MILLIS);
+    world.silence(ended);
+    world.pass(LoadTable.LEASE_MILLIS + LoadExchange.HEARTBEAT_MILLIS + TOLD_MILLIS);
+
+    assertEquals(0, world.host("west-1").othersOpen());
+    assertEquals(0, world.member("north").othersOpen());
+  }
+
+  @Test
+  void aHostThatHearsNobodyGoesByWhatItSeesItself() {
+    LoadWorld world = settled();
+    world.host("north-1").open(1);
+    world.pass(TOLD_MILLIS);
+    LoadWorld.Host alone = world.host("west-1");
+    assertEquals(1, alone.othersOpen());
+    world.silence(alone);
+    world.pass(LoadTable.LEASE_MILLIS + 1);
+
+    assertEquals(0, alone.othersOpen());
+  }
+
+  @Test
+  void theNextHostGathersForOneThatDoesNotAnswer() {
+    LoadWorld world = settled();
+    world.silence(world.gatherer("north"));
+    world.pass(LoadTable.LEASE_MILLIS + 2 * SETTLED_MILLIS);
+    LoadWorld.Host left =
+        world.hosts.values().stream()
+            .filter(host -> host.dataCentre.equals("north"))
+            .filter(host -> host.directory.before().size() == 2)
+            .findFirst()
+            .orElseThrow();
+    left.open(2);
+    world.pass(SETTLED_MILLIS);
+
+    assertEquals(2, world.host("west-1").othersOpen());
+    assertEquals(2, world.gatherer("south").othersOpen());
+  }
+
+  @Test
+  void aHostThatStartsAnewIsToldEverything() {
+    LoadWorld world = settled();
+    world.gatherer("south").open(2);
+    world.pass(TOLD_MILLIS);
+    LoadWorld.Host fresh = world.restart(world.member("north"));
+    world.pass(SETTLED_MILLIS);
+
+    assertEquals(2, fresh.othersOpen());
+  }
+
+  @Test
+  void aGathererThatStartsAnewIsToldEverythingAndPassesItOn() {
+    LoadWorld world = settled();
+    world.member("north").open(2);
+    world.pass(TOLD_MILLIS);
+    LoadWorld.Host fresh = world.restart(world.gatherer("north"));
+    world.pass(2 * SETTLED_MILLIS);
+
+    assertEquals(2, fresh.othersOpen());
+    assertEquals(2, world.host("west-1").othersOpen());
+  }
+
+  @Test
+  void aReportThatComesLateChangesNothing() {
+    LoadWorld world = settled();
+    LoadWorld.Host receiver = world.host("west-1");
+    HostId sender = new HostId("north-9");
+    Map<TargetId, TargetLoad> three =
+        Map.of(LoadWorld.ENGINE, new TargetLoad(3, 0, 0, TargetLoad.NEVER));
+    assertTrue(receiver.loads.take(report(sender, receiver, 5, OptionalLong.empty(), Map.of())));
+    assertTrue(receiver.loads.take(report(sender, receiver, 4, OptionalLong.empty(), three)));
+
+    assertEquals(0, receiver.othersOpen());
+  }
+
+  @Test
+  void aReportThatBuildsOnAnUnknownOneIsAskedForAsAWhole() {
+    LoadWorld world = settled();
+    LoadWorld.Host receiver = world.host("west-1");
+
+    assertFalse(
+        receiver.loads.take(
+            report(new HostId("north-9"), receiver, 5, OptionalLong.of(4), Map.of())));
+  }
+
+  private static LoadReport report(
+      HostId sender,
+      LoadWorld.Host receiver,
+      long sequence,
+      OptionalLong builtOn,
+      Map<TargetId, TargetLoad> loads) {
+    return new LoadReport(
+        sender, receiver.address, LoadScope.DATA_CENTRE, 1, sequence, builtOn, loads);
+  }
+
+  @Test
+  void nothingButHeartbeatsIsSentWhileNothingChanges() {
+    LoadWorld world = settled();
+    world.sent.clear();
+    world.pass(10 * LoadExchange.HEARTBEAT_MILLIS);
+
+    // Three members report and are told, and three gatherers tell each other.
+    assertTrue(world.sent.size() <= 11 * (3 + 3 + 6), "reports: " + world.sent.size());
+    assertTrue(world.sent.stream().allMatch(report -> report.loads().isEmpty()));
+  }
+
+  @Test
+  void aLinkCarriesNoMoreThanItsShareHoweverOftenThingsChange() {
+    LoadWorld world = settled();
+    LoadWorld.Host busy = world.member("north");
+    world.sent.clear();
+    for (int step = 0; step < 1_000; step++) {
+      busy.open(1);
+      world.pass(1);
+    }
+
+    long reports =
+        world.sent.stream().filter(report -> report.sender().value().equals(busy.name)).count();
+    assertTrue(reports <= 15, "reports in a second: " + reports);
+  }
+}
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -15,6 +15,9 @@
 import org.gatereel.core.forward.HostDirectory;
 import org.gatereel.core.forward.TargetListKeeper;
 import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.load.LoadExchange;
+import org.gatereel.core.load.LoadReport;
+import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.ServiceName;
@@ -24,6 +27,7 @@
 import org.gatereel.forward.http.StatusServer;
 import org.gatereel.forward.http.TargetConnector;
 import org.gatereel.forward.log.ForwardLog;
+import org.gatereel.forward.peer.LoadClient;
 import org.gatereel.forward.peer.RepeatClient;
 import org.gatereel.forward.settings.ForwardSettings;
 
@@ -52,6 +56,8 @@
   private final HostDirectory directory;
   private final DocumentCache documents = new DocumentCache();
   private final RepeatClient repeats;
+  private final LoadClient loadClient;
+  private final LoadExchange loads;
   private final Forwarder forwarder;
   private final ForwardMetrics metrics = new ForwardMetrics();
   private final CallerServer callers;
@@ -88,8 +94,11 @@
                 bounds.configurationMillis()));
     targets = new TargetRegistry(context, new PolicyTable());
     targetList = new TargetListKeeper(targets, bounds.knownWithinMillis());
-    directory = new HostDirectory(context, ForwardSettings.address(settings.peers()));
+    Address peerAddress = ForwardSettings.address(settings.peers());
+    directory = new HostDirectory(context, peerAddress);
     repeats = new RepeatClient(control);
+    loadClient = new LoadClient(control);
+    loads = new LoadExchange(context, targets, directory, peerAddress, loadClient);
     forwarder =
         new Forwarder(
             context,
@@ -99,7 +108,8 @@
             new TargetConnector(control, dialect),
             metrics,
             directory,
-            repeats);
+            repeats,
+            loads);
     callers = new CallerServer(control, configuration, forwarder, dialect.headers());
     status = new StatusServer(loop).page(readyPath, this::readiness);
     metricsServer =
@@ -109,6 +119,8 @@
     metrics.gauge("configuration_version", configuration::version);
     metrics.gauge("configuration_age_millis", configuration::ageMillis);
     metrics.gauge("hosts", directory::hosts);
+    metrics.gauge("load_sources", loads::sources);
+    metrics.gauge("load_age_millis", loads::ageMillis);
     metrics.gauge("log_lines_dropped", log::dropped);
   }
 
@@ -156,6 +168,18 @@
     return lent[0];
   }
 
+  /** Returns what hosts have told each other of their load. */
+  public LoadExchange loads() {
+    return loads;
+  }
+
+  /** Takes in what another host tells of its load; returns false if it has to tell all of it. */
+  public boolean takeLoads(LoadReport report) {
+    boolean[] taken = new boolean[1];
+    control.run(() -> taken[0] = loads.take(report));
+    return taken[0];
+  }
+
   /** Returns what takes in the entries of all hosts. */
   public HostDirectory directory() {
     return directory;
@@ -169,6 +193,7 @@
     log.event(EventCode.HOST_STARTED, settings.host(), "callers=" + settings.callers());
     long openBy = ControlThread.nowMillis() + LONGEST_CLOSED_MILLIS;
     control.loop().execute(() -> openOnceKnown(openBy));
+    control.loop().execute(() -> control.run(loads::start));
   }
 
   /** Takes callers once configuration and targets are known, or in any case after a short while. */
@@ -243,6 +268,7 @@
   public void close() {
     callers.close();
     repeats.close();
+    loadClient.close();
     status.close();
     metricsServer.close();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
--- a/gatereel-forward/src/main/java/org/gatereel/forward/TargetDialect.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/TargetDialect.java
@@ -1,5 +1,8 @@
 package org.gatereel.forward;
 
+import java.util.Optional;
+import java.util.Set;
+
 /** How targets are spoken to beyond the requests that are forwarded. */
 public interface TargetDialect {
   /** Returns the names of the headers. */
@@ -7,4 +10,10 @@
 
   /** Returns where an engine tells its state without taking part in its queue. */
   String probePath();
+
+  /** Returns where an engine tells which parts of prompts it keeps. */
+  String promptsPath();
+
+  /** Reads the names of the parts from that answer; empty if it is none. */
+  Optional<Set<String>> readPrompts(byte[] answer);
 }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/StatusServer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/StatusServer.java
@@ -1,6 +1,7 @@
 package org.gatereel.forward.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -20,20 +21,23 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.gatereel.core.model.Address;
 
-/** Answers GET requests for pages that are made anew each time: readiness, metrics, documents. */
+/** Answers questions with pages that are made anew each time: readiness, metrics, documents. */
 public final class StatusServer implements AutoCloseable {
-  private static final int MOST_BYTES = 4_096;
+  /** The largest question is a host's load at some 2,000 targets, with 28 bytes each. */
+  private static final int MOST_BYTES = 64 << 10;
 
   private static final Page NO_PAGE = new Page(404, "no such page\n");
 
   private final EventLoop loop;
   private final Map<String, Function<String, Page>> pages = new LinkedHashMap<>();
+  private final Map<String, Function<byte[], Page>> receivers = new HashMap<>();
   private Channel listener;
 
   /** A page with its status. */
@@ -54,6 +58,12 @@
     return this;
   }
 
+  /** Adds a page that is made from the bytes that a question carries. */
+  public StatusServer receive(String path, Function<byte[], Page> page) {
+    receivers.put(path, page);
+    return this;
+  }
+
   /** Begins to listen; fails if the address cannot be bound. */
   public void start(Address address) {
     listener =
@@ -87,8 +97,7 @@
   private final class PageHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-      String path = request.uri().split("\\?", 2)[0];
-      Page page = pages.getOrDefault(path, target -> NO_PAGE).apply(request.uri());
+      Page page = answer(request);
       DefaultFullHttpResponse response =
           new DefaultFullHttpResponse(
               HttpVersion.HTTP_1_1,
@@ -102,6 +111,14 @@
       }
     }
 
+    private Page answer(FullHttpRequest request) {
+      String path = request.uri().split("\\?", 2)[0];
+      Function<byte[], Page> receiver = receivers.get(path);
+      return receiver == null
+          ? pages.getOrDefault(path, target -> NO_PAGE).apply(request.uri())
+          : receiver.apply(ByteBufUtil.getBytes(request.content()));
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       context.close();
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
@@ -13,8 +13,12 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.Dispatch;
 import org.gatereel.core.forward.TargetPort;
@@ -86,6 +90,23 @@
             TimeUnit.MILLISECONDS);
   }
 
+  @Override
+  public void listPrompts(
+      TargetDescription target, long timeoutMillis, Consumer<Optional<Set<String>>> answer) {
+    DocumentClient client = new DocumentClient(control.loop(), target.address());
+    client.get(
+        dialect.promptsPath(),
+        timeoutMillis,
+        document -> {
+          Optional<Set<String>> kept =
+              document
+                  .filter(found -> found.status() == HttpResponseStatus.OK.code())
+                  .flatMap(found -> dialect.readPrompts(found.body()));
+          control.run(() -> answer.accept(kept));
+          client.close();
+        });
+  }
+
   private Channel open(Address address, TargetHandler handler, FullHttpRequest request) {
     ChannelFuture connecting =
         bootstrap
--- /dev/null
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
@@ -0,0 +1,119 @@
+package org.gatereel.forward.peer;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.gatereel.core.load.LoadReport;
+import org.gatereel.core.load.LoadScope;
+import org.gatereel.core.load.TargetLoad;
+import org.gatereel.core.model.Address;
+import org.gatereel.core.model.HostId;
+import org.gatereel.core.model.TargetId;
+
+/**
+ * Reports of load as JSON.
+ *
+ * <p>Steady clocks of two hosts have nothing in common, so a failure travels as its age.
+ */
+final class LoadMessages {
+  static final String PATH = "/loads";
+
+  /** The answer of a receiver that lacks what a report builds on. */
+  static final int WHOLE_NEEDED_STATUS = 409;
+
+  /** The age of a failure that nobody saw. */
+  private static final long NO_FAILURE = -1;
+
+  private static final ObjectMapper MAPPER =
+      JsonMapper.builder().addModule(new Jdk8Module()).build();
+
+  private LoadMessages() {}
+
+  /** A report on the wire. */
+  @JsonInclude(JsonInclude.Include.NON_ABSENT)
+  private record Message(
+      String sender,
+      String ip,
+      int port,
+      LoadScope scope,
+      long session,
+      long sequence,
+      OptionalLong builtOn,
+      List<Entry> loads) {}
+
+  /** One target of a report, as an array of its values. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  private record Entry(String target, int open, int reading, int copies, long failedAgoMillis) {}
+
+  static byte[] write(LoadReport report, long now) {
+    List<Entry> entries = new ArrayList<>();
+    report.loads().forEach((target, load) -> entries.add(entry(target, load, now)));
+    Message message =
+        new Message(
+            report.sender().value(),
+            report.replyTo().ip(),
+            report.replyTo().port(),
+            report.scope(),
+            report.session(),
+            report.sequence(),
+            report.builtOn(),
+            entries);
+    try {
+      return MAPPER.writeValueAsBytes(message);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a record of texts and numbers is JSON", e);
+    }
+  }
+
+  private static Entry entry(TargetId target, TargetLoad load, long now) {
+    boolean failed = load.failedAt() != TargetLoad.NEVER;
+    return new Entry(
+        target.value(),
+        load.open(),
+        load.reading(),
+        load.copies(),
+        failed ? Math.max(0, now - load.failedAt()) : NO_FAILURE);
+  }
+
+  /** Reads a report that came at {@code now}; empty if it is none. */
+  static Optional<LoadReport> read(byte[] body, long now) {
+    try {
+      return Optional.of(report(MAPPER.readValue(body, Message.class), now));
+    } catch (IOException | NullPointerException e) {
+      // A field is missing or is of another type; the sender is told that it is malformed.
+      return Optional.empty();
+    }
+  }
+
+  private static LoadReport report(Message message, long now) {
+    Map<TargetId, TargetLoad> loads = new HashMap<>();
+    message.loads().forEach(entry -> loads.put(new TargetId(entry.target()), load(entry, now)));
+    return new LoadReport(
+        new HostId(message.sender()),
+        new Address(message.ip(), message.port()),
+        message.scope(),
+        message.session(),
+        message.sequence(),
+        message.builtOn(),
+        loads);
+  }
+
+  private static TargetLoad load(Entry entry, long now) {
+    boolean failed = entry.failedAgoMillis() != NO_FAILURE;
+    return new TargetLoad(
+        Math.max(0, entry.open()),
+        Math.max(0, entry.reading()),
+        Math.max(0, entry.copies()),
+        failed ? now - Math.max(0, entry.failedAgoMillis()) : TargetLoad.NEVER);
+  }
+}
--- /dev/null
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/peer/LoadMessagesTest.java
@@ -0,0 +1,91 @@
+package org.gatereel.forward.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.gatereel.core.load.LoadReport;
+import org.gatereel.core.load.LoadScope;
+import org.gatereel.core.load.TargetLoad;
+import org.gatereel.core.model.Address;
+import org.gatereel.core.model.HostId;
+import org.gatereel.core.model.TargetId;
+import org.junit.jupiter.api.Test;
+
+class LoadMessagesTest {
+  private static final long SENT_AT = 5_000;
+  private static final long CAME_AT = 900_000;
+
+  private static LoadReport report(OptionalLong builtOn, Map<TargetId, TargetLoad> loads) {
+    return new LoadReport(
+        new HostId("h1"),
+        new Address("10.0.1.1", 7_215),
+        LoadScope.EVERYONE_ELSE,
+        -5,
+        17,
+        builtOn,
+        loads);
+  }
+
+  @Test
+  void aReportIsReadAsItWasWrittenWithAgesOnTheReadersClock() {
+    LoadReport sent =
+        report(
+            OptionalLong.of(16), Map.of(new TargetId("e1"), new TargetLoad(3, 1, 2, SENT_AT - 40)));
+    LoadReport expected =
+        report(
+            OptionalLong.of(16), Map.of(new TargetId("e1"), new TargetLoad(3, 1, 2, CAME_AT - 40)));
+
+    assertEquals(
+        Optional.of(expected), LoadMessages.read(LoadMessages.write(sent, SENT_AT), CAME_AT));
+  }
+
+  @Test
+  void aWholeReportWithoutFailuresSaysSo() {
+    LoadReport sent =
+        report(
+            OptionalLong.empty(),
+            Map.of(new TargetId("e1"), new TargetLoad(0, 0, 0, TargetLoad.NEVER)));
+
+    assertEquals(Optional.of(sent), LoadMessages.read(LoadMessages.write(sent, SENT_AT), CAME_AT));
+  }
+
+  @Test
+  void textThatIsNoReportIsNotTaken() {
+    for (String text :
+        new String[] {
+          "",
+          "{}",
+          "[]",
+          "null",
+          "{\"sender\":\"h1\",\"loads\":null}",
+          "{\"sender\":\"h1\",\"ip\":\"1\",\"port\":1,\"scope\":\"NOBODY\",\"loads\":[]}",
+          "{\"sender\":null,\"ip\":\"1\",\"port\":1,\"scope\":\"HOST\",\"loads\":[]}",
+          "{\"sender\":\"h1\",\"ip\":\"1\",\"port\":1,\"scope\":\"HOST\",\"loads\":[null]}"
+        }) {
+      assertEquals(
+          Optional.empty(),
+          LoadMessages.read(text.getBytes(StandardCharsets.UTF_8), CAME_AT),
+          text);
+    }
+  }
+
+  /** The figures by which {@code LoadLink} keeps to its share of traffic hold. */
+  @Property(tries = 50, seed = "20261202")
+  void aTargetTakesSomeThirtyBytes(@ForAll @IntRange(min = 1, max = 500) int targets) {
+    Map<TargetId, TargetLoad> loads = new HashMap<>();
+    for (int index = 0; index < targets; index++) {
+      loads.put(new TargetId(String.format("i-%010x", index)), new TargetLoad(3, 1, 2, SENT_AT));
+    }
+    int bytes = LoadMessages.write(report(OptionalLong.of(1), loads), SENT_AT + 10).length;
+
+    assertTrue(bytes <= 130 + 28 * targets, "bytes: " + bytes);
+  }
+}
