--- a/gatereel-core/src/main/java/org/gatereel/core/choice/Consideration.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/Consideration.java
@@ -75,6 +75,11 @@
     double cost(Candidate candidate) {
       return JITTER_LOAD * candidate.situation().random().nextDouble();
     }
+
+    @Override
+    boolean isReason() {
+      return false;
+    }
   };
 
   /** Beside the request itself, which counts as open: the new prompt waits for the other one. */
@@ -97,5 +102,21 @@
   /** Less than the smallest difference that matters otherwise. */
   private static final double JITTER_LOAD = 0.25;
 
+  private static final Consideration[] ALL = values();
+
   abstract double cost(Candidate candidate);
+
+  /** Returns whether this says something of a target, as chance does not. */
+  boolean isReason() {
+    return true;
+  }
+
+  /** Sums up what all considerations say of a target. */
+  static double sum(Candidate candidate) {
+    double sum = 0;
+    for (Consideration consideration : ALL) {
+      sum += consideration.cost(candidate);
+    }
+    return sum;
+  }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/choice/TargetChoice.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/TargetChoice.java
@@ -1,43 +1,30 @@
 package org.gatereel.core.choice;
 
-import java.util.EnumMap;
 import java.util.Locale;
-import java.util.Map;
 import java.util.StringJoiner;
 import org.gatereel.core.target.TargetState;
 
 /**
- * A target that was chosen, and what each consideration said of it.
+ * A target that was chosen.
  *
- * @param costs empty if there was nothing to choose
+ * @param reasons what each consideration that had something to say said of it, for the log
  */
-public record TargetChoice(TargetState target, Map<Consideration, Double> costs) {
+public record TargetChoice(TargetState target, String reasons) {
+  private static final String NONE = "-";
+
   /** Takes a target for which there is no alternative. */
   public static TargetChoice only(TargetState target) {
-    return new TargetChoice(target, Map.of());
+    return new TargetChoice(target, NONE);
   }
 
   static TargetChoice of(Candidate candidate) {
-    Map<Consideration, Double> costs = new EnumMap<>(Consideration.class);
+    StringJoiner reasons = new StringJoiner(",").setEmptyValue(NONE);
     for (Consideration consideration : Consideration.values()) {
-      costs.put(consideration, consideration.cost(candidate));
+      double cost = consideration.isReason() ? consideration.cost(candidate) : 0;
+      if (cost != 0) {
+        reasons.add(consideration + ":" + String.format(Locale.ROOT, "%.1f", cost));
+      }
     }
-    return new TargetChoice(candidate.target(), costs);
-  }
-
-  double cost() {
-    return costs.values().stream().mapToDouble(Double::doubleValue).sum();
-  }
-
-  /** Returns the considerations that had something to say, for the log. */
-  public String reasons() {
-    StringJoiner reasons = new StringJoiner(",").setEmptyValue("-");
-    costs.forEach(
-        (consideration, cost) -> {
-          if (cost != 0 && consideration != Consideration.JITTER) {
-            reasons.add(consideration + ":" + String.format(Locale.ROOT, "%.1f", cost));
-          }
-        });
-    return reasons.toString();
+    return new TargetChoice(candidate.target(), reasons.toString());
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/choice/TargetSelector.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/TargetSelector.java
@@ -75,19 +75,21 @@
             doubts(query.service()),
             query.readAt(),
             context.random());
-    TargetChoice best = null;
+    Candidate best = null;
+    double least = Double.POSITIVE_INFINITY;
     for (TargetState target : listed) {
       if (!allowed.test(target)) {
         continue;
       }
       Candidate candidate =
           new Candidate(target, loads.othersAt(target.description().id()), situation);
-      TargetChoice choice = TargetChoice.of(candidate);
-      if (best == null || choice.cost() < best.cost()) {
-        best = choice;
+      double cost = Consideration.sum(candidate);
+      if (cost < least) {
+        least = cost;
+        best = candidate;
       }
     }
-    return Optional.ofNullable(best);
+    return Optional.ofNullable(best).map(TargetChoice::of);
   }
 
   private DataCentreDoubts doubts(ServiceName service) {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -1,10 +1,7 @@
 package org.gatereel.core.forward;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import org.gatereel.core.choice.TargetChoice;
-import org.gatereel.core.choice.TargetQuery;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.internal.CoreContext;
@@ -12,7 +9,6 @@
 import org.gatereel.core.model.AccountId;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.ServiceName;
-import org.gatereel.core.model.TargetId;
 import org.gatereel.core.target.TargetState;
 
 /**
@@ -31,16 +27,14 @@
   private final Route route;
   private final ServiceName service;
   private final Optional<AccountId> account;
-  private final boolean copiesRuns;
   private final long startedAt;
   private final long deadline;
   private final TimerQueue.Timer deadlineTimer;
-  private final Set<TargetId> tried = new HashSet<>();
+  private final TargetSearch search;
   private final SilenceWatch silence;
   private final CopyPlan copies;
   private final ExchangeLog log;
   private Attempt attempt;
-  private TargetQuery query;
   private Answer fallback;
   private final StreamRelay relay;
   private final TryCount tries = new TryCount();
@@ -61,21 +55,20 @@
     this.route = allowed.route();
     this.account = allowed.account();
     this.service = route.chooseService(context.random().nextDouble());
-    Optional<ServicePlan.EnginePlan> engine =
-        allowed.configuration().service(service).flatMap(ServicePlan::engine);
-    this.copiesRuns =
-        route.kind() == RouteKind.STREAM
-            && engine.map(ServicePlan.EnginePlan::copiesRuns).orElse(false);
-    int fitting =
-        engine.map(plan -> plan.fitting(request.promptTokens())).orElse(Integer.MAX_VALUE);
-    this.query = new TargetQuery(service, Optional.empty(), fitting);
+    this.search =
+        new TargetSearch(
+            forwarder,
+            request,
+            route,
+            service,
+            allowed.configuration().service(service).flatMap(ServicePlan::engine));
     this.startedAt = context.now();
     this.deadline =
         startedAt
             + Math.min(route.timeoutMillis(), request.remainingMillis().orElse(Long.MAX_VALUE));
     this.relay = new StreamRelay(this, context, request, caller, route);
     this.log = new ExchangeLog(forwarder, this, request);
-    this.copies = new CopyPlan(forwarder, request, service);
+    this.copies = search.copies();
     this.deadlineTimer = context.timers().add(deadline, this::deadlinePassed);
     this.silence = new SilenceWatch(forwarder, this, route);
   }
@@ -83,20 +76,19 @@
   /** Begins to look for a target. */
   void start() {
     forwarder.budgets().earn(service);
-    if (copiesRuns && request.lastEventId().isPresent() && request.promptPart().isPresent()) {
-      forwarder.prompts().locate(service, request.promptPart().get(), this::located);
+    if (search.mayFindPrompt()) {
+      search.findPrompt(this::located);
     } else {
       tryNext();
     }
   }
 
   /** A caller came back for the rest of a stream; the engine that has its prompt is asked first. */
-  private void located(Optional<TargetId> reader) {
+  private void located(PromptLocator.Located found) {
     if (over) {
       return;
     }
-    reader.ifPresent(target -> query = query.readAt(target));
-    log.note(EventCode.PROMPT_LOCATED, "target=" + reader.map(TargetId::value).orElse("-"));
+    log.located(found);
     tryNext();
   }
 
@@ -155,7 +147,9 @@
     }
     Optional<MemoryCopy> copy = copies.take();
     Optional<TargetChoice> chosen =
-        copy.isPresent() ? copy.map(MemoryCopy::holder).map(TargetChoice::only) : chooseTarget();
+        copy.isPresent()
+            ? copy.map(MemoryCopy::holder).map(TargetChoice::only)
+            : search.choose(isResumableStream());
     if (chosen.isEmpty()) {
       giveUp(mayHaveRun ? Refusal.TARGET_FAILED : Refusal.NO_TARGET);
       return;
@@ -163,26 +157,15 @@
     dispatch(chosen.get(), copy.map(MemoryCopy::name));
   }
 
-  private Optional<TargetChoice> chooseTarget() {
-    Optional<TargetChoice> fresh = choose(tried);
-    boolean tryAgainThere = fresh.isEmpty() && isResumableStream();
-    return tryAgainThere ? choose(Set.of()) : fresh;
-  }
-
-  private Optional<TargetChoice> choose(Set<TargetId> without) {
-    return forwarder.selector().choose(query, without);
-  }
-
   private void dispatch(TargetChoice choice, Optional<String> from) {
     TargetState target = choice.target();
     tries.begin();
-    tried.add(target.description().id());
     attempt = new Attempt(this, target, from.isPresent(), context.now());
     forwarder.targets().opened(target);
     if (route.kind() == RouteKind.STREAM) {
       attempt.beginReading();
     }
-    Optional<Address> copyTo = copiesRuns ? copies.begin(target, query) : Optional.empty();
+    Optional<Address> copyTo = search.begin(target);
     Dispatch dispatch =
         new Dispatch(
             request,
@@ -308,7 +291,7 @@
     }
     if (from.isContinuation() && failure == TargetFailure.FULL) {
       // The copy is not there; that says nothing of the target's load.
-      tried.remove(from.target().description().id());
+      search.takeBack(from.target());
     } else {
       forwarder.targets().failed(from.target(), failure);
     }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
@@ -4,6 +4,7 @@
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.model.Address;
+import org.gatereel.core.model.TargetId;
 
 /** The log lines of one request, each with what decided and how far the request had come. */
 final class ExchangeLog {
@@ -47,6 +48,17 @@
     note(EventCode.REQUEST_FORWARDED, inputs);
   }
 
+  void located(PromptLocator.Located found) {
+    String inputs =
+        "target="
+            + found.target().map(TargetId::value).orElse("-")
+            + " answered="
+            + found.answered()
+            + " asked="
+            + found.asked();
+    note(EventCode.PROMPT_LOCATED, inputs);
+  }
+
   void failed(Attempt attempt, TargetFailure failure, boolean mayHaveRun) {
     String inputs =
         "target="
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/PromptLocator.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/PromptLocator.java
@@ -36,16 +36,28 @@
   private final TargetPort port;
   private final Map<ServiceName, Survey> surveys = new HashMap<>();
 
+  /**
+   * What came of a search.
+   *
+   * @param target the engine that keeps the prompt, if one was found
+   * @param answered how many engines had answered by then
+   * @param asked how many were asked
+   */
+  record Located(Optional<TargetId> target, int answered, int asked) {}
+
   /** One round of questions to the engines of a service. */
   private final class Survey {
     private final long begunAt = context.now();
     private final Map<String, TargetId> found = new HashMap<>();
-    private final Map<String, List<Consumer<Optional<TargetId>>>> waiting = new HashMap<>();
+    private final Map<String, List<Consumer<Located>>> waiting = new HashMap<>();
+    private int asked;
+    private int silent;
     private int open;
 
-    private void ask(List<TargetState> asked) {
-      open = asked.size();
-      for (TargetState target : asked) {
+    private void ask(List<TargetState> engines) {
+      asked = engines.size();
+      open = asked;
+      for (TargetState target : engines) {
         port.listPrompts(
             target.description(),
             TIMEOUT_MILLIS,
@@ -55,27 +67,35 @@
 
     private void answered(TargetId target, Optional<Set<String>> kept) {
       open--;
+      if (kept.isEmpty()) {
+        silent++;
+      }
       kept.orElse(Set.of()).forEach(part -> found(part, target));
       if (open == 0) {
-        List<List<Consumer<Optional<TargetId>>>> unanswered = List.copyOf(waiting.values());
-        waiting.clear();
-        unanswered.forEach(each -> tell(each, Optional.empty()));
+        List<String> missing = List.copyOf(waiting.keySet());
+        missing.forEach(this::tell);
       }
     }
 
     private void found(String part, TargetId target) {
       found.putIfAbsent(part, target);
-      tell(waiting.getOrDefault(part, List.of()), Optional.of(target));
-      waiting.remove(part);
+      tell(part);
+    }
+
+    private void tell(String part) {
+      List<Consumer<Located>> askers = waiting.remove(part);
+      if (askers != null) {
+        askers.forEach(asker -> asker.accept(located(part)));
+      }
     }
 
-    private static void tell(List<Consumer<Optional<TargetId>>> askers, Optional<TargetId> target) {
-      askers.forEach(asker -> asker.accept(target));
+    private Located located(String part) {
+      return new Located(Optional.ofNullable(found.get(part)), asked - open - silent, asked);
     }
 
-    private void find(String part, Consumer<Optional<TargetId>> answer) {
+    private void find(String part, Consumer<Located> answer) {
       if (open == 0 || found.containsKey(part)) {
-        answer.accept(Optional.ofNullable(found.get(part)));
+        answer.accept(located(part));
       } else {
         waiting.computeIfAbsent(part, any -> new ArrayList<>()).add(answer);
       }
@@ -89,7 +109,7 @@
   }
 
   /** Finds an engine that keeps a part of a prompt; {@code answer} is told, at once or later. */
-  void locate(ServiceName service, String part, Consumer<Optional<TargetId>> answer) {
+  void locate(ServiceName service, String part, Consumer<Located> answer) {
     Survey survey = surveys.get(service);
     if (survey == null || context.now() - survey.begunAt > VALID_MILLIS) {
       survey = new Survey();
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
@@ -0,0 +1,86 @@
+package org.gatereel.core.forward;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.gatereel.core.choice.TargetChoice;
+import org.gatereel.core.choice.TargetQuery;
+import org.gatereel.core.model.Address;
+import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.model.TargetId;
+import org.gatereel.core.target.TargetState;
+
+/** The search of one request for targets: what it needs of one, and where it has been. */
+final class TargetSearch {
+  private final Forwarder forwarder;
+  private final ForwardRequest request;
+  private final ServiceName service;
+  private final boolean copiesRuns;
+  private final CopyPlan copies;
+  private final Set<TargetId> tried = new HashSet<>();
+  private TargetQuery query;
+
+  /** Makes a search among the targets of a service that has the route's requests. */
+  TargetSearch(
+      Forwarder forwarder,
+      ForwardRequest request,
+      Route route,
+      ServiceName service,
+      Optional<ServicePlan.EnginePlan> engine) {
+    this.forwarder = forwarder;
+    this.request = request;
+    this.service = service;
+    this.copies = new CopyPlan(forwarder, request, service);
+    this.copiesRuns =
+        route.kind() == RouteKind.STREAM
+            && engine.map(ServicePlan.EnginePlan::copiesRuns).orElse(false);
+    int fitting =
+        engine.map(plan -> plan.fitting(request.promptTokens())).orElse(Integer.MAX_VALUE);
+    this.query = new TargetQuery(service, Optional.empty(), fitting);
+  }
+
+  /** Returns what becomes of the copies of this request's runs. */
+  CopyPlan copies() {
+    return copies;
+  }
+
+  /** Returns whether a caller has come back for the rest of a stream whose prompt may be kept. */
+  boolean mayFindPrompt() {
+    return copiesRuns && request.lastEventId().isPresent() && request.promptPart().isPresent();
+  }
+
+  /** Looks for the engine that keeps the prompt, which is then preferred. */
+  void findPrompt(Consumer<PromptLocator.Located> answer) {
+    forwarder
+        .prompts()
+        .locate(
+            service,
+            request.promptPart().orElseThrow(),
+            found -> {
+              found.target().ifPresent(target -> query = query.readAt(target));
+              answer.accept(found);
+            });
+  }
+
+  /**
+   * Chooses a target that was not tried.
+   *
+   * @param again whether one that was tried will do if there is no other
+   */
+  Optional<TargetChoice> choose(boolean again) {
+    Optional<TargetChoice> fresh = forwarder.selector().choose(query, tried);
+    return fresh.isEmpty() && again ? forwarder.selector().choose(query, Set.of()) : fresh;
+  }
+
+  /** Notes that a target is tried; returns where it is to copy the run, if anywhere. */
+  Optional<Address> begin(TargetState target) {
+    tried.add(target.description().id());
+    return copiesRuns ? copies.begin(target, query) : Optional.empty();
+  }
+
+  /** Notes that a target was not really tried. */
+  void takeBack(TargetState target) {
+    tried.remove(target.description().id());
+  }
+}
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
@@ -49,7 +49,16 @@
       long session,
       long sequence,
       OptionalLong builtOn,
-      List<Entry> loads) {}
+      List<Entry> loads) {
+    boolean isComplete() {
+      return sender != null
+          && ip != null
+          && scope != null
+          && builtOn != null
+          && loads != null
+          && loads.stream().allMatch(entry -> entry != null && entry.target() != null);
+    }
+  }
 
   /** One target of a report, as an array of its values. */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -88,9 +97,11 @@
   /** Reads a report that came at {@code now}; empty if it is none. */
   static Optional<LoadReport> read(byte[] body, long now) {
     try {
-      return Optional.of(report(MAPPER.readValue(body, Message.class), now));
-    } catch (IOException | NullPointerException e) {
-      // A field is missing or is of another type; the sender is told that it is malformed.
+      return Optional.ofNullable(MAPPER.readValue(body, Message.class))
+          .filter(Message::isComplete)
+          .map(message -> report(message, now));
+    } catch (IOException e) {
+      // The sender is told that this is malformed, and logs that it was not taken.
       return Optional.empty();
     }
   }
