--- a/gatereel-control/src/main/java/org/gatereel/control/ControlMain.java
+++ b/gatereel-control/src/main/java/org/gatereel/control/ControlMain.java
@@ -35,6 +35,7 @@
     tableCommands.put("wait", new WaitCommand());
     commands.forEach((name, command) -> addCommand(commander, name, command));
     commander.addCommand("explain", new ExplainCommand());
+    commander.addCommand("summary", new SummaryCommand());
     commander.addCommand(TABLE, new Group());
     JCommander table = commander.getCommands().get(TABLE);
     tableCommands.forEach((name, command) -> addCommand(table, name, command));
