--- a/gatereel-core/src/main/java/org/gatereel/core/choice/Consideration.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/Consideration.java
@@ -88,6 +88,7 @@
   /** About one copy in seven is used. */
   private static final double COPY_LOAD = 0.3;
 
+  /** Decides between engines that are alike; one open request outweighs it. */
   private static final double FAR_LOAD = 0.3;
 
   /** Larger than any load, so that a failing target is chosen only if there is no other. */
