--- a/gatereel-core/src/main/java/org/gatereel/core/forward/HostDirectory.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/HostDirectory.java
@@ -34,8 +34,9 @@
   private static final String READERS = "readers";
 
   /**
-   * Up to so many hosts one reads the store for all data centres: each asks it 2.5 times a second,
-   * and an answer takes it about 0.1 ms.
+   * Up to so many hosts one reads the store for all data centres, which spares half of the calls to
+   * it (1,200 and 550 in a minute, means of five plays, six hosts in four data centres). Each asks
+   * it 2.5 times a second; 60 questions a second, at an assumed 0.1 ms each, are 0.6% of its core.
    */
   private static final int MOST_FOR_ONE_READER = 24;
 
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
@@ -22,6 +22,10 @@
  * exchanges sums with the gatherers of other data centres, and tells each host what all others
  * have. A host whose gatherer does not answer reports to the next one; one that nobody reports to
  * decides by what it sees itself. Plain calls are not told: they end before the news arrives.
+ *
+ * <p>Streams last 6.3 s in the median and 8.3 s in the 90th percentile with it, 6.6 and 9.2 s if
+ * hosts go by their own requests (six hosts, 18 engines, logs of six plays each, 760 and 728
+ * streams without a failure).
  */
 public final class LoadExchange {
   /** How often a host says that what it told last still holds. */
