Compare a few engines drawn at random where hosts are many

Hosts that know the same, some 0.1 to 1 s old, choose the same engines: differences of 0.3 for a copy or a hop outweigh the draw of 0.25.

Change: up to nine hosts compare all targets, as before; more compare 9/hosts of them, at least four, drawn at random, and all if every one drawn has something against it beside its load. On deployments of up to nine hosts nothing changes.

Tests: manyHostsDoNotAllMeetAtTheOneThatWasIdle fails on the code before.

--- a/gatereel-core/src/main/java/org/gatereel/core/choice/Consideration.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/Consideration.java
@@ -112,6 +112,11 @@
     return true;
   }
 
+  /** Returns whether nothing speaks against a target but its load. */
+  static boolean isSound(Candidate candidate) {
+    return !candidate.isFailing() && !candidate.failedElsewhere() && candidate.doubts() == 0;
+  }
+
   /** Sums up what all considerations say of a target. */
   static double sum(Candidate candidate) {
     double sum = 0;
--- a/gatereel-core/src/main/java/org/gatereel/core/choice/TargetSelector.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/TargetSelector.java
@@ -1,9 +1,13 @@
 package org.gatereel.core.choice;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.load.LoadExchange;
 import org.gatereel.core.model.DataCentre;
@@ -16,13 +20,31 @@
 public final class TargetSelector {
   private final CoreContext context;
   private final TargetRegistry targets;
+
+  /**
+   * Up to so many hosts all targets are compared. What more hosts choose before they hear of each
+   * other would meet at the same few targets.
+   */
+  private static final int HOSTS_THAT_COMPARE_ALL = 9;
+
+  /** Two drawn at random and compared are much better than one; four are hardly worse than all. */
+  private static final int LEAST_COMPARED = 4;
+
   private final LoadExchange loads;
+  private final IntSupplier hosts;
 
-  /** Makes a selector; {@code loads} tells what other hosts have at targets. */
-  public TargetSelector(CoreContext context, TargetRegistry targets, LoadExchange loads) {
+  /**
+   * Makes a selector.
+   *
+   * @param loads tells what other hosts have at targets
+   * @param hosts tells how many hosts choose among the same targets
+   */
+  public TargetSelector(
+      CoreContext context, TargetRegistry targets, LoadExchange loads, IntSupplier hosts) {
     this.context = context;
     this.targets = targets;
     this.loads = loads;
+    this.hosts = hosts;
   }
 
   /** Chooses a target for a run; one that fails just now only if there is no other. */
@@ -75,21 +97,48 @@
             doubts(query.service()),
             query.readAt(),
             context.random());
+    List<Candidate> candidates =
+        listed.stream()
+            .filter(allowed)
+            .map(target -> candidate(target, situation))
+            .collect(Collectors.toCollection(ArrayList::new));
+    Optional<Candidate> drawn = cheapest(draw(candidates));
+    boolean sound = drawn.map(Consideration::isSound).orElse(false);
+    return (sound ? drawn : cheapest(candidates)).map(TargetChoice::of);
+  }
+
+  private Candidate candidate(TargetState target, Situation situation) {
+    return new Candidate(target, loads.othersAt(target.description().id()), situation);
+  }
+
+  /** Draws the targets that are compared: fewer, the more hosts choose at the same time. */
+  private List<Candidate> draw(List<Candidate> candidates) {
+    int compared = HOSTS_THAT_COMPARE_ALL * candidates.size() / hosts.getAsInt();
+    int count = Math.max(LEAST_COMPARED, compared);
+    if (count >= candidates.size()) {
+      return candidates;
+    }
+    List<Candidate> drawn = new ArrayList<>();
+    candidates.stream().filter(Candidate::hasReadPrompt).forEach(drawn::add);
+    for (int index = 0; index < count; index++) {
+      int other = context.random().nextInt(index, candidates.size());
+      Collections.swap(candidates, index, other);
+      drawn.add(candidates.get(index));
+    }
+    return drawn;
+  }
+
+  private static Optional<Candidate> cheapest(List<Candidate> candidates) {
     Candidate best = null;
     double least = Double.POSITIVE_INFINITY;
-    for (TargetState target : listed) {
-      if (!allowed.test(target)) {
-        continue;
-      }
-      Candidate candidate =
-          new Candidate(target, loads.othersAt(target.description().id()), situation);
+    for (Candidate candidate : candidates) {
       double cost = Consideration.sum(candidate);
       if (cost < least) {
         least = cost;
         best = candidate;
       }
     }
-    return Optional.ofNullable(best).map(TargetChoice::of);
+    return Optional.ofNullable(best);
   }
 
   private DataCentreDoubts doubts(ServiceName service) {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/HostDirectory.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/HostDirectory.java
@@ -149,6 +149,11 @@
     return Math.max(least, counted.size());
   }
 
+  /** Returns how many hosts have an entry, this one included; at least one. */
+  public int knownHosts() {
+    return Math.max(1, counted.size());
+  }
+
   /** Returns how many of them are in this data centre; at least one. */
   public int hostsHere() {
     return Math.max(1, readers.size());
--- a/gatereel-core/src/test/java/org/gatereel/core/choice/ConsiderationTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/choice/ConsiderationTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -12,6 +13,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.HostDirectory;
 import org.gatereel.core.internal.CoreContext;
@@ -50,9 +52,11 @@
           new HostDirectory(context, ELSEWHERE),
           ELSEWHERE,
           (to, report, receipt) -> {});
-  private final TargetSelector selector = new TargetSelector(context, targets, loads);
+  private final TargetSelector selector =
+      new TargetSelector(context, targets, loads, () -> this.hosts);
   private final TargetQuery query = new TargetQuery(ENGINES, Optional.empty(), FITTING);
   private long sequence;
+  private int hosts = 6;
 
   @BeforeEach
   void listEngines() {
@@ -191,6 +195,47 @@
     assertNotEquals("s1", choose(resumed).target().description().id().value());
   }
 
+  /** Lists 40 engines of which others have one request at each but one; returns that one's part. */
+  private double partOfTheIdleOne() {
+    List<TargetDescription> many = new ArrayList<>();
+    Map<String, TargetLoad> told = new HashMap<>();
+    for (int index = 0; index < 40; index++) {
+      many.add(engine("m" + index, "north"));
+      told.put("m" + index, open(index == 0 ? 0 : 1));
+    }
+    targets.see(new HostList(3, List.of(), many));
+    othersHave(told);
+    int rounds = 400;
+    long idle = IntStream.range(0, rounds).filter(round -> chosen().equals("m0")).count();
+    return (double) idle / rounds;
+  }
+
+  @Test
+  void fewHostsCompareAllTargets() {
+    assertEquals(1.0, partOfTheIdleOne());
+  }
+
+  @Test
+  void manyHostsDoNotAllMeetAtTheOneThatWasIdle() {
+    hosts = 90;
+    double part = partOfTheIdleOne();
+
+    // Four of 40 are drawn.
+    assertTrue(part > 0.05 && part < 0.2, "part: " + part);
+  }
+
+  @Test
+  void aDrawOfFailingTargetsIsNotTheLastWord() {
+    hosts = 90;
+    partOfTheIdleOne();
+    for (int index = 1; index < 40; index++) {
+      targets.failed(target("m" + index), TargetFailure.TIMEOUT);
+    }
+    target("m0").noteSign(context.now());
+
+    assertEquals("m0", chosen());
+  }
+
   @Test
   void theLogNamesWhatDecided() {
     othersHave(Map.of("n1", open(1), "n2", open(1), "s1", new TargetLoad(0, 0, 1, 0)));
