End a begun stream only by a stream's end

Cause: an answer that is no event stream was taken for the final one also where the caller had part of a stream. Ruled out: the relay of events; it passes nothing that is out of order. Change: an answer without a stream is a failed attempt once the caller has begun; the stream goes on elsewhere or is broken off. The same for a 200 of another type, a 4xx and bodies longer than the buffer.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
@@ -6,6 +6,8 @@
 
 /** One try of an exchange at one target, as far as it has come. */
 final class Attempt implements TargetPort.Listener {
+  private static final int OK_STATUS = 200;
+
   private final Exchange exchange;
   private final long startedAt;
   private final TargetState target;
@@ -66,11 +68,16 @@
     return body;
   }
 
-  /** Hands over what has come of the body since the last call. */
-  byte[] takeBody() {
+  /** Hands over the head, and what has come of the body since the last call. */
+  Answer takeAnswer() {
     byte[] taken = body.toByteArray();
     body.reset();
-    return taken;
+    return new Answer(head, taken);
+  }
+
+  /** Returns whether the target's answer is a stream of events. */
+  boolean answersWithStream() {
+    return head.isEventStream() && head.status() == OK_STATUS;
   }
 
   /** Returns whether the target has made events of the stream in this attempt. */
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -23,7 +23,7 @@
   private final Forwarder forwarder;
   private final CoreContext context;
   private final ForwardRequest request;
-  private final CallerPort caller;
+  private final Reply reply;
   private final Route route;
   private final ServiceName service;
   private final Optional<AccountId> account;
@@ -35,12 +35,9 @@
   private final CopyPlan copies;
   private final ExchangeLog log;
   private Attempt attempt;
-  private Answer fallback;
   private final StreamRelay relay;
   private final TryCount tries = new TryCount();
   private boolean mayHaveRun;
-  private boolean begun;
-  private boolean passedOn;
   private boolean over;
 
   Exchange(
@@ -51,7 +48,7 @@
     this.forwarder = forwarder;
     this.context = forwarder.context();
     this.request = request;
-    this.caller = caller;
+    this.reply = new Reply(caller);
     this.route = allowed.route();
     this.account = allowed.account();
     this.service = route.chooseService(context.random().nextDouble());
@@ -66,7 +63,7 @@
     this.deadline =
         startedAt
             + Math.min(route.timeoutMillis(), request.remainingMillis().orElse(Long.MAX_VALUE));
-    this.relay = new StreamRelay(this, context, request, caller, route);
+    this.relay = new StreamRelay(this, context, request, reply, route);
     this.log = new ExchangeLog(forwarder, this, request);
     this.copies = search.copies();
     this.deadlineTimer = context.timers().add(deadline, this::deadlinePassed);
@@ -107,7 +104,7 @@
     if (over) {
       return;
     }
-    if (begun) {
+    if (reply.hasBegun()) {
       abort(Refusal.STOPPING.name());
     } else {
       giveUp(mayHaveRun || isRunning() ? Refusal.TARGET_FAILED : Refusal.STOPPING);
@@ -175,7 +172,7 @@
             relay.lastEventId(),
             copyTo,
             from,
-            begun);
+            reply.hasBegun());
     log.forwarded(route, dispatch, choice, tries.begun());
     forwarder.loads().changed();
     attempt.started(forwarder.port().send(dispatch, attempt));
@@ -189,14 +186,23 @@
       failed(from, head.status() == 421 ? TargetFailure.GOODBYE : TargetFailure.FULL);
       return;
     }
-    if (!head.mayReachCaller()) {
+    if (!head.mayReachCaller() || cannotGoOnWith(from)) {
       failed(from, TargetFailure.ERROR);
     }
   }
 
+  /**
+   * Returns whether the caller has part of a stream and this answer is none.
+   *
+   * <p>Its body would end the stream as if it were complete, short by its rest.
+   */
+  private boolean cannotGoOnWith(Attempt from) {
+    return reply.hasBegun() && !from.answersWithStream();
+  }
+
   void received(Attempt from, byte[] bytes) {
     from.noteSign(context.now());
-    if (isStream(from)) {
+    if (from.answersWithStream()) {
       if (!relay.pass(from, bytes)) {
         failed(from, TargetFailure.ERROR);
       }
@@ -205,21 +211,7 @@
     from.body().writeBytes(bytes);
     if (from.body().size() > forwarder.policy().bufferBytes()) {
       // Too long to be held until it is whole: from now on there is no second attempt.
-      begin(from);
-      passedOn = true;
-      caller.write(from.takeBody());
-    }
-  }
-
-  private boolean isStream(Attempt from) {
-    return from.head().isEventStream() && from.head().status() == 200;
-  }
-
-  /** Sends the head of the first target that has something to say. */
-  void begin(Attempt from) {
-    if (!begun) {
-      begun = true;
-      caller.begin(from.head());
+      reply.commit(from.takeAnswer());
     }
   }
 
@@ -231,45 +223,28 @@
   }
 
   void ended(Attempt from) {
-    if (isStream(from)) {
-      if (from.events().isWithinEvent()) {
-        failed(from, TargetFailure.RESET);
-        return;
-      }
-      if (!begun) {
-        caller.begin(from.head());
-      }
+    if (from.answersWithStream() && from.events().isWithinEvent()) {
+      failed(from, TargetFailure.RESET);
+      return;
     }
     settle(from);
     tries.ran();
     forwarder.targets().answered(from.target());
-    Answer answer = new Answer(from.head(), from.takeBody());
-    if (!begun && from.head().status() >= FIRST_ERROR_STATUS && mayTryAgain()) {
-      fallback = answer;
+    Answer answer = from.takeAnswer();
+    if (!reply.hasBegun() && answer.head().status() >= FIRST_ERROR_STATUS && mayTryAgain()) {
+      reply.keepBack(answer);
       log.note(
           EventCode.CALL_RETRIED,
-          "target=" + from.target().description().id() + " status=" + from.head().status());
+          "target=" + from.target().description().id() + " status=" + answer.head().status());
       repeat();
       return;
     }
-    if (isStream(from)) {
-      complete(from.head().status());
-    } else {
-      answer(answer);
-    }
+    answer(answer);
   }
 
   private void answer(Answer answer) {
-    if (!begun) {
-      caller.begin(answer.head());
-    }
-    caller.write(answer.body());
-    complete(answer.head().status());
-  }
-
-  private void complete(int status) {
-    caller.finish();
-    log.note(EventCode.REQUEST_ANSWERED, "status=" + status);
+    reply.finish(answer);
+    log.note(EventCode.REQUEST_ANSWERED, "status=" + answer.head().status());
     forwarder.answered(route, context.now() - startedAt);
     finish();
   }
@@ -302,7 +277,7 @@
   }
 
   private void retryAfter(Attempt from, boolean ran) {
-    if (begun && !isResumableStream()) {
+    if (reply.hasBegun() && !isResumableStream()) {
       abort("ANSWER_BROKEN");
       return;
     }
@@ -334,7 +309,7 @@
 
   private boolean isResumableStream() {
     boolean resumable = route.kind() == RouteKind.STREAM && route.resumable();
-    return resumable && !passedOn && relay.lastEventId().isPresent();
+    return resumable && !reply.isCommitted() && relay.lastEventId().isPresent();
   }
 
   private boolean mayTryAgain() {
@@ -352,21 +327,23 @@
   /** Ends the request by what the caller has so far, by an error kept back, or by a refusal. */
   private void giveUp(Refusal refusal) {
     closeAttempt();
-    if (begun) {
+    if (reply.hasBegun()) {
       abort(refusal.name());
-    } else if (fallback != null) {
-      answer(fallback);
     } else {
-      caller.refuse(refusal, forwarder.policy().retryAfterMillis());
-      log.note(EventCode.REQUEST_REFUSED, "reason=" + refusal);
-      forwarder.refused(refusal);
-      finish();
+      reply.keptBack().ifPresentOrElse(this::answer, () -> refuse(refusal));
     }
   }
 
+  private void refuse(Refusal refusal) {
+    reply.refuse(refusal, forwarder.policy().retryAfterMillis());
+    log.note(EventCode.REQUEST_REFUSED, "reason=" + refusal);
+    forwarder.refused(refusal);
+    finish();
+  }
+
   private void abort(String reason) {
     closeAttempt();
-    caller.abort();
+    reply.abort();
     log.note(EventCode.GENERATION_INTERRUPTED, "reason=" + reason);
     forwarder.interrupted(route);
     finish();
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
@@ -16,22 +16,18 @@
   private final Exchange exchange;
   private final CoreContext context;
   private final ForwardRequest request;
-  private final CallerPort caller;
+  private final Reply reply;
   private final Route route;
   private OptionalLong lastEventId;
   private boolean hasPassed;
   private long passedAt;
 
   StreamRelay(
-      Exchange exchange,
-      CoreContext context,
-      ForwardRequest request,
-      CallerPort caller,
-      Route route) {
+      Exchange exchange, CoreContext context, ForwardRequest request, Reply reply, Route route) {
     this.exchange = exchange;
     this.context = context;
     this.request = request;
-    this.caller = caller;
+    this.reply = reply;
     this.route = route;
     this.lastEventId = request.lastEventId();
   }
@@ -76,13 +72,13 @@
     if (event.id().isPresent()) {
       lastEventId = event.id();
     }
-    exchange.begin(from);
+    reply.begin(from.head());
     if (hasPassed) {
       notePause(from);
     }
     hasPassed = true;
     passedAt = context.now();
-    caller.write(event.bytes());
+    reply.write(event.bytes());
   }
 
   /** Logs a pause that makes the stream late, with what probably caused it. */
