Serve accounts by fair shares where a service is asked for more than it can do

Change: core.overload. Hosts tell each other how many requests a second come, of single accounts where a service is busy; max-min shares over all hosts; what goes beyond waits at the host if it can be done in time, by draws that keep hosts from sending at once, and is refused at once otherwise, with a spread time to come back. Engines show overload by prompts that wait, plain services by having no room. A prompt that is being read weighs 2 in place of 0.3; distance weighs 0.5 for plain calls. Tests: ReplayTest (hot-account, burst, calm).

--- a/gatereel-core/src/main/java/org/gatereel/core/choice/Candidate.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/Candidate.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.gatereel.core.load.TargetLoad;
+import org.gatereel.core.model.TargetKind;
 import org.gatereel.core.target.TargetState;
 
 /**
@@ -43,6 +44,10 @@
     return !target.description().dataCentre().equals(situation.here());
   }
 
+  boolean isEngine() {
+    return target.description().kind() == TargetKind.ENGINE;
+  }
+
   /** Returns whether this host passes the target over because it failed here. */
   boolean isFailing() {
     return target.isFailing(situation.now());
--- a/gatereel-core/src/main/java/org/gatereel/core/choice/Consideration.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/Consideration.java
@@ -38,7 +38,8 @@
   DISTANCE {
     @Override
     double cost(Candidate candidate) {
-      return candidate.isFar() ? FAR_LOAD : 0;
+      double cost = candidate.isEngine() ? FAR_RUN_LOAD : FAR_CALL_LOAD;
+      return candidate.isFar() ? cost : 0;
     }
   },
   /** This host saw it fail and waits before it asks again. */
@@ -89,14 +90,24 @@
     }
   };
 
-  /** Beside the request itself, which counts as open: the new prompt waits for the other one. */
-  private static final double READING_LOAD = 0.3;
+  /**
+   * Beside the request itself, which counts as open: a prompt waits for the one before it, about a
+   * second. First events came after 1.35 s in the 90th percentile in place of 1.64 to 2.17 with 0.3
+   * (usual load, 95 hosts, 59 engines, replayed with four seeds).
+   */
+  private static final double READING_LOAD = 2;
 
   /** About one copy in seven is used. */
   private static final double COPY_LOAD = 0.3;
 
-  /** Decides between engines that are alike; one open request outweighs it. */
-  private static final double FAR_LOAD = 1.5;
+  /**
+   * A run is broken by each cut between the data centres as long as it lasts; more than this leaves
+   * near engines with several prompts to read while others have none.
+   */
+  private static final double FAR_RUN_LOAD = 1.5;
+
+  /** One open call outweighs it, so that calls go elsewhere as soon as near ones take longer. */
+  private static final double FAR_CALL_LOAD = 0.5;
 
   /**
    * Passes a target over for about six seconds after one error that stands out and for ten after
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -9,6 +9,7 @@
 import org.gatereel.core.model.AccountId;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.overload.Arrival;
 import org.gatereel.core.target.TargetState;
 
 /**
@@ -18,8 +19,6 @@
  * one is closed. Whether a request may be tried again is decided here and nowhere else.
  */
 public final class Exchange {
-  private static final int FIRST_ERROR_STATUS = 500;
-
   private final Forwarder forwarder;
   private final CoreContext context;
   private final ForwardRequest request;
@@ -32,6 +31,7 @@
   private final TimerQueue.Timer deadlineTimer;
   private final TargetSearch search;
   private final SilenceWatch silence;
+  private final Turn turn;
   private final CopyPlan copies;
   private final ExchangeLog log;
   private Attempt attempt;
@@ -68,11 +68,22 @@
     this.copies = search.copies();
     this.deadlineTimer = context.timers().add(deadline, this::deadlinePassed);
     this.silence = new SilenceWatch(forwarder, this, route);
+    this.turn =
+        new Turn(
+            forwarder,
+            this,
+            log,
+            new Arrival(service, route.priority(), account, route.aimMillis(), deadline));
   }
 
   /** Begins to look for a target. */
   void start() {
     forwarder.budgets().earn(service);
+    turn.begin(relay.lastEventId().isPresent());
+  }
+
+  /** The request has its turn. */
+  void admitted() {
     if (search.mayFindPrompt()) {
       search.findPrompt(this::located);
     } else {
@@ -159,7 +170,7 @@
     tries.begin();
     attempt = new Attempt(this, target, from.isPresent(), context.now());
     forwarder.targets().opened(target);
-    if (route.kind() == RouteKind.STREAM) {
+    if (route.kind() == RouteKind.STREAM && !search.hasPrompt(target)) {
       attempt.beginReading();
     }
     Optional<Address> copyTo = search.begin(target);
@@ -186,20 +197,11 @@
       failed(from, head.status() == 421 ? TargetFailure.GOODBYE : TargetFailure.FULL);
       return;
     }
-    if (!head.mayReachCaller() || cannotGoOnWith(from)) {
+    if (!head.mayReachCaller() || !reply.canGoOnWith(from)) {
       failed(from, TargetFailure.ERROR);
     }
   }
 
-  /**
-   * Returns whether the caller has part of a stream and this answer is none.
-   *
-   * <p>Its body would end the stream as if it were complete, short by its rest.
-   */
-  private boolean cannotGoOnWith(Attempt from) {
-    return reply.hasBegun() && !from.answersWithStream();
-  }
-
   void received(Attempt from, byte[] bytes) {
     from.noteSign(context.now());
     if (from.answersWithStream()) {
@@ -219,6 +221,9 @@
   void firstEvent(Attempt from) {
     silence.watch(from);
     forwarder.loads().changed();
+    if (!from.isContinuation()) {
+      forwarder.admission().learn(service, context.now() - from.startedAt());
+    }
     log.note(EventCode.FIRST_TOKEN, "target=" + from.target().description().id());
   }
 
@@ -229,14 +234,16 @@
     }
     settle(from);
     tries.ran();
+    if (route.kind() != RouteKind.STREAM) {
+      forwarder.admission().learn(service, context.now() - from.startedAt());
+    }
     Answer answer = from.takeAnswer();
-    boolean error = answer.head().status() >= FIRST_ERROR_STATUS;
-    if (error) {
+    if (answer.isError()) {
       forwarder.targets().answeredWithError(from.target());
     } else {
       forwarder.targets().answered(from.target());
     }
-    if (error && !reply.hasBegun() && mayTryAgain()) {
+    if (answer.isError() && !reply.hasBegun() && mayTryAgain()) {
       reply.keepBack(answer);
       log.note(
           EventCode.CALL_RETRIED,
@@ -335,13 +342,17 @@
     if (reply.hasBegun()) {
       abort(refusal.name());
     } else {
-      reply.keptBack().ifPresentOrElse(this::answer, () -> refuse(refusal));
+      reply
+          .keptBack()
+          .ifPresentOrElse(
+              this::answer, () -> refuse(refusal, forwarder.policy().retryAfterMillis(), ""));
     }
   }
 
-  private void refuse(Refusal refusal) {
-    reply.refuse(refusal, forwarder.policy().retryAfterMillis());
-    log.note(EventCode.REQUEST_REFUSED, "reason=" + refusal);
+  void refuse(Refusal refusal, long retryAfterMillis, String inputs) {
+    reply.refuse(refusal, retryAfterMillis);
+    String separator = inputs.isEmpty() ? "" : " ";
+    log.note(EventCode.REQUEST_REFUSED, "reason=" + refusal + separator + inputs);
     forwarder.refused(refusal);
     finish();
   }
@@ -375,19 +386,14 @@
   private void finish() {
     over = true;
     deadlineTimer.cancel();
+    turn.end();
     silence.stop();
     forwarder.over(this);
   }
 
   /** Returns how far the request has come, for the log. */
   String progress() {
-    return "tries="
-        + tries.begun()
-        + " lastEvent="
-        + relay.lastEventId().orElse(-1)
-        + " millis="
-        + (context.now() - startedAt)
-        + " leftMillis="
-        + (deadline - context.now());
+    return ExchangeLog.progress(
+        tries.begun(), relay.lastEventId(), context.now() - startedAt, deadline - context.now());
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
@@ -1,5 +1,6 @@
 package org.gatereel.core.forward;
 
+import java.util.OptionalLong;
 import org.gatereel.core.choice.TargetChoice;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
@@ -24,6 +25,17 @@
     forwarder.context().note(code, request.id(), inputs + separator + exchange.progress());
   }
 
+  static String progress(int tries, OptionalLong lastEvent, long millis, long leftMillis) {
+    return "tries="
+        + tries
+        + " lastEvent="
+        + lastEvent.orElse(-1)
+        + " millis="
+        + millis
+        + " leftMillis="
+        + leftMillis;
+  }
+
   void forwarded(Route route, Dispatch dispatch, TargetChoice choice, int tries) {
     ConfigurationKeeper configuration = forwarder.configuration();
     String inputs =
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -12,6 +12,7 @@
 import org.gatereel.core.load.LoadExchange;
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.model.TargetId;
+import org.gatereel.core.overload.Admission;
 import org.gatereel.core.target.TargetRegistry;
 import org.gatereel.core.target.TargetState;
 
@@ -25,6 +26,7 @@
   private final ForwardObserver observer;
   private final LoadExchange loads;
   private final TargetSelector selector;
+  private final Admission admission;
   private final RetryBudgets budgets;
   private final StopPlan stopPlan;
   private final PromptLocator prompts;
@@ -56,6 +58,7 @@
     this.observer = observer;
     this.loads = loads;
     this.selector = new TargetSelector(context, targets, loads, directory);
+    this.admission = new Admission(context, targets, loads);
     this.budgets = new RetryBudgets(context, policy.retryLimit(), directory, repeats);
     this.stopPlan = new StopPlan(context);
     this.prompts = new PromptLocator(context, targets, port);
@@ -109,6 +112,11 @@
     stopPlan.begin(lastTakenAt, endAt);
   }
 
+  /** Returns whether this host has begun to stop. */
+  boolean isStopping() {
+    return stopPlan.isStopping();
+  }
+
   /** Breaks all open requests off because this host stops. */
   public void stopAll() {
     List.copyOf(open).forEach(Exchange::stop);
@@ -206,6 +214,10 @@
     return prompts;
   }
 
+  Admission admission() {
+    return admission;
+  }
+
   RetryBudgets budgets() {
     return budgets;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Reply.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Reply.java
@@ -28,6 +28,16 @@
     return committed;
   }
 
+  /**
+   * Returns whether a target's answer can be passed on.
+   *
+   * <p>Where the caller has part of a stream, the body of any other answer would end the stream as
+   * if it were complete, short by its rest.
+   */
+  boolean canGoOnWith(Attempt from) {
+    return !begun || from.answersWithStream();
+  }
+
   /** Sends a head, unless one was sent. */
   void begin(AnswerHead head) {
     if (!begun) {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StopPlan.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/StopPlan.java
@@ -36,6 +36,10 @@
     endsAt = endAt;
   }
 
+  boolean isStopping() {
+    return takesUntil != Long.MAX_VALUE;
+  }
+
   /** Learns how long a request of a kind lasted. */
   void lasted(RouteKind kind, long millis) {
     double known = usualMillis.getOrDefault(kind, (double) millis);
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
@@ -50,6 +50,11 @@
     return copiesRuns && request.lastEventId().isPresent() && request.promptPart().isPresent();
   }
 
+  /** Returns whether a target is known to keep the prompt, so that it need not read it. */
+  boolean hasPrompt(TargetState target) {
+    return query.readAt().equals(Optional.of(target.description().id()));
+  }
+
   /** Looks for the engine that keeps the prompt, which is then preferred. */
   void findPrompt(Consumer<PromptLocator.Located> answer) {
     forwarder
--- a/gatereel-core/src/main/java/org/gatereel/core/load/Contribution.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/Contribution.java
@@ -8,6 +8,7 @@
 /** What one sender has said last, under a lease that each of its reports renews. */
 final class Contribution {
   private final Map<TargetId, TargetLoad> loads = new HashMap<>();
+  private Map<DemandKey, Double> demand = Map.of();
   private Address replyTo;
   private long session;
   private long sequence = Long.MIN_VALUE;
@@ -29,6 +30,7 @@
       loads.clear();
     }
     report.loads().forEach(this::put);
+    demand = report.demand();
     replyTo = report.replyTo();
     session = report.session();
     sequence = report.sequence();
@@ -48,6 +50,10 @@
     return loads;
   }
 
+  Map<DemandKey, Double> demand() {
+    return demand;
+  }
+
   Address replyTo() {
     return replyTo;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.Address;
@@ -23,7 +24,8 @@
  * <p>The host that reads the store for its data centre also gathers: the others report to it, it
  * exchanges sums with the gatherers of other data centres, and tells each host what all others
  * have. A host whose gatherer does not answer reports to the next one; one that nobody reports to
- * decides by what it sees itself. Of plain calls the mean is told, once with each heartbeat.
+ * decides by what it sees itself. Plain calls end before the news arrives, so that of them errors
+ * alone are told.
  *
  * <p>Streams last 6.3 s in the median and 8.3 s in the 90th percentile with it, 6.6 and 9.2 s if
  * hosts go by their own requests (six hosts, 13 engines, logs of six plays each, 760 and 728
@@ -39,9 +41,6 @@
   /** A failure is told for as long as a report of it counts; an older one decides nothing. */
   private static final long TOLD_MILLIS = LoadTable.LEASE_MILLIS;
 
-  /** Plain calls are told to the hundredth: a host has a few of them open for some milliseconds. */
-  private static final double PARTS_OF_A_CALL = 100;
-
   private final CoreContext context;
   private final TargetRegistry targets;
   private final GathererDirectory directory;
@@ -50,7 +49,7 @@
   private final Sender sender;
   private final Map<LoadLink.Receiver, LoadLink> links = new LinkedHashMap<>();
   private final Set<Address> busy = new HashSet<>();
-  private Map<TargetId, TargetLoad> plain = Map.of();
+  private Supplier<Map<DemandKey, Double>> demand = Map::of;
   private long flushAt = Long.MAX_VALUE;
   private long sequence;
 
@@ -76,6 +75,11 @@
     this.sender = new Sender(context.self(), address, context.random().nextLong());
   }
 
+  /** Has reports say how many requests a second come to this host. */
+  public void tellDemand(Supplier<Map<DemandKey, Double>> told) {
+    demand = told;
+  }
+
   /** Begins to report. */
   public void start() {
     beat();
@@ -83,7 +87,6 @@
 
   private void beat() {
     table.expire();
-    plain = plainLoads();
     flush();
     context.after(HEARTBEAT_MILLIS, this::beat);
   }
@@ -120,6 +123,11 @@
     return table.othersAt(target);
   }
 
+  /** Returns how many requests a second come to all other hosts, as far as it is known here. */
+  public Map<DemandKey, Double> othersDemand() {
+    return table.others().demand();
+  }
+
   /** Returns the age of the oldest word of others that counts, in milliseconds. */
   public long ageMillis() {
     return table.ageMillis();
@@ -184,7 +192,7 @@
       flushBy(link.nextAt());
       return;
     }
-    link.next(loadsFor(link.receiver()), sender, ++sequence, context.now())
+    link.next(sumsFor(link.receiver()), sender, ++sequence, context.now())
         .ifPresent(report -> send(link, report));
   }
 
@@ -207,38 +215,49 @@
     changed();
   }
 
-  private Map<TargetId, TargetLoad> loadsFor(LoadLink.Receiver receiver) {
-    Map<TargetId, TargetLoad> loads = own();
+  private LoadSums sumsFor(LoadLink.Receiver receiver) {
+    LoadSums sums = new LoadSums(own(), demand.get());
     if (receiver.scope() != LoadScope.HOST) {
-      table.addAll(LoadScope.HOST, receiver.host(), loads);
+      table.addAll(LoadScope.HOST, receiver.host(), sums);
     }
     if (receiver.scope() == LoadScope.EVERYONE_ELSE) {
-      table.addAll(LoadScope.DATA_CENTRE, Optional.empty(), loads);
+      table.addAll(LoadScope.DATA_CENTRE, Optional.empty(), sums);
     }
-    return loads;
+    return sums;
   }
 
   private Map<TargetId, TargetLoad> own() {
-    Map<TargetId, TargetLoad> loads = new HashMap<>(plain);
+    Map<TargetId, TargetLoad> loads = new HashMap<>();
     for (TargetState target : targets.all()) {
-      if (target.description().kind() == TargetKind.ENGINE) {
-        put(target, target.openHere(), lateFailure(target), loads);
+      TargetLoad load =
+          target.description().kind() == TargetKind.ENGINE ? engineLoad(target) : errorsOf(target);
+      if (!load.isNone()) {
+        loads.put(target.description().id(), load);
       }
     }
     return loads;
   }
 
-  /** Calls of plain services come and go so fast that what they load is told with the beat only. */
-  private Map<TargetId, TargetLoad> plainLoads() {
-    Map<TargetId, TargetLoad> loads = new HashMap<>();
-    for (TargetState target : targets.all()) {
-      if (target.description().kind() == TargetKind.PLAIN_SERVICE) {
-        double open = target.openLately(context.now());
-        double told = Math.round(open * PARTS_OF_A_CALL) / PARTS_OF_A_CALL;
-        put(target, told, TargetLoad.NEVER, loads);
-      }
-    }
-    return loads;
+  private TargetLoad engineLoad(TargetState target) {
+    return new TargetLoad(
+        target.openHere(),
+        target.readingHere(),
+        target.copiesHere(),
+        errorsHere(target),
+        lateFailure(target));
+  }
+
+  /**
+   * Calls of plain services end before the news arrives. Where their mean was told, all hosts
+   * turned to the same target at once: 68 in 100 calls in time in place of all, at 0.9 of what
+   * could be done (95 hosts, replayed).
+   */
+  private TargetLoad errorsOf(TargetState target) {
+    return new TargetLoad(0, 0, 0, errorsHere(target), TargetLoad.NEVER);
+  }
+
+  private int errorsHere(TargetState target) {
+    return (int) Math.round(target.errorsHere(context.now()));
   }
 
   private long lateFailure(TargetState target) {
@@ -246,18 +265,4 @@
     boolean recent = failedAt != TargetLoad.NEVER && context.now() - failedAt < TOLD_MILLIS;
     return recent ? failedAt : TargetLoad.NEVER;
   }
-
-  private void put(
-      TargetState target, double open, long failedAt, Map<TargetId, TargetLoad> loads) {
-    TargetLoad load =
-        new TargetLoad(
-            open,
-            target.readingHere(),
-            target.copiesHere(),
-            (int) Math.round(target.errorsHere(context.now())),
-            failedAt);
-    if (!load.isNone()) {
-      loads.put(target.description().id(), load);
-    }
-  }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
@@ -24,8 +24,8 @@
   /** Heads of question and answer with what a report says of its sender, as counted on the wire. */
   private static final int REPORT_BYTES = 330;
 
-  /** One target in a report, as counted on the wire. */
-  private static final int TARGET_BYTES = 28;
+  /** One target or demand in a report, as counted on the wire. */
+  private static final int ENTRY_BYTES = 32;
 
   private static final long FIRST_BACKOFF_MILLIS = 250;
   private static final long LONGEST_BACKOFF_MILLIS = 4_000;
@@ -64,8 +64,8 @@
   }
 
   /** Makes the next report out of the present loads; empty if there is no need of one. */
-  Optional<LoadReport> next(
-      Map<TargetId, TargetLoad> loads, LoadExchange.Sender sender, long sequence, long now) {
+  Optional<LoadReport> next(LoadSums sums, LoadExchange.Sender sender, long sequence, long now) {
+    Map<TargetId, TargetLoad> loads = sums.loads();
     boolean whole = lastSequence.isEmpty();
     Map<TargetId, TargetLoad> changed = whole ? loads : changes(loads);
     boolean beat = now - sentAt >= LoadExchange.HEARTBEAT_MILLIS;
@@ -80,10 +80,11 @@
             sender.session(),
             sequence,
             lastSequence,
-            changed);
+            changed,
+            sums.demand());
     told = new HashMap<>(loads);
     sentAt = now;
-    nextAt = now + pauseMillis(changed.size());
+    nextAt = now + pauseMillis(changed.size() + sums.demand().size());
     lastSequence = OptionalLong.of(sequence);
     underWay = true;
     return Optional.of(report);
@@ -103,8 +104,8 @@
     return changes;
   }
 
-  private static long pauseMillis(int targets) {
-    return (REPORT_BYTES + (long) targets * TARGET_BYTES) * 1_000 / BYTES_PER_SECOND;
+  private static long pauseMillis(int entries) {
+    return (REPORT_BYTES + (long) entries * ENTRY_BYTES) * 1_000 / BYTES_PER_SECOND;
   }
 
   /** Notes what became of the report that was under way. */
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadReport.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadReport.java
@@ -16,6 +16,8 @@
  * @param builtOn the sequence of the report that this one changes; if there is none, this one is
  *     whole, and targets that it does not name have no load
  * @param loads the present load of each target that is named
+ * @param demand how many requests a second come, whole in each report; of single accounts only
+ *     where a service is busy
  */
 public record LoadReport(
     HostId sender,
@@ -24,8 +26,10 @@
     long session,
     long sequence,
     OptionalLong builtOn,
-    Map<TargetId, TargetLoad> loads) {
+    Map<TargetId, TargetLoad> loads,
+    Map<DemandKey, Double> demand) {
   public LoadReport {
     loads = Map.copyOf(loads);
+    demand = Map.copyOf(demand);
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadTable.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadTable.java
@@ -1,6 +1,5 @@
 package org.gatereel.core.load;
 
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -20,7 +19,7 @@
 
   private final CoreContext context;
   private final Map<Source, Contribution> contributions = new LinkedHashMap<>();
-  private Map<TargetId, TargetLoad> others = new HashMap<>();
+  private LoadSums others = new LoadSums();
   private boolean summed;
 
   private record Source(HostId host, LoadScope scope) {}
@@ -81,20 +80,25 @@
 
   /** Returns what all other hosts have at a target, as far as it is known. */
   TargetLoad othersAt(TargetId target) {
+    return others().loads().getOrDefault(target, TargetLoad.NONE);
+  }
+
+  /** Returns what all other hosts have and are asked for, as far as it is known. */
+  LoadSums others() {
     expire();
     if (!summed) {
       others = sumOfOthers();
       summed = true;
     }
-    return others.getOrDefault(target, TargetLoad.NONE);
+    return others;
   }
 
   /** A gatherer's word counts all others; without one, what came here directly does. */
-  private Map<TargetId, TargetLoad> sumOfOthers() {
-    Map<TargetId, TargetLoad> sums = new HashMap<>();
+  private LoadSums sumOfOthers() {
+    LoadSums sums = new LoadSums();
     latest(LoadScope.EVERYONE_ELSE)
         .ifPresentOrElse(
-            gathered -> add(gathered.loads(), sums),
+            gathered -> sums.add(gathered.loads(), gathered.demand()),
             () -> {
               addAll(LoadScope.HOST, Optional.empty(), sums);
               addAll(LoadScope.DATA_CENTRE, Optional.empty(), sums);
@@ -114,19 +118,15 @@
   }
 
   /** Adds what senders of a scope have said to sums, except for one of them. */
-  void addAll(LoadScope scope, Optional<HostId> except, Map<TargetId, TargetLoad> sums) {
+  void addAll(LoadScope scope, Optional<HostId> except, LoadSums sums) {
     contributions.forEach(
         (source, contribution) -> {
           if (source.scope() == scope && !except.equals(Optional.of(source.host()))) {
-            add(contribution.loads(), sums);
+            sums.add(contribution.loads(), contribution.demand());
           }
         });
   }
 
-  private static void add(Map<TargetId, TargetLoad> loads, Map<TargetId, TargetLoad> sums) {
-    loads.forEach((target, load) -> sums.merge(target, load, TargetLoad::plus));
-  }
-
   /** Returns the age of the oldest word that counts, in milliseconds; 0 if there is none. */
   long ageMillis() {
     Optional<Contribution> gathered = latest(LoadScope.EVERYONE_ELSE);
--- a/gatereel-core/src/main/java/org/gatereel/core/load/TargetLoad.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/TargetLoad.java
@@ -3,15 +3,14 @@
 /**
  * What one or more hosts have at a target.
  *
- * @param open requests that are open; of plain services the mean of the last moments, since their
- *     calls end before the news arrives
+ * @param open requests that are open
  * @param reading those of them whose prompt the target is probably still reading
  * @param copies copies of other targets' runs that the target holds
  * @param errors answers that were errors lately
  * @param failedAt when one of the hosts last saw the target fail, on this host's steady clock in
  *     milliseconds; {@link #NEVER} if none did lately
  */
-public record TargetLoad(double open, int reading, int copies, int errors, long failedAt) {
+public record TargetLoad(int open, int reading, int copies, int errors, long failedAt) {
   /** No failure is known. */
   public static final long NEVER = Long.MIN_VALUE;
 
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/UsualWork.java
@@ -0,0 +1,30 @@
+package org.gatereel.core.overload;
+
+/**
+ * How long a target of a service usually has to do with one request before it can do the next.
+ *
+ * <p>The mean of what was seen while there was room. Until enough was seen the shortest counts,
+ * which a queue has lengthened least: hosts that had just started when a burst came took targets
+ * for slower than they are, and refused 17 in 100 calls that could have been done (replayed).
+ */
+final class UsualWork {
+  /** Follows a change within some 20 requests. */
+  private static final double GAIN = 1.0 / 16;
+
+  private static final int ENOUGH = 16;
+
+  private double mean;
+  private double shortest = Double.POSITIVE_INFINITY;
+  private int seen;
+
+  void learn(long millis) {
+    seen++;
+    mean += (millis - mean) * Math.max(GAIN, 1.0 / seen);
+    shortest = Math.min(shortest, millis);
+  }
+
+  /** Returns what is known, in milliseconds. */
+  double millis() {
+    return seen < ENOUGH ? shortest : mean;
+  }
+}
--- a/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
@@ -191,12 +191,12 @@
 
   /** Notes that a request was opened at a target. */
   public void opened(TargetState target) {
-    target.opened(context.now());
+    target.opened();
   }
 
   /** Notes that a request at a target ended, however it did. */
   public void closed(TargetState target) {
-    target.closed(context.now());
+    target.closed();
   }
 
   /** Notes a sign of life with the load that came with it. */
--- a/gatereel-core/src/main/java/org/gatereel/core/target/TargetState.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/target/TargetState.java
@@ -2,7 +2,6 @@
 
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.internal.DecayingCount;
-import org.gatereel.core.internal.SmoothedLevel;
 import org.gatereel.core.model.LifeState;
 import org.gatereel.core.model.TargetDescription;
 
@@ -16,12 +15,8 @@
   /** An error counts half after this time: longer than an engine that fails now and then pauses. */
   private static final long ERROR_HALF_LIFE_MILLIS = 3_000;
 
-  /** Some ten plain calls long, and no longer than it takes until other hosts hear of them. */
-  private static final long OPEN_HALF_LIFE_MILLIS = 500;
-
   private final GapTracker gaps = new GapTracker();
   private final DecayingCount errors = new DecayingCount(ERROR_HALF_LIFE_MILLIS);
-  private final SmoothedLevel openLately = new SmoothedLevel(OPEN_HALF_LIFE_MILLIS);
   private TargetDescription description;
   private boolean leaving;
   private int openHere;
@@ -35,6 +30,7 @@
   private boolean failing;
   private long lastSignAt = Long.MIN_VALUE;
   private long lastFailureAt = Long.MIN_VALUE;
+  private long lastFullAt = Long.MIN_VALUE;
 
   TargetState(TargetDescription description) {
     this.description = description;
@@ -98,19 +94,12 @@
     copiesHere = Math.max(0, copiesHere + change);
   }
 
-  void opened(long now) {
+  void opened() {
     openHere++;
-    openLately.change(1, now);
   }
 
-  void closed(long now) {
+  void closed() {
     openHere = Math.max(0, openHere - 1);
-    openLately.change(-1, now);
-  }
-
-  /** Returns how many requests this host had open at the target lately, in the mean. */
-  public double openLately(long now) {
-    return openLately.at(now);
   }
 
   /** Notes that the target answered with an error, which says nothing of whether it lives. */
@@ -158,6 +147,7 @@
     if (failure == TargetFailure.FULL) {
       // The refusal is a load report in itself: others fill the target.
       reported(description.slots() + openHere, now);
+      lastFullAt = now;
     }
     if (failure == TargetFailure.FULL || failure == TargetFailure.ERROR) {
       return false;
@@ -185,6 +175,11 @@
     return lastSignAt;
   }
 
+  /** Returns when the target last answered that it has no room. */
+  public long lastFullAt() {
+    return lastFullAt;
+  }
+
   /** Returns when the target last failed. */
   public long lastFailureAt() {
     return lastFailureAt;
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
@@ -13,11 +13,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.gatereel.core.load.DemandKey;
 import org.gatereel.core.load.LoadReport;
 import org.gatereel.core.load.LoadScope;
 import org.gatereel.core.load.TargetLoad;
+import org.gatereel.core.model.AccountId;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.HostId;
+import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.model.TargetId;
 
 /**
@@ -49,13 +52,16 @@
       long session,
       long sequence,
       OptionalLong builtOn,
-      List<Entry> loads) {
+      List<Entry> loads,
+      List<Demand> demand) {
     boolean isComplete() {
       return sender != null
           && ip != null
           && scope != null
           && builtOn != null
           && loads != null
+          && demand != null
+          && demand.stream().allMatch(entry -> entry != null && entry.service() != null)
           && loads.stream().allMatch(entry -> entry != null && entry.target() != null);
     }
   }
@@ -63,11 +69,27 @@
   /** One target of a report, as an array of its values. */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   private record Entry(
-      String target, double open, int reading, int copies, int errors, long failedAgoMillis) {}
+      String target, int open, int reading, int copies, int errors, long failedAgoMillis) {}
+
+  /** What is asked for under one key, as an array of its values; the account may be null. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  private record Demand(String service, int rank, String account, double perSecond) {
+    static Demand of(DemandKey key, double perSecond) {
+      String account = key.account().map(AccountId::value).orElse(null);
+      return new Demand(key.service().value(), key.rank(), account, perSecond);
+    }
+
+    DemandKey key() {
+      return new DemandKey(
+          new ServiceName(service), rank, Optional.ofNullable(account).map(AccountId::new));
+    }
+  }
 
   static byte[] write(LoadReport report, long now) {
     List<Entry> entries = new ArrayList<>();
     report.loads().forEach((target, load) -> entries.add(entry(target, load, now)));
+    List<Demand> demand = new ArrayList<>();
+    report.demand().forEach((key, perSecond) -> demand.add(Demand.of(key, perSecond)));
     Message message =
         new Message(
             report.sender().value(),
@@ -77,7 +99,8 @@
             report.session(),
             report.sequence(),
             report.builtOn(),
-            entries);
+            entries,
+            demand);
     try {
       return MAPPER.writeValueAsBytes(message);
     } catch (JsonProcessingException e) {
@@ -111,6 +134,8 @@
   private static LoadReport report(Message message, long now) {
     Map<TargetId, TargetLoad> loads = new HashMap<>();
     message.loads().forEach(entry -> loads.put(new TargetId(entry.target()), load(entry, now)));
+    Map<DemandKey, Double> demand = new HashMap<>();
+    message.demand().forEach(entry -> demand.put(entry.key(), Math.max(0, entry.perSecond())));
     return new LoadReport(
         new HostId(message.sender()),
         new Address(message.ip(), message.port()),
@@ -118,7 +143,8 @@
         message.session(),
         message.sequence(),
         message.builtOn(),
-        loads);
+        loads,
+        demand);
   }
 
   private static TargetLoad load(Entry entry, long now) {
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayTest.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayTest.java
@@ -68,4 +68,26 @@
         "connections not found: " + report.failures("NOT_CONNECTED"));
     assertTrue(report.movedCold() <= 6, "moved without a copy: " + report.movedCold());
   }
+
+  /** 0.42 and 0.67 where all that comes is sent; 0.88 and 0.77 with shares. */
+  @Test
+  void anAccountThatAsksForThirtyTimesItsUsualHurtsTheOthersLittle() throws IOException {
+    ReplayReport report = play("hot-account");
+
+    double streams = report.inTime(CallerModel.Kind.STREAM, caller -> caller.account() != 0);
+    double calls = report.inTime(CallerModel.Kind.CALL, caller -> caller.account() != 0);
+    assertTrue(streams >= 0.75, "streams of others in time: " + streams);
+    assertTrue(calls >= 0.72, "calls of others in time: " + calls);
+    assertTrue(report.whole(CallerModel.Kind.STREAM) >= 0.9);
+  }
+
+  /** Nobody has more than a share; what cannot be read at once waits, and none is lost. */
+  @Test
+  void aBurstOfAllAccountsIsServedWhole() throws IOException {
+    ReplayReport report = play("burst");
+
+    assertTrue(report.whole(CallerModel.Kind.STREAM) >= 0.995);
+    assertTrue(report.inTime(CallerModel.Kind.STREAM) >= 0.6);
+    assertTrue(report.inTime(CallerModel.Kind.CALL) >= 0.95);
+  }
 }
