--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
@@ -141,10 +141,11 @@
   private void flush() {
     flushAt = Long.MAX_VALUE;
     Map<LoadLink.Receiver, LoadLink> present = new LinkedHashMap<>();
+    LoadSums own = new LoadSums(own(), demand.get());
     for (LoadLink.Receiver receiver : receivers()) {
       LoadLink link = links.getOrDefault(receiver, new LoadLink(receiver));
       present.put(receiver, link);
-      send(link);
+      send(link, own);
     }
     // A link that leads to a failing host is kept, so that its backoff is not forgotten.
     links.forEach(
@@ -183,7 +184,7 @@
         .noneMatch(link -> link.isFailing(context.now()));
   }
 
-  private void send(LoadLink link) {
+  private void send(LoadLink link, LoadSums own) {
     if (busy.contains(link.receiver().address())) {
       // Two links may lead to one host; what comes of the report under way flushes again.
       return;
@@ -192,7 +193,7 @@
       flushBy(link.nextAt());
       return;
     }
-    link.next(sumsFor(link.receiver()), sender, ++sequence, context.now())
+    link.next(sumsFor(link.receiver(), own), sender, ++sequence, context.now())
         .ifPresent(report -> send(link, report));
   }
 
@@ -215,8 +216,8 @@
     changed();
   }
 
-  private LoadSums sumsFor(LoadLink.Receiver receiver) {
-    LoadSums sums = new LoadSums(own(), demand.get());
+  private LoadSums sumsFor(LoadLink.Receiver receiver, LoadSums own) {
+    LoadSums sums = new LoadSums(own.loads(), own.demand());
     if (receiver.scope() != LoadScope.HOST) {
       table.addAll(LoadScope.HOST, receiver.host(), sums);
     }
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/Demand.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/Demand.java
@@ -38,10 +38,11 @@
    */
   Map<DemandKey, Double> told(Predicate<ServiceName> busy, long now) {
     Map<DemandKey, Double> told = new HashMap<>();
+    Map<ServiceName, Boolean> known = new HashMap<>();
     rates.values().removeIf(rate -> rate.perSecond(now) < LEAST_PER_SECOND);
     rates.forEach(
         (key, rate) -> {
-          if (!key.isOfOne() || busy.test(key.service())) {
+          if (!key.isOfOne() || known.computeIfAbsent(key.service(), busy::test)) {
             told.put(key, Math.round(rate.perSecond(now) * PARTS) / PARTS);
           }
         });
