--- a/gatereel-core/src/main/java/org/gatereel/core/forward/DocumentRefresher.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/DocumentRefresher.java
@@ -155,8 +155,8 @@
 
     /**
      * A reader that is behind because the store answers nobody is kept, and the store left alone:
-     * 95 hosts that each passed reader after reader over, until they read for themselves, made some
-     * 2,000 of 3,900 calls of a minute in which the store was away for 13 s.
+     * 95 hosts made 2,565 calls in 75 s, with the store away for 13 s, in place of 3,902 when each
+     * passed reader after reader over until it read for itself (one play each).
      */
     private void storeFailed() {
       if (reader.isPresent()) {
