Log how a target's answer ended

Cause: a caller's stream ended as complete, and no line said by which target's word. Change: the transport reports the end of an answer as an AnswerEnd (length, last chunk, end of the connection); ANSWER_ENDED names it for streams and for answers without a length. No decision changes.

--- a/gatereel-control/src/test/java/org/gatereel/control/OperationsPageTest.java
+++ b/gatereel-control/src/test/java/org/gatereel/control/OperationsPageTest.java
@@ -13,6 +13,7 @@
 import java.util.stream.Stream;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.forward.AnswerEnd;
 import org.gatereel.core.forward.Refusal;
 import org.junit.jupiter.api.Test;
 
@@ -29,7 +30,11 @@
   void everyNameOnThePageIsWrittenByTheCode() throws IOException {
     String page = Files.readString(Path.of("../docs/OPERATIONS.md"));
     Set<String> known =
-        Stream.of(names(EventCode.values()), names(Refusal.values()), names(TargetFailure.values()))
+        Stream.of(
+                names(EventCode.values()),
+                names(Refusal.values()),
+                names(TargetFailure.values()),
+                names(AnswerEnd.values()))
             .flatMap(all -> all)
             .collect(Collectors.toCollection(TreeSet::new));
     known.addAll(OTHER_NAMES);
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
@@ -18,7 +18,7 @@
   private AnswerHead head;
   private boolean sent;
   private boolean closed;
-  private boolean hasEvents;
+  private long eventCount;
   private boolean reading;
   private long lastSignAt;
 
@@ -82,11 +82,16 @@
 
   /** Returns whether the target has made events of the stream in this attempt. */
   boolean hasEvents() {
-    return hasEvents;
+    return eventCount > 0;
   }
 
-  void noteEvents() {
-    hasEvents = true;
+  /** Returns how many events of this attempt the caller was given. */
+  long eventCount() {
+    return eventCount;
+  }
+
+  void notePassed() {
+    eventCount++;
     endReading();
   }
 
@@ -151,9 +156,9 @@
   }
 
   @Override
-  public void ended() {
+  public void ended(AnswerEnd end) {
     if (!closed) {
-      exchange.ended(this);
+      exchange.ended(this, end);
     }
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -227,13 +227,16 @@
     log.note(EventCode.FIRST_TOKEN, "target=" + from.target().description().id());
   }
 
-  void ended(Attempt from) {
+  void ended(Attempt from, AnswerEnd end) {
     if (from.answersWithStream() && from.events().isWithinEvent()) {
       failed(from, TargetFailure.RESET);
       return;
     }
     settle(from);
     tries.ran();
+    if (from.answersWithStream() || end == AnswerEnd.CONNECTION_CLOSED) {
+      log.ended(from, end);
+    }
     if (route.kind() != RouteKind.STREAM) {
       forwarder.overload().learn(service, context.now() - from.startedAt());
     }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
@@ -71,6 +71,17 @@
     note(EventCode.PROMPT_LOCATED, inputs);
   }
 
+  void ended(Attempt attempt, AnswerEnd end) {
+    String inputs =
+        "target="
+            + attempt.target().description().id()
+            + " end="
+            + end
+            + " events="
+            + attempt.eventCount();
+    note(EventCode.ANSWER_ENDED, inputs);
+  }
+
   void failed(Attempt attempt, TargetFailure failure, boolean mayHaveRun) {
     String inputs =
         "target="
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
@@ -65,8 +65,9 @@
   }
 
   private void pass(Attempt from, StreamEvent event) {
-    if (!from.hasEvents()) {
-      from.noteEvents();
+    boolean first = !from.hasEvents();
+    from.notePassed();
+    if (first) {
       exchange.firstEvent(from);
     }
     if (event.id().isPresent()) {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetPort.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetPort.java
@@ -38,8 +38,8 @@
     /** Bytes of the answer's body are here. */
     void received(byte[] bytes);
 
-    /** The answer is complete. */
-    void ended();
+    /** The answer is at its end; {@code end} tells how the transport knew. */
+    void ended(AnswerEnd end);
 
     /** There will be no whole answer. */
     void failed(TargetFailure failure);
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
@@ -88,7 +88,7 @@
       accepted();
       head(status, false);
       listener.received(body.getBytes(StandardCharsets.UTF_8));
-      listener.ended();
+      listener.ended(AnswerEnd.LAST_CHUNK);
       return this;
     }
   }
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardingScenario.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardingScenario.java
@@ -219,7 +219,7 @@
     if (works.get(call).accepted && isStream(call)) {
       works.get(call).over = true;
       call.listener.received("id: 9".getBytes(StandardCharsets.UTF_8));
-      call.listener.ended();
+      call.listener.ended(AnswerEnd.LAST_CHUNK);
     }
   }
 
@@ -245,7 +245,7 @@
     }
     if (!call.cancelled) {
       work.over = true;
-      call.listener.ended();
+      call.listener.ended(AnswerEnd.LAST_CHUNK);
     }
   }
 
@@ -257,7 +257,7 @@
     works.get(call).over = true;
     call.listener.answered(new ForwardWorld.Head(status, false, authentic, false));
     call.listener.received("body".getBytes(StandardCharsets.UTF_8));
-    call.listener.ended();
+    call.listener.ended(AnswerEnd.LAST_CHUNK);
   }
 
   private void fail(ForwardWorld.SentCall call, TargetFailure failure) {
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/PlainForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/PlainForwardingTest.java
@@ -70,7 +70,7 @@
       stream.event(id);
       world.pass(100);
     }
-    stream.listener.ended();
+    stream.listener.ended(AnswerEnd.LAST_CHUNK);
     world.keeper.confirm(1, world.context.now());
 
     world.forwarder.beginStop(world.context.now() + 2_600, world.context.now() + 7_499);
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/StreamForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/StreamForwardingTest.java
@@ -37,7 +37,7 @@
 
   @Test
   void passesEventsOnAndEndsWithTheTarget() {
-    running(2).listener.ended();
+    running(2).listener.ended(AnswerEnd.LAST_CHUNK);
 
     assertEquals(ForwardWorld.eventText(1) + ForwardWorld.eventText(2), caller.body.toString());
     assertTrue(caller.finished);
@@ -55,7 +55,7 @@
     assertEquals(copyTo, Optional.of(second.dispatch.target().address()));
     assertEquals(Optional.of("r1"), second.dispatch.continueFrom());
     assertEquals(OptionalLong.of(2), second.dispatch.lastEventId());
-    second.accepted().head(200, true).event(3).listener.ended();
+    second.accepted().head(200, true).event(3).listener.ended(AnswerEnd.LAST_CHUNK);
     assertTrue(caller.finished);
     assertTrue(caller.body.toString().endsWith(ForwardWorld.eventText(3)));
   }
@@ -87,7 +87,7 @@
     ForwardWorld.SentCall call = running(1);
 
     call.listener.received("id: 2\ndata: ha".getBytes(StandardCharsets.UTF_8));
-    call.listener.ended();
+    call.listener.ended(AnswerEnd.LAST_CHUNK);
 
     assertFalse(caller.finished);
     assertEquals(ForwardWorld.eventText(1), caller.body.toString());
@@ -300,7 +300,7 @@
       assertFalse(asking.isOver(), "status " + status);
       assertEquals(3, fresh.sent.size());
       assertEquals(OptionalLong.of(1), fresh.last().dispatch.lastEventId());
-      fresh.last().accepted().head(200, true).event(2).listener.ended();
+      fresh.last().accepted().head(200, true).event(2).listener.ended(AnswerEnd.LAST_CHUNK);
       assertEquals(eventsUpTo(2), asking.body.toString());
       assertTrue(asking.finished);
     }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/ProbeHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/ProbeHandler.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponse;
 import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.forward.AnswerEnd;
 import org.gatereel.core.forward.TargetPort;
 import org.gatereel.forward.ControlThread;
 
@@ -27,7 +28,7 @@
   void onBody(byte[] bytes) {}
 
   @Override
-  void onEnd() {}
+  void onEnd(AnswerEnd end) {}
 
   @Override
   void onFailure(TargetFailure failure) {
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetCallHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetCallHandler.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.function.Function;
 import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.forward.AnswerEnd;
 import org.gatereel.core.forward.TargetPort;
 import org.gatereel.forward.ControlThread;
 
@@ -36,8 +37,8 @@
   }
 
   @Override
-  void onEnd() {
-    listener.ended();
+  void onEnd(AnswerEnd end) {
+    listener.ended(end);
   }
 
   @Override
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetHandler.java
@@ -5,10 +5,13 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.forward.AnswerEnd;
 import org.gatereel.forward.ControlThread;
 
 /** Reads the one answer of a connection to a target; interim answers (1xx) are passed over. */
@@ -17,6 +20,7 @@
   private boolean over;
   private boolean interim;
   private boolean hasHead;
+  private AnswerEnd end = AnswerEnd.CONNECTION_CLOSED;
 
   TargetHandler(ControlThread control) {
     this.control = control;
@@ -29,7 +33,7 @@
 
   abstract void onBody(byte[] bytes);
 
-  abstract void onEnd();
+  abstract void onEnd(AnswerEnd end);
 
   abstract void onFailure(TargetFailure failure);
 
@@ -78,6 +82,7 @@
       interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
       if (!interim) {
         hasHead = true;
+        end = endOf(head);
         step(() -> onHead(head));
       }
     }
@@ -86,6 +91,18 @@
     }
   }
 
+  private static AnswerEnd endOf(HttpResponse head) {
+    if (HttpUtil.isTransferEncodingChunked(head)) {
+      return AnswerEnd.LAST_CHUNK;
+    }
+    boolean bodiless =
+        head.status().equals(HttpResponseStatus.NO_CONTENT)
+            || head.status().equals(HttpResponseStatus.NOT_MODIFIED);
+    return bodiless || HttpUtil.isContentLengthSet(head)
+        ? AnswerEnd.LENGTH_REACHED
+        : AnswerEnd.CONNECTION_CLOSED;
+  }
+
   private void readBody(ChannelHandlerContext context, HttpContent content) {
     if (content.content().isReadable()) {
       byte[] bytes = new byte[content.content().readableBytes()];
@@ -96,7 +113,7 @@
       step(
           () -> {
             over = true;
-            onEnd();
+            onEnd(end);
           });
       context.close();
     }
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.forward.AnswerEnd;
 import org.gatereel.core.forward.AnswerHead;
 import org.gatereel.core.forward.CallerPort;
 import org.gatereel.core.forward.Configuration;
@@ -361,7 +362,7 @@
       back(
           () -> {
             over = true;
-            listener.ended();
+            listener.ended(AnswerEnd.LAST_CHUNK);
           });
     }
 
