Show that a connection this host closes ends an answer as whole

Cause: the decoder reports the end of a connection as the last content of an answer without length or chunks, whoever ended it. A failed write makes Netty close the connection (AUTO_CLOSE), so that a target that dies while the request is still being written has its partial answer reported as CONNECTION_CLOSED, and the caller gets it as complete.

Ruled out: a reset seen by a read (the exception comes before the end and is reported as RESET).

--- /dev/null
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetHandlerTest.java
@@ -0,0 +1,117 @@
+package org.gatereel.forward.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
+import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.model.DataCentre;
+import org.gatereel.core.model.HostId;
+import org.gatereel.forward.ControlThread;
+import org.gatereel.forward.log.ForwardLog;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * An answer without length or chunks was reported as whole whenever its connection ended, also when
+ * this host had closed it, for instance because the rest of a long request could not be written.
+ * The decoder reports every end of a connection in the same way; only the handler sees whose it is.
+ * A caller then got the part that had come by then as a complete answer.
+ */
+class TargetHandlerTest {
+  private static final String UNFRAMED = "HTTP/1.1 200 OK\r\n\r\npart";
+
+  private final ForwardLog log = new ForwardLog("test");
+  private EmbeddedChannel channel;
+  private AnswerRecorder recorder;
+
+  @BeforeEach
+  void open() {
+    channel = new EmbeddedChannel();
+    CoreContext context =
+        new CoreContext(new HostId("test"), new DataCentre("north"), new SplittableRandom(1));
+    recorder = new AnswerRecorder(new ControlThread(channel.eventLoop(), context, log));
+    channel.pipeline().addLast(new HttpClientCodec()).addLast(recorder);
+    channel.writeOutbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
+  }
+
+  @AfterEach
+  void close() {
+    channel.finishAndReleaseAll();
+    log.close();
+  }
+
+  private void receive(String text) {
+    channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+  }
+
+  private void endByTarget() {
+    channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+    channel.runPendingTasks();
+  }
+
+  @Test
+  void takesTheTargetsCloseForTheEndOfAnUnframedAnswer() {
+    receive(UNFRAMED);
+    endByTarget();
+
+    assertEquals("CONNECTION_CLOSED", recorder.outcome());
+    assertEquals("part", recorder.body());
+    assertFalse(channel.isOpen());
+  }
+
+  @Test
+  void takesNoCloseOfThisHostForTheEndOfAnAnswer() {
+    receive(UNFRAMED);
+    channel.close();
+
+    assertEquals("RESET", recorder.outcome());
+  }
+
+  @Test
+  void takesNoResetForTheEndOfAnAnswer() {
+    receive(UNFRAMED);
+    channel.pipeline().fireExceptionCaught(new IOException("reset"));
+    channel.runPendingTasks();
+
+    assertEquals("RESET", recorder.outcome());
+    assertFalse(channel.isOpen());
+  }
+
+  @Test
+  void failsAtACloseBeforeAnyHead() {
+    endByTarget();
+
+    assertEquals("RESET", recorder.outcome());
+    assertFalse(channel.isOpen());
+  }
+
+  @Test
+  void failsAtACloseWithinAHead() {
+    receive("HTTP/1.1 200 OK\r\nContent-Le");
+    endByTarget();
+
+    assertFalse(channel.isOpen());
+    assertEquals("ERROR", recorder.outcome());
+  }
+
+  @Test
+  void hearsNothingAfterItWasToldToForget() {
+    receive(UNFRAMED);
+    recorder.forget();
+    endByTarget();
+
+    assertEquals("open", recorder.outcome());
+    assertFalse(channel.isOpen());
+  }
+}
