Take only the target's own close for the end of an answer

Cause: the decoder reports every end of a connection alike, and the handler took each for the end of an answer without length or chunks.

Change: connections to targets allow half-closure, so that a target's own end in order arrives while the connection is still open; at any other close the channel is no longer active when the last content comes, and the answer has failed (RESET). A shut input with nothing reported before is RESET, and the connection is closed in every case, also one that nobody listens to any more and a probe's once it has its head (it stayed open until the probe's limit before).

Ruled out: switching AUTO_CLOSE off alone (a close by cancel or by an exception would still look like an end).

Before: 4 of 11 tests of TargetHandlerTest and TargetConnectorTest failed. After: these and ForwardedBytesTest pass.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
@@ -56,6 +56,7 @@
             .group(control.loop())
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS);
   }
 
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetHandler.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -14,7 +15,12 @@
 import org.gatereel.core.forward.AnswerEnd;
 import org.gatereel.forward.ControlThread;
 
-/** Reads the one answer of a connection to a target; interim answers (1xx) are passed over. */
+/**
+ * Reads the one answer of a connection to a target; interim answers (1xx) are passed over.
+ *
+ * <p>The connection has to allow half-closure ({@code ALLOW_HALF_CLOSURE}), so that a target's own
+ * end can be told from every other close. It is closed once there is nothing more to report.
+ */
 abstract class TargetHandler extends ChannelInboundHandlerAdapter {
   private final ControlThread control;
   private boolean over;
@@ -63,19 +69,20 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
-      read(context, (HttpObject) message);
+      if (!over) {
+        read(context, (HttpObject) message);
+      }
     } finally {
       ReferenceCountUtil.release(message);
     }
+    if (over) {
+      context.close();
+    }
   }
 
   private void read(ChannelHandlerContext context, HttpObject message) {
-    if (over) {
-      return;
-    }
     if (message.decoderResult().isFailure()) {
       fail(TargetFailure.ERROR);
-      context.close();
       return;
     }
     if (message instanceof HttpResponse head) {
@@ -110,11 +117,31 @@
       step(() -> onBody(bytes));
     }
     if (content instanceof LastHttpContent && hasHead) {
-      step(
-          () -> {
-            over = true;
-            onEnd(end);
-          });
+      readLast(context);
+    }
+  }
+
+  /**
+   * Of the ends of a connection only the target's own, in order, leaves the other direction open;
+   * after a reset, a failed write or a close by this host the connection is gone.
+   */
+  private void readLast(ChannelHandlerContext context) {
+    if (end == AnswerEnd.CONNECTION_CLOSED && !context.channel().isActive()) {
+      fail(TargetFailure.RESET);
+      return;
+    }
+    step(
+        () -> {
+          over = true;
+          onEnd(end);
+        });
+  }
+
+  /** A target that ends its side has said all; a whole answer was reported before this. */
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      fail(TargetFailure.RESET);
       context.close();
     }
   }
