Derive the end of an answer in one place, from method, status and headers

Cause: TargetHandler knew no method and took "chunked" anywhere in Transfer-Encoding for the whole framing.

Change: AnswerFraming has the decoder with its strictness set by name and endOf, which tells by what the end will be known, or that it is in doubt. In doubt are codings other than chunks, 101 and success to CONNECT: the answer has failed (ERROR) at its head, before a byte of it is passed on. Answers to HEAD end with their head (LENGTH_REACHED).

Ruled out: passing codings on to callers (the header belongs to one connection).

After: AnswerEndsTest, TargetHandlerTest and TargetConnectorTest pass.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/ProbeHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/ProbeHandler.java
@@ -1,5 +1,6 @@
 package org.gatereel.forward.http;
 
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.AnswerEnd;
@@ -11,7 +12,7 @@
   private final TargetPort.ProbeListener listener;
 
   ProbeHandler(ControlThread control, TargetPort.ProbeListener listener) {
-    super(control);
+    super(control, HttpMethod.GET);
     this.listener = listener;
   }
 
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetCallHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetCallHandler.java
@@ -1,5 +1,6 @@
 package org.gatereel.forward.http;
 
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.function.Function;
 import org.gatereel.core.event.TargetFailure;
@@ -14,9 +15,10 @@
 
   TargetCallHandler(
       ControlThread control,
+      HttpMethod asked,
       TargetPort.Listener listener,
       Function<HttpResponse, TargetHead> reader) {
-    super(control);
+    super(control, asked);
     this.listener = listener;
     this.reader = reader;
   }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
@@ -9,7 +9,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -38,9 +37,6 @@
  */
 public final class TargetConnector implements TargetPort {
   private static final int CONNECT_MILLIS = 250;
-  private static final int LONGEST_LINE = 8_192;
-  private static final int LONGEST_HEAD = 65_536;
-  private static final int LARGEST_CHUNK = 65_536;
 
   private final ControlThread control;
   private final TargetDialect dialect;
@@ -65,7 +61,10 @@
     IncomingRequest request = (IncomingRequest) dispatch.request();
     TargetCallHandler handler =
         new TargetCallHandler(
-            control, listener, head -> TargetHead.read(head, request.id(), names));
+            control,
+            request.method(),
+            listener,
+            head -> TargetHead.read(head, request.id(), names));
     Channel channel = open(dispatch.target().address(), handler, outgoing(request, dispatch));
     return () -> {
       handler.forget();
@@ -116,10 +115,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    channel
-                        .pipeline()
-                        .addLast(new HttpClientCodec(LONGEST_LINE, LONGEST_HEAD, LARGEST_CHUNK))
-                        .addLast(handler);
+                    channel.pipeline().addLast(AnswerFraming.codec()).addLast(handler);
                   }
                 })
             .connect(address.ip(), address.port());
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetHandler.java
@@ -4,13 +4,12 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.Optional;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.AnswerEnd;
 import org.gatereel.forward.ControlThread;
@@ -23,13 +22,20 @@
  */
 abstract class TargetHandler extends ChannelInboundHandlerAdapter {
   private final ControlThread control;
+  private final HttpMethod asked;
   private boolean over;
   private boolean interim;
   private boolean hasHead;
   private AnswerEnd end = AnswerEnd.CONNECTION_CLOSED;
 
-  TargetHandler(ControlThread control) {
+  /**
+   * Makes a handler for the answer to one request.
+   *
+   * @param asked the request's method
+   */
+  TargetHandler(ControlThread control, HttpMethod asked) {
     this.control = control;
+    this.asked = asked;
   }
 
   /** The connection stands. */
@@ -86,11 +92,9 @@
       return;
     }
     if (message instanceof HttpResponse head) {
-      interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+      interim = AnswerFraming.isInterim(head);
       if (!interim) {
-        hasHead = true;
-        end = endOf(head);
-        step(() -> onHead(head));
+        readHead(head);
       }
     }
     if (message instanceof HttpContent content && !interim) {
@@ -98,16 +102,15 @@
     }
   }
 
-  private static AnswerEnd endOf(HttpResponse head) {
-    if (HttpUtil.isTransferEncodingChunked(head)) {
-      return AnswerEnd.LAST_CHUNK;
+  private void readHead(HttpResponse head) {
+    Optional<AnswerEnd> known = AnswerFraming.endOf(asked, head);
+    if (known.isEmpty()) {
+      fail(TargetFailure.ERROR);
+      return;
     }
-    boolean bodiless =
-        head.status().equals(HttpResponseStatus.NO_CONTENT)
-            || head.status().equals(HttpResponseStatus.NOT_MODIFIED);
-    return bodiless || HttpUtil.isContentLengthSet(head)
-        ? AnswerEnd.LENGTH_REACHED
-        : AnswerEnd.CONNECTION_CLOSED;
+    hasHead = true;
+    end = known.get();
+    step(() -> onHead(head));
   }
 
   private void readBody(ChannelHandlerContext context, HttpContent content) {
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/AnswerEndsTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/AnswerEndsTest.java
@@ -7,7 +7,6 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
@@ -37,10 +36,6 @@
   @BeforeEach
   void open() {
     channel = new EmbeddedChannel();
-    CoreContext context =
-        new CoreContext(new HostId("test"), new DataCentre("north"), new SplittableRandom(1));
-    recorder = new AnswerRecorder(new ControlThread(channel.eventLoop(), context, LOG));
-    channel.pipeline().addLast(new HttpClientCodec()).addLast(recorder);
   }
 
   @AfterEach
@@ -54,6 +49,10 @@
   }
 
   private void ask(HttpMethod method) {
+    CoreContext context =
+        new CoreContext(new HostId("test"), new DataCentre("north"), new SplittableRandom(1));
+    recorder = new AnswerRecorder(new ControlThread(channel.eventLoop(), context, LOG), method);
+    channel.pipeline().addLast(AnswerFraming.codec()).addLast(recorder);
     channel.writeOutbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/"));
   }
 
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/AnswerRecorder.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/AnswerRecorder.java
@@ -1,5 +1,6 @@
 package org.gatereel.forward.http;
 
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -13,8 +14,8 @@
   private final List<String> heard = new ArrayList<>();
   private final StringBuilder body = new StringBuilder();
 
-  AnswerRecorder(ControlThread control) {
-    super(control);
+  AnswerRecorder(ControlThread control, HttpMethod asked) {
+    super(control, asked);
   }
 
   /** Returns how the answer ended, or "open". */
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetHandlerTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetHandlerTest.java
@@ -7,7 +7,6 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
@@ -40,8 +39,9 @@
     channel = new EmbeddedChannel();
     CoreContext context =
         new CoreContext(new HostId("test"), new DataCentre("north"), new SplittableRandom(1));
-    recorder = new AnswerRecorder(new ControlThread(channel.eventLoop(), context, log));
-    channel.pipeline().addLast(new HttpClientCodec()).addLast(recorder);
+    recorder =
+        new AnswerRecorder(new ControlThread(channel.eventLoop(), context, log), HttpMethod.GET);
+    channel.pipeline().addLast(AnswerFraming.codec()).addLast(recorder);
     channel.writeOutbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
   }
 
