Show that a probe is answered by whoever has the address

Cause: a probe does not name the target it is meant for, and any head counts as a sign of life, also "421 Misdirected Request". After a replacement the new process at the address keeps the old one's requests waiting.

Fails, 2 of 11 of TargetConnectorTest: namesTheTargetThatAProbeIsMeantFor (no header), and of findsATargetAliveByAnyAnswerButThatItIsNotMeant the case of 421 (true instead of false).

--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
@@ -41,6 +41,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * A target answered a long request before it had read all of it, and died. The host noticed that by
@@ -271,4 +273,38 @@
       assertEquals(-1, socket.getInputStream().read());
     }
   }
+
+  /**
+   * An address can be another process's by the time a target is probed. That process answers, which
+   * was taken for a sign of the one before.
+   */
+  @Test
+  void namesTheTargetThatAProbeIsMeantFor() throws Exception {
+    CompletableFuture<Boolean> alive = probe();
+    try (Socket socket = target.accept()) {
+      String question = readHead(socket);
+      write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+
+      assertEquals(true, alive.get(PATIENCE_SECONDS, TimeUnit.SECONDS));
+      assertTrue(question.contains("\r\nExpected: i-1\r\n"), question);
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "200 OK, true",
+    "404 Not Found, true",
+    "500 Internal Server Error, true",
+    "503 Service Unavailable, true",
+    "421 Misdirected Request, false",
+  })
+  void findsATargetAliveByAnyAnswerButThatItIsNotMeant(String line, boolean isAlive)
+      throws Exception {
+    CompletableFuture<Boolean> alive = probe();
+    try (Socket socket = takeRequest()) {
+      write(socket, "HTTP/1.1 " + line + "\r\nContent-Length: 0\r\n\r\n");
+
+      assertEquals(isAlive, alive.get(PATIENCE_SECONDS, TimeUnit.SECONDS));
+    }
+  }
 }
