Name the target that a probe is meant for; take 421 for no sign of life

Cause: whoever had the address answered a probe, and any head counted.

Change: the probe carries the header of the expected target, and 421 is probed(false). Any other head still counts.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/ProbeHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/ProbeHandler.java
@@ -2,12 +2,18 @@
 
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.AnswerEnd;
 import org.gatereel.core.forward.TargetPort;
 import org.gatereel.forward.ControlThread;
 
-/** Tells the core whether a target answers at all; any head counts. */
+/**
+ * Tells the core whether a target answers at all.
+ *
+ * <p>Any head counts but that the target is not the one that was meant: a process that has taken an
+ * address over proves nothing about the one before.
+ */
 final class ProbeHandler extends TargetHandler {
   private final TargetPort.ProbeListener listener;
 
@@ -22,7 +28,7 @@
   @Override
   void onHead(HttpResponse head) {
     forget();
-    listener.probed(true);
+    listener.probed(!head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST));
   }
 
   @Override
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
@@ -77,6 +77,7 @@
     FullHttpRequest request =
         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, dialect.probePath());
     request.headers().set(HttpHeaderNames.HOST, target.address().toString());
+    request.headers().set(names.expectedTarget(), target.id().value());
     ProbeHandler handler = new ProbeHandler(control, listener);
     Channel channel = open(target.address(), handler, request);
     control
