Show what a cut or interim answer does to the reader of documents

Cause: DocumentClient takes the end of a connection for the end of a document without length or chunks, and any head, also an interim one, for the answer.

--- /dev/null
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/DocumentClientTest.java
@@ -0,0 +1,161 @@
+package org.gatereel.forward.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.gatereel.core.model.Address;
+import org.gatereel.forward.http.DocumentClient.Document;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * The end of a connection was taken for the end of a document that has neither length nor chunks,
+ * and an interim answer for the document itself, so that the answer after it went to the next
+ * question.
+ */
+class DocumentClientTest {
+  private static final int PATIENCE_MILLIS = 20_000;
+
+  private MultiThreadIoEventLoopGroup group;
+  private EventLoop loop;
+  private ServerSocket server;
+  private DocumentClient client;
+
+  @BeforeEach
+  void open() throws IOException {
+    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    loop = (EventLoop) group.next();
+    server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    client = new DocumentClient(loop, new Address("127.0.0.1", server.getLocalPort()));
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    loop.submit(client::close).await();
+    server.close();
+    group.shutdownGracefully(0, 0, TimeUnit.SECONDS).await();
+  }
+
+  /** Asks on the client's thread; the answer is "none", or the status and the body. */
+  private CompletableFuture<String> ask(String path) {
+    CompletableFuture<String> answer = new CompletableFuture<>();
+    loop.execute(() -> askHere(path, answer));
+    return answer;
+  }
+
+  private void askHere(String path, CompletableFuture<String> answer) {
+    client.get(path, PATIENCE_MILLIS, document -> answer.complete(text(document)));
+  }
+
+  private static String text(Optional<Document> document) {
+    return document
+        .map(found -> found.status() + " " + new String(found.body(), StandardCharsets.US_ASCII))
+        .orElse("none");
+  }
+
+  private static String await(CompletableFuture<String> answer) throws Exception {
+    return answer.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private Socket accept() throws IOException {
+    Socket socket = server.accept();
+    socket.setSoTimeout(PATIENCE_MILLIS);
+    return socket;
+  }
+
+  private static void readQuestion(Socket socket) throws IOException {
+    BufferedReader reader =
+        new BufferedReader(
+            new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+    String line = reader.readLine();
+    while (line != null && !line.isEmpty()) {
+      line = reader.readLine();
+    }
+  }
+
+  private static void write(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.replace("|", "\r\n").getBytes(StandardCharsets.US_ASCII));
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK|Content-Length: 3||1",
+        "HTTP/1.1 200 OK|Content-Length: 1||",
+        "HTTP/1.1 200 OK|Content-Length: 1|Content-Length: 2||12",
+        "HTTP/1.1 200 OK|Transfer-Encoding: chunked||2|1",
+        "HTTP/1.1 200 OK|Transfer-Encoding: chunked||2|12|",
+        "HTTP/1.1 200 OK|Transfer-Encoding: chunked||2|12|0|",
+        "HTTP/1.1 200 OK|Transfer-Encoding: chunked||2|12|what|",
+        "HTTP/1.1 200 OK|Transfer-Encoding: gzip, chunked||2|12|0||",
+        "HTTP/1.1 200 OK|Content-Le",
+        "HTTP/1.1 101 Switching Protocols||",
+        "HTTP/1.1 100 Continue||",
+        "",
+      })
+  void takesNoCutAnswerForADocument(String answer) throws Exception {
+    CompletableFuture<String> heard = ask("/");
+    try (Socket socket = accept()) {
+      readQuestion(socket);
+      write(socket, answer);
+    }
+
+    assertEquals("none", await(heard));
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK|Content-Length: 2||12",
+        "HTTP/1.1 200 OK|Transfer-Encoding: chunked||2|12|0||",
+      })
+  void readsADocument(String answer) throws Exception {
+    CompletableFuture<String> heard = ask("/");
+    try (Socket socket = accept()) {
+      readQuestion(socket);
+      write(socket, answer);
+
+      assertEquals("200 12", await(heard));
+    }
+  }
+
+  @Test
+  void givesNoQuestionTheAnswerOfTheOneBefore() throws Exception {
+    CompletableFuture<String> second = new CompletableFuture<>();
+    CompletableFuture<String> first = new CompletableFuture<>();
+    loop.execute(
+        () ->
+            client.get(
+                "/first",
+                PATIENCE_MILLIS,
+                document -> {
+                  first.complete(text(document));
+                  askHere("/second", second);
+                }));
+    try (Socket socket = accept()) {
+      readQuestion(socket);
+      write(socket, "HTTP/1.1 103 Early Hints||HTTP/1.1 200 OK|Content-Length: 5||first");
+      assertEquals("none", await(first));
+      try (Socket next = accept()) {
+        readQuestion(next);
+        write(next, "HTTP/1.1 200 OK|Content-Length: 6||second");
+        assertEquals("200 second", await(second));
+      }
+    }
+  }
+}
