Tell whether a document has its own end; drop connections with interim answers

Cause: the reader of documents took the end of a connection for the end of a document, and an interim answer for one.

Change: a document tells whether a length or chunks say that nothing is missing. The number of lent repeats is believed only then (no host answers otherwise); JSON shows its end itself and is read as before, as a store or an engine may answer without a length. An interim answer or a framing in doubt is no answer, and its connection is dropped, so that what follows cannot go to the next question.

Ruled out: refusing documents without a length altogether (whether stores and engines always send one is not known here).

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/DocumentClient.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/DocumentClient.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -19,12 +20,14 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.gatereel.core.forward.AnswerEnd;
 import org.gatereel.core.model.Address;
 
 /**
@@ -43,9 +46,14 @@
   private Consumer<Optional<Document>> waiting;
   private ScheduledFuture<?> timer;
 
-  /** An answer with its whole body. */
+  /**
+   * An answer with its body.
+   *
+   * @param hasOwnEnd whether a length or chunks say that nothing is missing; of a body without,
+   *     whose connection ended, a part may be missing unless its text shows its end, as JSON does
+   */
   @SuppressWarnings("ArrayRecordComponent") // compared by nobody
-  public record Document(int status, byte[] body) {}
+  public record Document(int status, byte[] body, boolean hasOwnEnd) {}
 
   public DocumentClient(EventLoop loop, Address address) {
     this.loop = loop;
@@ -96,11 +104,13 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel fresh) {
+                    HeadReader heads = new HeadReader();
                     fresh
                         .pipeline()
                         .addLast(new HttpClientCodec())
+                        .addLast(heads)
                         .addLast(new HttpObjectAggregator(LARGEST_DOCUMENT))
-                        .addLast(new AnswerHandler());
+                        .addLast(new AnswerHandler(heads));
                   }
                 })
             .connect(address.ip(), address.port());
@@ -145,18 +155,47 @@
     fail();
   }
 
+  /** Keeps how the present answer is framed, which it does not show any more when it is whole. */
+  private static final class HeadReader extends ChannelInboundHandlerAdapter {
+    private Optional<AnswerEnd> end = Optional.empty();
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      if (message instanceof HttpResponse head) {
+        end = endOf(head);
+      }
+      context.fireChannelRead(message);
+    }
+
+    /** An interim answer is as bad as none: what follows it must not go to a later question. */
+    private static Optional<AnswerEnd> endOf(HttpResponse head) {
+      return AnswerFraming.isInterim(head)
+          ? Optional.empty()
+          : AnswerFraming.endOf(HttpMethod.GET, head);
+    }
+  }
+
   private final class AnswerHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final HeadReader heads;
+
+    private AnswerHandler(HeadReader heads) {
+      this.heads = heads;
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
       if (context.channel() != channel) {
         return;
       }
-      boolean broken = response.decoderResult().isFailure() || waiting == null;
+      boolean broken =
+          response.decoderResult().isFailure() || waiting == null || heads.end.isEmpty();
       if (broken || !HttpUtil.isKeepAlive(response)) {
         dropConnection();
       }
       byte[] body = ByteBufUtil.getBytes(response.content());
-      settle(broken ? Optional.empty() : Optional.of(new Document(response.status().code(), body)));
+      boolean hasOwnEnd = !heads.end.equals(Optional.of(AnswerEnd.CONNECTION_CLOSED));
+      Document document = new Document(response.status().code(), body, hasOwnEnd);
+      settle(broken ? Optional.empty() : Optional.of(document));
     }
 
     @Override
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/RepeatClient.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/RepeatClient.java
@@ -62,7 +62,7 @@
     asking = false;
     int lent =
         document
-            .filter(found -> found.status() == OK)
+            .filter(found -> found.status() == OK && found.hasOwnEnd())
             .map(found -> RepeatLending.readAnswer(found.body()))
             .orElse(0);
     control.run(() -> question.answer().accept(lent));
