--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/AnswerFraming.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/AnswerFraming.java
@@ -46,7 +46,7 @@
    * coding, and would take the coded bytes for the answer.
    *
    * @param asked the method of the request
-   * @param head the head of an answer that is not interim, or that ends HTTP on the connection
+   * @param head the head of an answer that is not interim
    */
   static Optional<AnswerEnd> endOf(HttpMethod asked, HttpResponse head) {
     if (leavesHttp(asked, head)) {
