Reset callers without chunks whose answer is not whole

An answer without length or chunks was ended in order whenever its connection ended. Change: while such an answer is not finished its connection carries SO_LINGER 0, set before its head is written and taken back when its last byte is with the system, before the close. So every end in between is a reset, also that by the system after a kill. Answers in chunks keep the orderly close: the missing last chunk shows the cut, and a reset would throw events away that the caller has not read. Run: CutAnswersTest and KilledHostTest.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerAnswer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerAnswer.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Set;
@@ -79,6 +80,9 @@
     copyHeaders(response.headers());
     if (takesChunks) {
       response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    } else {
+      // Before the first byte leaves: from then on the connection may end at any moment.
+      ConnectionEnd.becomesReset(channel);
     }
     channel.write(response);
   }
@@ -98,7 +102,7 @@
   @Override
   public void finish() {
     if (headWritten) {
-      end(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+      endWritten();
       return;
     }
     byte[] body = held == null ? new byte[0] : held;
@@ -110,6 +114,21 @@
     end(channel.writeAndFlush(response));
   }
 
+  private void endWritten() {
+    ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+    if (!takesChunks) {
+      written.addListener(this::allWritten);
+    }
+    end(written);
+  }
+
+  /** A reset would throw away what is not yet sent, so the system has to have the last byte. */
+  private void allWritten(Future<? super Void> written) {
+    if (written.isSuccess()) {
+      ConnectionEnd.becomesOrderly(channel);
+    }
+  }
+
   @Override
   public void abort() {
     channel.close();
