Close callers' connections when a host in this process is closed

Cause: the event loop's shutdown leaves out the closing of registered channels if it is asked for while the loop runs tasks (quiet period 0). The connections then stayed open without anybody to serve them, and a caller waited for the rest of its answer. A process that ends is not concerned: the system closes them. Ruled out: last chunks or complete ends by the shutdown (callers are now closed first, which also forgets the attempts, before the ends of targets' connections can be read); SO_LINGER, which answers in chunks do not get. Change: CallerServer.close closes the open connections on the loop; the host's drain, which must leave them open, only stops listening.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -252,7 +252,7 @@
     }
     boolean done = now >= restUntil && forwarder.openExchanges() == 0;
     if (done || now >= deadline) {
-      callers.close();
+      callers.stopListening();
       control.run(forwarder::stopAll);
       log.event(EventCode.HOST_STOPPED, settings.host(), "inTime=" + done);
       control.loop().schedule(drained::countDown, DRAIN_CHECK_MILLIS, TimeUnit.MILLISECONDS);
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
@@ -109,6 +109,11 @@
     }
   }
 
+  /** Closes, also in the middle of an answer, which is then cut. */
+  void close() {
+    channel.close();
+  }
+
   private void startIdleTimer() {
     stopIdleTimer();
     long millis = server.limits().idleMillis();
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerServer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerServer.java
@@ -132,10 +132,23 @@
     return connections.size();
   }
 
-  @Override
-  public void close() {
+  /** Takes no more connections; those that are open stay. */
+  public void stopListening() {
     if (listener != null) {
       listener.close();
     }
   }
+
+  /**
+   * Takes no more connections and closes those that are open.
+   *
+   * <p>The event loop may end without closing what is registered with it, and callers would wait
+   * for the rest of an answer. They are closed before the targets' connections, so that the end of
+   * those, which is this host's doing, is taken for the end of no answer.
+   */
+  @Override
+  public void close() {
+    stopListening();
+    control.loop().execute(() -> List.copyOf(connections).forEach(CallerConnection::close));
+  }
 }
