--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/SlowHeadGuard.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/SlowHeadGuard.java
@@ -41,6 +41,12 @@
     context.channel().writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
   }
 
+  /** An answer is owed; a refusal before it would be taken for it. */
+  void holdBack() {}
+
+  /** All answers that were owed are given. */
+  void letGo() {}
+
   private void headSeen() {
     withinBody = true;
     stop();
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/SlowHeadGuardTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/SlowHeadGuardTest.java
@@ -1,6 +1,7 @@
 package org.gatereel.forward.http;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
@@ -15,13 +16,13 @@
 class SlowHeadGuardTest {
   private static final long LIMIT_MILLIS = 400;
 
+  private SlowHeadGuard guard;
   private EmbeddedChannel channel;
 
   @BeforeEach
   void open() {
-    channel =
-        new EmbeddedChannel(
-            new SlowHeadGuard(LIMIT_MILLIS), new HttpServerCodec(), new SlowHeadGuard.HeadSeen());
+    guard = new SlowHeadGuard(LIMIT_MILLIS);
+    channel = new EmbeddedChannel(guard, new HttpServerCodec(), new SlowHeadGuard.HeadSeen());
     channel.freezeTime();
   }
 
@@ -71,4 +72,38 @@
 
     assertTrue(channel.isOpen());
   }
+
+  /**
+   * A caller that sent part of its next request while it waited for an answer was refused at once:
+   * it took the refusal, which promises that nothing ran, for the answer that it waited for.
+   */
+  @Test
+  void refusesNoHeadBeforeTheAnswersThatAreOwed() {
+    receive("GET / HTTP/1.1\r\n\r\n");
+    guard.holdBack();
+    receive("GET / HT");
+    pass(LIMIT_MILLIS);
+
+    assertNull(channel.readOutbound());
+    assertTrue(channel.isOpen());
+
+    guard.letGo();
+
+    ByteBuf answer = channel.readOutbound();
+    assertTrue(answer.toString(StandardCharsets.US_ASCII).startsWith("HTTP/1.1 408 "));
+    assertFalse(channel.isOpen());
+  }
+
+  @Test
+  void forgivesALateHeadThatIsWholeBeforeTheAnswersThatAreOwed() {
+    receive("GET / HTTP/1.1\r\n\r\n");
+    guard.holdBack();
+    receive("GET / HT");
+    pass(LIMIT_MILLIS);
+    receive("TP/1.1\r\n\r\n");
+    guard.letGo();
+
+    assertNull(channel.readOutbound());
+    assertTrue(channel.isOpen());
+  }
 }
