End answers with their head where due, and write nothing after an end

A caller's answer was framed by whether its head had been written, not by whether a body may follow. Change: answers to HEAD and with 204 or 304 are sent as a head alone, with the target's length if it told one. An HTTP/1.0 connection that stays open says so. Chunks are for HTTP/1.1 and later, no longer for whatever version is not 1.0. After a final call, or after the connection was closed for a caller that does not read, nothing is written; a refusal after a head breaks the answer off; an end that cannot be written closes the connection, so that no next answer comes in its place.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerAnswer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerAnswer.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -23,7 +24,13 @@
 import org.gatereel.core.forward.CallerPort;
 import org.gatereel.core.forward.Refusal;
 
-/** Writes the answer to one request of a connection. */
+/**
+ * Writes the answer to one request of a connection.
+ *
+ * <p>A caller sees where an answer ends by a length, by the last chunk, by its head alone where no
+ * body can follow, or, without chunks, by the end of the connection. Nothing is written after the
+ * final call, nor after the connection was closed for a caller that does not read.
+ */
 final class CallerAnswer implements CallerPort {
   private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -31,16 +38,19 @@
   private final Channel channel;
   private final boolean keepAlive;
   private final boolean takesChunks;
+  private final boolean isForHead;
   private TargetHead head;
   private byte[] held;
   private boolean headWritten;
+  private boolean over;
 
   CallerAnswer(
       CallerConnection connection, Channel channel, FullHttpRequest request, boolean keepAlive) {
     this.connection = connection;
     this.channel = channel;
     this.keepAlive = keepAlive;
-    this.takesChunks = request.protocolVersion().isKeepAliveDefault();
+    this.takesChunks = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
+    this.isForHead = request.method().equals(HttpMethod.HEAD);
   }
 
   @Override
@@ -51,6 +61,9 @@
   /** The first bytes of a plain answer are held, since most have no others: one write is enough. */
   @Override
   public void write(byte[] bytes) {
+    if (over || isBodiless()) {
+      return;
+    }
     if (!headWritten && held == null && !head.isEventStream()) {
       held = bytes;
       return;
@@ -60,10 +73,17 @@
     channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
     if (!channel.isWritable()) {
       // The caller does not read; to hold its answer without bound would cost all others.
-      channel.close();
+      abort();
     }
   }
 
+  /** Returns whether the answer ends with its head, whatever the head says. */
+  private boolean isBodiless() {
+    return isForHead
+        || head.line().equals(HttpResponseStatus.NO_CONTENT)
+        || head.line().equals(HttpResponseStatus.NOT_MODIFIED);
+  }
+
   private void writeHeld() {
     if (held != null) {
       channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(held)));
@@ -89,8 +109,14 @@
 
   private void copyHeaders(HttpHeaders to) {
     HopByHop.copy(head.headers(), to, Set.of());
+    tellWhetherItStaysOpen(to);
+  }
+
+  private void tellWhetherItStaysOpen(HttpHeaders headers) {
     if (!staysOpen()) {
-      to.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+      headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    } else if (!takesChunks) {
+      headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
     }
   }
 
@@ -101,19 +127,39 @@
 
   @Override
   public void finish() {
+    if (over) {
+      return;
+    }
+    over = true;
     if (headWritten) {
       endWritten();
-      return;
+    } else {
+      writeWhole();
     }
+  }
+
+  private void writeWhole() {
     byte[] body = held == null ? new byte[0] : held;
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, head.line(), Unpooled.wrappedBuffer(body));
     copyHeaders(response.headers());
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+    if (isBodiless()) {
+      copyLength(response.headers());
+    } else {
+      response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+    }
     end(channel.writeAndFlush(response));
   }
 
+  /** The length of the body that a GET would bring, or has brought, is for the target to tell. */
+  private void copyLength(HttpHeaders to) {
+    String length = head.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+    if (length != null) {
+      to.set(HttpHeaderNames.CONTENT_LENGTH, length);
+    }
+  }
+
   private void endWritten() {
     ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
     if (!takesChunks) {
@@ -131,11 +177,21 @@
 
   @Override
   public void abort() {
+    over = true;
     channel.close();
   }
 
   @Override
   public void refuse(Refusal refusal, long retryAfterMillis) {
+    if (over) {
+      return;
+    }
+    if (headWritten) {
+      // It would be read as the rest of the answer that was begun.
+      abort();
+      return;
+    }
+    over = true;
     byte[] body =
         ("{\"type\":\"" + refusal.name().toLowerCase(Locale.ROOT) + "\"}")
             .getBytes(StandardCharsets.UTF_8);
@@ -151,17 +207,15 @@
       headers.set(
           HttpHeaderNames.RETRY_AFTER, Double.toString(retryAfterMillis / MILLIS_PER_SECOND));
     }
-    if (!staysOpen()) {
-      headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    }
+    tellWhetherItStaysOpen(headers);
     end(channel.writeAndFlush(response));
   }
 
   private void end(ChannelFuture written) {
     boolean open = staysOpen();
-    if (!open) {
-      written.addListener(ChannelFutureListener.CLOSE);
-    }
+    // Behind an end that could not be written, the next answer would be read as part of this one.
+    written.addListener(
+        open ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
     connection.answered(open);
   }
 }
