Refuse slow heads and too long bodies only after the answers before them

Both refusals were written past the queue of answers. Ruled out: a refusal within chunks, which the encoder rejects and which closes the connection; the caller sees that cut. Change: a request whose body is too long is passed on as failed and refused in its turn (RequestAggregator); a slow head is refused when no answer is owed, and forgiven if it comes until then; what is read after such a refusal is dropped, since it promises that nothing ran. CONNECT is refused. While an answer is owed no body is asked for (100), which also would come between. Run: SlowHeadGuardTest, BodilessAnswersTest, AnswerOrderTest, CutAnswersTest, ForwardedBytesTest.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
@@ -4,7 +4,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -24,13 +26,15 @@
 
   private final CallerServer server;
   private final Channel channel;
+  private final SlowHeadGuard guard;
   private final PipelineQueue<FullHttpRequest> requests = new PipelineQueue<>();
   private Optional<Exchange> exchange = Optional.empty();
   private ScheduledFuture<?> idleTimer;
 
-  CallerConnection(CallerServer server, Channel channel) {
+  CallerConnection(CallerServer server, Channel channel, SlowHeadGuard guard) {
     this.server = server;
     this.channel = channel;
+    this.guard = guard;
   }
 
   @Override
@@ -53,12 +57,17 @@
 
   private void handle(FullHttpRequest request) {
     stopIdleTimer();
-    boolean keepAlive = HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess();
-    CallerAnswer mine = new CallerAnswer(this, channel, request, keepAlive);
+    guard.holdBack();
+    CallerAnswer mine = new CallerAnswer(this, channel, request, mayStayOpen(request));
     if (request.decoderResult().isFailure()) {
       mine.refuse(refusal(request.decoderResult().cause()), 0);
       return;
     }
+    if (request.method().equals(HttpMethod.CONNECT)) {
+      // What follows a success is a tunnel's bytes, without a frame that would show a cut.
+      mine.refuse(Refusal.MALFORMED, 0);
+      return;
+    }
     try {
       IncomingRequest incoming = IncomingRequest.read(request, server.names());
       server.control().run(() -> exchange = accept(incoming, mine));
@@ -67,11 +76,29 @@
     }
   }
 
+  private static boolean mayStayOpen(FullHttpRequest request) {
+    // A caller that waits to be asked for its body sends either that or its next request.
+    boolean nextIsKnown =
+        request.decoderResult().isSuccess()
+            || (isBodyTooLong(request.decoderResult().cause())
+                && !HttpUtil.is100ContinueExpected(request));
+    return HttpUtil.isKeepAlive(request)
+        && nextIsKnown
+        && !request.method().equals(HttpMethod.CONNECT);
+  }
+
+  private static boolean isBodyTooLong(Throwable cause) {
+    return cause instanceof TooLongHttpContentException;
+  }
+
   private Optional<Exchange> accept(IncomingRequest incoming, CallerAnswer mine) {
     return server.forwarder().accept(incoming, mine);
   }
 
   private static Refusal refusal(Throwable cause) {
+    if (isBodyTooLong(cause)) {
+      return Refusal.BODY_TOO_LARGE;
+    }
     boolean tooLong =
         cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
     return tooLong ? Refusal.HEAD_TOO_LARGE : Refusal.MALFORMED;
@@ -85,7 +112,10 @@
     }
     startIdleTimer();
     // Not from within the answer before, which may still be in the middle of a decision.
-    requests.done().ifPresent(next -> channel.eventLoop().execute(() -> handleWaiting(next)));
+    requests
+        .done()
+        .ifPresentOrElse(
+            next -> channel.eventLoop().execute(() -> handleWaiting(next)), guard::letGo);
   }
 
   private void handleWaiting(FullHttpRequest next) {
@@ -99,6 +129,11 @@
     }
   }
 
+  /** Returns whether an answer is owed. */
+  boolean isAnswering() {
+    return !requests.isIdle();
+  }
+
   boolean isDraining() {
     return server.isDraining();
   }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerServer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerServer.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -81,14 +80,15 @@
 
   private void accept(Channel channel) {
     Limits limits = limits();
-    CallerConnection connection = new CallerConnection(this, channel);
+    SlowHeadGuard guard = new SlowHeadGuard(limits.headMillis());
+    CallerConnection connection = new CallerConnection(this, channel, guard);
     connections.add(connection);
     channel
         .pipeline()
-        .addLast(new SlowHeadGuard(limits.headMillis()))
+        .addLast(guard)
         .addLast(new HttpServerCodec(limits.headBytes(), limits.headBytes(), LARGEST_CHUNK))
         .addLast(new SlowHeadGuard.HeadSeen())
-        .addLast(new HttpObjectAggregator(limits.bodyBytes()))
+        .addLast(new RequestAggregator(limits.bodyBytes(), connection::isAnswering))
         .addLast(connection);
   }
 
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/SlowHeadGuard.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/SlowHeadGuard.java
@@ -11,28 +11,57 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
-/** Ends a connection whose caller takes too long over the head of a request. */
+/**
+ * Ends a connection whose caller takes too long over the head of a request.
+ *
+ * <p>A caller that is owed an answer would take the refusal for it; so the refusal waits until all
+ * answers are given, and is dropped if the head comes until then.
+ */
 final class SlowHeadGuard extends ChannelInboundHandlerAdapter {
   private final long millis;
   private ScheduledFuture<?> timer;
+  private ChannelHandlerContext context;
   private boolean withinBody;
+  private boolean heldBack;
+  private boolean late;
+  private boolean refused;
 
   SlowHeadGuard(long millis) {
     this.millis = millis;
   }
 
   @Override
-  public void channelRead(ChannelHandlerContext context, Object bytes) throws Exception {
+  public void handlerAdded(ChannelHandlerContext added) {
+    context = added;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext reading, Object bytes) throws Exception {
+    if (refused) {
+      // The caller was told that nothing of this ran.
+      ReferenceCountUtil.release(bytes);
+      return;
+    }
     if (timer == null && !withinBody) {
-      timer = context.executor().schedule(() -> refuse(context), millis, TimeUnit.MILLISECONDS);
+      timer = context.executor().schedule(this::timeIsUp, millis, TimeUnit.MILLISECONDS);
+    }
+    super.channelRead(reading, bytes);
+  }
+
+  private void timeIsUp() {
+    if (heldBack) {
+      late = true;
+    } else {
+      refuse();
     }
-    super.channelRead(context, bytes);
   }
 
-  private static void refuse(ChannelHandlerContext context) {
+  private void refuse() {
+    refused = true;
     DefaultFullHttpResponse answer =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, HttpResponseStatus.REQUEST_TIMEOUT, Unpooled.EMPTY_BUFFER);
@@ -42,10 +71,17 @@
   }
 
   /** An answer is owed; a refusal before it would be taken for it. */
-  void holdBack() {}
+  void holdBack() {
+    heldBack = true;
+  }
 
   /** All answers that were owed are given. */
-  void letGo() {}
+  void letGo() {
+    heldBack = false;
+    if (late) {
+      refuse();
+    }
+  }
 
   private void headSeen() {
     withinBody = true;
@@ -57,6 +93,7 @@
   }
 
   private void stop() {
+    late = false;
     if (timer != null) {
       timer.cancel(false);
       timer = null;
