Break an answer off when one of its parts cannot be written

Change: the failure of any part of an answer closes the connection, as that of its end already did; without chunks it ends by a reset.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerAnswer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerAnswer.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -70,7 +71,8 @@
     }
     writeHead();
     writeHeld();
-    channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+    writePart(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+    channel.flush();
     if (!channel.isWritable()) {
       // The caller does not read; to hold its answer without bound would cost all others.
       abort();
@@ -86,7 +88,7 @@
 
   private void writeHeld() {
     if (held != null) {
-      channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(held)));
+      writePart(new DefaultHttpContent(Unpooled.wrappedBuffer(held)));
       held = null;
     }
   }
@@ -104,7 +106,17 @@
       // Before the first byte leaves: from then on the connection may end at any moment.
       ConnectionEnd.becomesReset(channel);
     }
-    channel.write(response);
+    writePart(response);
+  }
+
+  /**
+   * Writes a part whose failure ends the connection.
+   *
+   * <p>A write can fail by itself, as where memory for its buffer lacks; what came after it would
+   * make the answer look complete.
+   */
+  private void writePart(HttpObject part) {
+    channel.write(part).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
   }
 
   private void copyHeaders(HttpHeaders to) {
