--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerAnswer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerAnswer.java
@@ -11,10 +11,13 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Set;
@@ -22,7 +25,13 @@
 import org.gatereel.core.forward.CallerPort;
 import org.gatereel.core.forward.Refusal;
 
-/** Writes the answer to one request of a connection. */
+/**
+ * Writes the answer to one request of a connection.
+ *
+ * <p>A caller sees where an answer ends by a length, by the last chunk, by its head alone where no
+ * body can follow, or, without chunks, by the end of the connection. Nothing is written after the
+ * final call, nor after the connection was closed for a caller that does not read.
+ */
 final class CallerAnswer implements CallerPort {
   private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -30,16 +39,19 @@
   private final Channel channel;
   private final boolean keepAlive;
   private final boolean takesChunks;
+  private final boolean isForHead;
   private TargetHead head;
   private byte[] held;
   private boolean headWritten;
+  private boolean over;
 
   CallerAnswer(
       CallerConnection connection, Channel channel, FullHttpRequest request, boolean keepAlive) {
     this.connection = connection;
     this.channel = channel;
     this.keepAlive = keepAlive;
-    this.takesChunks = request.protocolVersion().isKeepAliveDefault();
+    this.takesChunks = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
+    this.isForHead = request.method().equals(HttpMethod.HEAD);
   }
 
   @Override
@@ -50,22 +62,33 @@
   /** The first bytes of a plain answer are held, since most have no others: one write is enough. */
   @Override
   public void write(byte[] bytes) {
+    if (over || isBodiless()) {
+      return;
+    }
     if (!headWritten && held == null && !head.isEventStream()) {
       held = bytes;
       return;
     }
     writeHead();
     writeHeld();
-    channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+    writePart(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+    channel.flush();
     if (!channel.isWritable()) {
       // The caller does not read; to hold its answer without bound would cost all others.
-      channel.close();
+      abort();
     }
   }
 
+  /** Returns whether the answer ends with its head, whatever the head says. */
+  private boolean isBodiless() {
+    return isForHead
+        || head.line().equals(HttpResponseStatus.NO_CONTENT)
+        || head.line().equals(HttpResponseStatus.NOT_MODIFIED);
+  }
+
   private void writeHeld() {
     if (held != null) {
-      channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(held)));
+      writePart(new DefaultHttpContent(Unpooled.wrappedBuffer(held)));
       held = null;
     }
   }
@@ -79,14 +102,33 @@
     copyHeaders(response.headers());
     if (takesChunks) {
       response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    } else {
+      // Before the first byte leaves: from then on the connection may end at any moment.
+      ConnectionEnd.becomesReset(channel);
     }
-    channel.write(response);
+    writePart(response);
+  }
+
+  /**
+   * Writes a part whose failure ends the connection.
+   *
+   * <p>A write can fail by itself, as where memory for its buffer lacks; what came after it would
+   * make the answer look complete.
+   */
+  private void writePart(HttpObject part) {
+    channel.write(part).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
   }
 
   private void copyHeaders(HttpHeaders to) {
     HopByHop.copy(head.headers(), to, Set.of());
+    tellWhetherItStaysOpen(to);
+  }
+
+  private void tellWhetherItStaysOpen(HttpHeaders headers) {
     if (!staysOpen()) {
-      to.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+      headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    } else if (!takesChunks) {
+      headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
     }
   }
 
@@ -97,26 +139,71 @@
 
   @Override
   public void finish() {
-    if (headWritten) {
-      end(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+    if (over) {
       return;
     }
+    over = true;
+    if (headWritten) {
+      endWritten();
+    } else {
+      writeWhole();
+    }
+  }
+
+  private void writeWhole() {
     byte[] body = held == null ? new byte[0] : held;
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, head.line(), Unpooled.wrappedBuffer(body));
     copyHeaders(response.headers());
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+    if (isBodiless()) {
+      copyLength(response.headers());
+    } else {
+      response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+    }
     end(channel.writeAndFlush(response));
   }
 
+  /** The length of the body that a GET would bring, or has brought, is for the target to tell. */
+  private void copyLength(HttpHeaders to) {
+    String length = head.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+    if (length != null) {
+      to.set(HttpHeaderNames.CONTENT_LENGTH, length);
+    }
+  }
+
+  private void endWritten() {
+    ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+    if (!takesChunks) {
+      written.addListener(this::allWritten);
+    }
+    end(written);
+  }
+
+  /** A reset would throw away what is not yet sent, so the system has to have the last byte. */
+  private void allWritten(Future<? super Void> written) {
+    if (written.isSuccess()) {
+      ConnectionEnd.becomesOrderly(channel);
+    }
+  }
+
   @Override
   public void abort() {
+    over = true;
     channel.close();
   }
 
   @Override
   public void refuse(Refusal refusal, long retryAfterMillis) {
+    if (over) {
+      return;
+    }
+    if (headWritten) {
+      // It would be read as the rest of the answer that was begun.
+      abort();
+      return;
+    }
+    over = true;
     byte[] body =
         ("{\"type\":\"" + refusal.name().toLowerCase(Locale.ROOT) + "\"}")
             .getBytes(StandardCharsets.UTF_8);
@@ -132,17 +219,15 @@
       headers.set(
           HttpHeaderNames.RETRY_AFTER, Double.toString(retryAfterMillis / MILLIS_PER_SECOND));
     }
-    if (!staysOpen()) {
-      headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    }
+    tellWhetherItStaysOpen(headers);
     end(channel.writeAndFlush(response));
   }
 
   private void end(ChannelFuture written) {
     boolean open = staysOpen();
-    if (!open) {
-      written.addListener(ChannelFutureListener.CLOSE);
-    }
+    // Behind an end that could not be written, the next answer would be read as part of this one.
+    written.addListener(
+        open ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
     connection.answered(open);
   }
 }
