Show that a caller who was cut off counts as present while an engine's backlog is handled

Cause: the host cuts a slow reader off on the control thread and posts CallerGone behind all that waits in its inbox. Where the engine is ahead, that is the rest of the answer with its end: the core goes through it for nobody and notes GENERATION_DELIVERED for a caller who never had the end.

Ruled out, in the new test: that the answer was held for the reader (nothing is written after the cut; the last event written is the problem) and that a generation which ended early was finished (all its tokens came).

The new test has the whole answer wait before its first event is handled.

--- /dev/null
+++ b/gatereel-daemon/src/test/java/org/gatereel/daemon/callers/SlowReaderTest.java
@@ -0,0 +1,192 @@
+package org.gatereel.daemon.callers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jooby.Context;
+import io.jooby.Route;
+import io.jooby.Sender;
+import java.lang.reflect.Proxy;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.gatereel.core.EntryHost;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.edit.TableEditCodec;
+import org.gatereel.core.event.Event;
+import org.gatereel.core.event.EventCode;
+import org.gatereel.core.model.Address;
+import org.gatereel.core.model.DataCentre;
+import org.gatereel.core.model.HostId;
+import org.gatereel.core.model.HostList;
+import org.gatereel.core.model.LifeState;
+import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.model.TargetDescription;
+import org.gatereel.core.model.TargetId;
+import org.gatereel.core.model.TargetKind;
+import org.gatereel.core.platform.ReadResult;
+import org.gatereel.core.table.Row;
+import org.gatereel.core.table.RowKey;
+import org.gatereel.core.table.RowKind;
+import org.gatereel.core.table.TableEdit;
+import org.gatereel.daemon.control.ControlLoop;
+import org.gatereel.daemon.events.EventLog;
+import org.gatereel.daemon.settings.SettingsReader;
+import org.junit.jupiter.api.Test;
+
+/** What the host says of a generation whose caller does not read. */
+class SlowReaderTest {
+  private static final String CREDENTIAL = "ab".repeat(32);
+  private static final ServiceName SERVICE = new ServiceName("assistant");
+  private static final int TOKENS = 2_000;
+  private static final int MOST_WAITING_BYTES = 65_536;
+  private static final long PATIENCE_SECONDS = 30;
+  private static final String SETTINGS =
+      """
+      {"host": "entry-1", "dataCentre": "ollur",
+       "httpAddress": {"ip": "127.0.0.1", "port": 8080},
+       "peerAddress": {"ip": "127.0.0.1", "port": 8081},
+       "platform": {"ip": "127.0.0.1", "port": 9000}, "logLevel": "WARNING"}
+      """;
+
+  private final TreeMap<String, String> table = new TreeMap<>();
+  private final BlockingQueue<EventCode> notes = new LinkedBlockingQueue<>();
+  private final List<String> written = new CopyOnWriteArrayList<>();
+  private final Exchanges exchanges =
+      new Exchanges(MOST_WAITING_BYTES, event -> this.loop.post(event));
+  private ControlLoop loop;
+
+  private void seed(long revision, RowKind kind, String name, Map<String, String> cells) {
+    Row row = new Row(new RowKey(kind, name), revision, false, new TreeMap<>(cells));
+    String text = TableEditCodec.encode(new TableEdit(row, "seed-" + revision, "seed", 0));
+    table.put("policy/row/" + row.key(), text);
+    table.put("policy/history/" + String.format("%012d", revision), text);
+    table.put("policy/revision", Long.toString(revision));
+  }
+
+  private void run(Action action) {
+    if (action instanceof Action.ReadRows read) {
+      TreeMap<String, String> found = new TreeMap<>(table);
+      found.keySet().retainAll(read.keys());
+      loop.post(new Event.ReadEnded(read.ticket(), new ReadResult.Rows(found)));
+    } else if (action instanceof Action.ScanRows scan) {
+      TreeMap<String, String> found = new TreeMap<>(table);
+      found
+          .keySet()
+          .removeIf(key -> !key.startsWith(scan.prefix()) || key.compareTo(scan.after()) <= 0);
+      loop.post(new Event.ReadEnded(scan.ticket(), new ReadResult.Rows(found)));
+    } else if (action instanceof Action.StartAttempt start) {
+      answerAtOnce(start);
+    } else if (action instanceof Action.SendToken send) {
+      exchanges.sendToken(send);
+    } else if (action instanceof Action.Note note) {
+      notes.add(note.code());
+    } else {
+      exchanges.run(action);
+    }
+  }
+
+  /** Has the whole answer of an engine wait for the control thread, which runs this. */
+  private void answerAtOnce(Action.StartAttempt start) {
+    for (int offset = 0; offset < TOKENS; offset++) {
+      String token = "token " + offset;
+      loop.post(new Event.TokenArrived(start.spec().request(), start.attempt(), offset, token, 1));
+    }
+    loop.post(new Event.AttemptFinished(start.spec().request(), start.attempt(), TOKENS));
+  }
+
+  /** Returns the exchange of a caller who reads nothing: what is written is never said to be. */
+  private Context unread() {
+    Sender sender =
+        proxy(
+            Sender.class,
+            (method, arguments) -> {
+              if (method.equals("write") && arguments[0] instanceof byte[] bytes) {
+                written.add(new String(bytes, StandardCharsets.UTF_8));
+              }
+              return null;
+            });
+    Context detached =
+        proxy(
+            Context.class, (method, arguments) -> method.equals("responseSender") ? sender : null);
+    return proxy(
+        Context.class,
+        (method, arguments) ->
+            method.equals("detach") ? ((Route.Handler) arguments[0]).apply(detached) : null);
+  }
+
+  private interface Call {
+    Object with(String method, Object[] arguments) throws Exception;
+  }
+
+  /** Returns an object that does what {@code call} does and returns itself where that is null. */
+  private static <T> T proxy(Class<T> type, Call call) {
+    return type.cast(
+        Proxy.newProxyInstance(
+            type.getClassLoader(),
+            new Class<?>[] {type},
+            (proxy, method, arguments) -> {
+              Object result = call.with(method.getName(), arguments);
+              boolean itself = result == null && method.getReturnType().isInstance(proxy);
+              return itself ? proxy : result;
+            }));
+  }
+
+  private static TargetDescription engine() {
+    return new TargetDescription(
+        new TargetId("engine-1"),
+        TargetKind.ENGINE,
+        SERVICE,
+        new DataCentre("ollur"),
+        new Address("127.0.0.1", 1),
+        8,
+        LifeState.LIVE);
+  }
+
+  /** Returns the events of the time line up to the end of the engine's answer. */
+  private List<EventCode> untilFinished() throws InterruptedException {
+    List<EventCode> seen = new CopyOnWriteArrayList<>();
+    while (!seen.contains(EventCode.GENERATION_FINISHED)) {
+      EventCode next = notes.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+      assertTrue(next != null, "the answer did not end: " + seen);
+      seen.add(next);
+    }
+    return seen;
+  }
+
+  @Test
+  void aCallerWhoWasCutOffIsGoneBeforeWhatTheEngineSentMeanwhile() throws Exception {
+    // An engine was faster than the host, so that its whole answer, with its end, waited there. The
+    // caller did not read and was cut off after the first part. That it had left was put behind all
+    // that waited: the host went through the rest for nobody and noted the answer as delivered,
+    // though the caller never had its end.
+    seed(1, RowKind.ACCOUNT, "ward", Map.of("key_sha256", CREDENTIAL));
+    seed(2, RowKind.SERVICE, "assistant", Map.of("kind", "generation"));
+    EntryHost core = new EntryHost(new HostId("entry-1"), new DataCentre("ollur"), new Random(1));
+    try (EventLog events = new EventLog(SettingsReader.parse(SETTINGS));
+        ControlLoop control = new ControlLoop(core, events, this::run)) {
+      loop = control;
+      control.start(List.of());
+      control.post(new Event.HostListSeen(new HostList(1, List.of(), List.of(engine()))));
+      while (!control.ask(EntryHost::isReady).get(PATIENCE_SECONDS, TimeUnit.SECONDS)) {
+        Thread.onSpinWait();
+      }
+      exchanges.take(
+          unread(),
+          caller -> new Event.GenerationRequested(caller, CREDENTIAL, SERVICE, "long", TOKENS));
+      List<EventCode> seen = untilFinished();
+      assertTrue(seen.contains(EventCode.CALLER_GONE), seen.toString());
+      control.ask(EntryHost::open).get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+      assertEquals(0, notes.stream().filter(EventCode.GENERATION_DELIVERED::equals).count());
+    }
+    String last = written.get(written.size() - 1);
+    assertTrue(last.contains("event: problem") && last.contains("slow-reader"), last);
+    assertTrue(written.stream().noneMatch(event -> event.contains("event: end")));
+  }
+}
