Tell the core that a caller left ahead of what waits in the inbox

Cause: CallerGone was put behind the events that waited when the host cut a slow reader off, so that the rest of an engine's answer was handled, and noted as delivered, for a caller who was not there any more.

Ruled out: a later end of the race for other causes of CallerGone. It is posted only after a write to the caller, so after the request's own event was handled; it can't overtake that.

Change: ControlLoop puts CallerGone at the head of its inbox; all other events keep their order.

Before: SlowReaderTest fails on each run.

Conclusion: the test was right and stays as it is.

--- a/gatereel-daemon/src/main/java/org/gatereel/daemon/control/ControlLoop.java
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/control/ControlLoop.java
@@ -4,7 +4,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.LinkedBlockingDeque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -22,7 +22,7 @@
   private final EntryHost core;
   private final EventLog events;
   private final Consumer<Action> runner;
-  private final LinkedBlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
+  private final LinkedBlockingDeque<Runnable> inbox = new LinkedBlockingDeque<>();
   private final Thread thread = new Thread(this::run, "control");
   private final CountDownLatch started = new CountDownLatch(1);
   private volatile boolean closed;
@@ -41,9 +41,19 @@
     started.countDown();
   }
 
-  /** Passes an event on to the core; returns at once. */
+  /**
+   * Passes an event on to the core; returns at once.
+   *
+   * <p>Events are handled in their order, except that a caller who left is told of ahead of all
+   * that waits: the rest of an answer would be taken for delivered to somebody who is not there.
+   */
   public void post(Event event) {
-    inbox.add(() -> perform(core.handle(event, nowMillis())));
+    Runnable handling = () -> perform(core.handle(event, nowMillis()));
+    if (event instanceof Event.CallerGone) {
+      inbox.addFirst(handling);
+    } else {
+      inbox.addLast(handling);
+    }
   }
 
   /** Asks the core something, on its thread. */
