Show that a plain answer cut by its service's death is taken for the whole one

Cause: an answer without length or chunks ends with its connection, and the system of a process that died closes connections in order. ServiceClient takes any body that could be read to its end for the answer; under an Idempotency-Key it is then kept as the answer and told to all who ask again.

Ruled out by the tests that pass: an answer short of its length or without its last chunk, ended in order or by reset, and one without either that is reset, are failures already.

--- /dev/null
+++ b/gatereel-adapters/src/test/java/org/gatereel/adapters/RawServer.java
@@ -0,0 +1,113 @@
+package org.gatereel.adapters;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import org.gatereel.core.model.Address;
+
+/**
+ * A server that answers every request with the same bytes and then ends the connection.
+ *
+ * <p>It knows nothing of HTTP but where a request ends, so that it can cut an answer anywhere.
+ */
+public final class RawServer implements AutoCloseable {
+  private static final String LENGTH = "content-length:";
+
+  private final ServerSocket socket;
+  private final byte[] answer;
+  private final Ending ending;
+
+  /** How the connection ends after the answer. */
+  public enum Ending {
+    /** In order, while the server can still be reached. */
+    CLOSE {
+      @Override
+      void end(ServerSocket server, Socket connection) throws IOException {
+        connection.close();
+      }
+    },
+    /** In order, as the system ends the connections of a process that died. */
+    DIE {
+      @Override
+      void end(ServerSocket server, Socket connection) throws IOException {
+        server.close();
+        connection.close();
+      }
+    },
+    /** By a reset. */
+    RESET {
+      @Override
+      void end(ServerSocket server, Socket connection) throws IOException {
+        connection.setSoLinger(true, 0);
+        connection.close();
+      }
+    };
+
+    abstract void end(ServerSocket server, Socket connection) throws IOException;
+  }
+
+  public RawServer(String answer, Ending ending) throws IOException {
+    this.socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    this.answer = answer.getBytes(StandardCharsets.ISO_8859_1);
+    this.ending = ending;
+    Thread thread = new Thread(this::serve, "raw-server");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  public Address address() {
+    return new Address("127.0.0.1", socket.getLocalPort());
+  }
+
+  private void serve() {
+    while (!socket.isClosed()) {
+      try (Socket connection = socket.accept()) {
+        if (readRequest(connection.getInputStream())) {
+          connection.getOutputStream().write(answer);
+          connection.getOutputStream().flush();
+          ending.end(socket, connection);
+        }
+      } catch (IOException e) {
+        // The test ended this server, or a client its connection; the next one is served.
+      }
+    }
+  }
+
+  /** Reads a request to its end; returns whether there was one. */
+  private static boolean readRequest(InputStream raw) throws IOException {
+    InputStream in = new BufferedInputStream(raw);
+    int length = 0;
+    String line = readLine(in);
+    if (line.isEmpty()) {
+      return false;
+    }
+    while (!line.isEmpty()) {
+      String header = line.toLowerCase(Locale.ROOT);
+      if (header.startsWith(LENGTH)) {
+        length = Integer.parseInt(header.substring(LENGTH.length()).trim());
+      }
+      line = readLine(in);
+    }
+    return in.readNBytes(length).length == length;
+  }
+
+  private static String readLine(InputStream in) throws IOException {
+    StringBuilder line = new StringBuilder();
+    for (int next = in.read(); next >= 0 && next != '\n'; next = in.read()) {
+      if (next != '\r') {
+        line.append((char) next);
+      }
+    }
+    return line.toString();
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
--- /dev/null
+++ b/gatereel-adapters/src/test/java/org/gatereel/adapters/targets/ServiceClientTest.java
@@ -0,0 +1,105 @@
+package org.gatereel.adapters.targets;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.gatereel.adapters.HttpClients;
+import org.gatereel.adapters.RawServer;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.model.Address;
+import org.gatereel.core.model.DataCentre;
+import org.gatereel.core.model.LifeState;
+import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.model.TargetDescription;
+import org.gatereel.core.model.TargetId;
+import org.gatereel.core.model.TargetKind;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** What counts as the whole answer of a plain service. */
+class ServiceClientTest {
+  private static final int TIMEOUT_MILLIS = 20_000;
+  private static final String UNFRAMED = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+
+  /** Sends a call to a server that gives an answer, and returns how it ended. */
+  private static String call(String answer, RawServer.Ending ending) throws Exception {
+    try (HttpClients clients = new HttpClients();
+        RawServer server = new RawServer(answer, ending)) {
+      HeardTargets heard = new HeardTargets();
+      ServiceClient client = new ServiceClient(clients.once(), heard);
+      client.send(
+          new Action.SendCall(1, target(server.address()), "call-1", "debit", TIMEOUT_MILLIS, 0));
+      return heard.next();
+    }
+  }
+
+  private static TargetDescription target(Address address) {
+    return new TargetDescription(
+        new TargetId("points-1"),
+        TargetKind.PLAIN_SERVICE,
+        new ServiceName("points"),
+        new DataCentre("ollur"),
+        address,
+        8,
+        LifeState.LIVE);
+  }
+
+  @Test
+  void anAnswerWhoseConnectionIsClosedByAServiceThatStillAnswersIsWhole() throws Exception {
+    String answer = UNFRAMED + "balance 12";
+    assertEquals("answered 200 balance 12", call(answer, RawServer.Ending.CLOSE));
+  }
+
+  @Test
+  void anAnswerWhoseConnectionWasClosedByTheDeathOfItsServiceMayBeCut() throws Exception {
+    // A service sent "balance 1200" without a length and died after "balance 12". Its system
+    // closed the connection in order, which is how such an answer ends, so that the part was kept
+    // under the Idempotency-Key as the answer and given to everyone who asked again.
+    assertEquals("failed RESET", call(UNFRAMED + "balance 12", RawServer.Ending.DIE));
+  }
+
+  @Test
+  void aLengthThatCannotBeReadIsNone() throws Exception {
+    String answer = "HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\nbalance 12";
+    assertEquals("failed RESET", call(answer, RawServer.Ending.DIE));
+  }
+
+  @Test
+  void anAnswerThatIsResetIsCut() throws Exception {
+    assertEquals("failed RESET", call(UNFRAMED + "balance 12", RawServer.Ending.RESET));
+  }
+
+  @ParameterizedTest
+  @EnumSource(RawServer.Ending.class)
+  void anAnswerShortOfItsLengthIsCut(RawServer.Ending ending) throws Exception {
+    String answer = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nbalance 12";
+    assertEquals("failed RESET", call(answer, ending));
+  }
+
+  @ParameterizedTest
+  @EnumSource(RawServer.Ending.class)
+  void anAnswerWithoutItsLastChunkIsCut(RawServer.Ending ending) throws Exception {
+    String answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\nbalance 12\r\n";
+    assertEquals("failed RESET", call(answer, ending));
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "Content-Length: 10|balance 12",
+        "Transfer-Encoding: chunked|a;balance 12;0;;",
+        "Transfer-Encoding: Chunked|a;balance 12;0;;",
+      })
+  void anAnswerThatItsServiceEndedIsWholeThoughTheServiceDiedAfterIt(String header, String body)
+      throws Exception {
+    String answer = "HTTP/1.1 200 OK\r\n" + header + "\r\n\r\n" + body.replace(";", "\r\n");
+    assertEquals("answered 200 balance 12", call(answer, RawServer.Ending.DIE));
+  }
+
+  @Test
+  void anAnswerThatCanHaveNoBodyIsWhole() throws Exception {
+    assertEquals("answered 204 ", call("HTTP/1.1 204 No Content\r\n\r\n", RawServer.Ending.DIE));
+  }
+}
