Ask a service whether it lives before its closed connection counts as an answer's end

Cause: ServiceClient took any body that could be read to its end for the whole answer, also where the end was only that of the connection, as when the service's process died.

Ruled out: to refuse all such answers (services of HTTP/1.0 would never be answered), and what the TargetRegistry has (it knows of a death only after a next request failed).

Change: an answer without chunks and without a length that can be read counts only if the service answers a request (GET /, any status, within a second, over a new connection) after it. Otherwise the call has failed by RESET, so the caller is told that it may have run; a repeatable call is sent again.

Conclusion: left is a process that was replaced at the same address before the probe came; services of this interface have no name that a probe could ask for.

--- a/gatereel-adapters/src/main/java/org/gatereel/adapters/targets/ServiceClient.java
+++ b/gatereel-adapters/src/main/java/org/gatereel/adapters/targets/ServiceClient.java
@@ -13,9 +13,18 @@
 import org.gatereel.adapters.SentMarker;
 import org.gatereel.core.action.Action;
 import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.model.Address;
 
-/** Speaks with plain services. */
+/**
+ * Speaks with plain services.
+ *
+ * <p>An answer counts as whole only if its service ended it. One without length or chunks, whose
+ * connection was closed, counts only if the service still answers after that.
+ */
 public final class ServiceClient {
+  /** Milliseconds; by so much at most an answer that may be cut is told later. */
+  private static final long PROBE_MILLIS = 1_000;
+
   private static final MediaType TEXT = MediaType.get("application/octet-stream");
   private static final String LOAD = "Load";
 
@@ -40,15 +49,30 @@
             .build();
     Call call = client.newCall(request);
     call.timeout().timeout(send.timeoutMillis(), TimeUnit.MILLISECONDS);
-    call.enqueue(new Answer(send.ticket(), marker));
+    call.enqueue(new Answer(send.ticket(), send.target().address(), marker));
+  }
+
+  /** Asks a target anything; any answer shows that its process lives. */
+  private boolean answers(Address address) {
+    Request request = new Request.Builder().url(EngineClient.url(address, "")).build();
+    Call probe = client.newCall(request);
+    probe.timeout().timeout(PROBE_MILLIS, TimeUnit.MILLISECONDS);
+    try {
+      probe.execute().close();
+      return true;
+    } catch (IOException e) {
+      return false;
+    }
   }
 
   private final class Answer implements Callback {
     private final long ticket;
+    private final Address address;
     private final SentMarker marker;
 
-    private Answer(long ticket, SentMarker marker) {
+    private Answer(long ticket, Address address, SentMarker marker) {
       this.ticket = ticket;
+      this.address = address;
       this.marker = marker;
     }
 
@@ -71,6 +95,10 @@
           return;
         }
         String body = response.body().string();
+        if (AnswerFraming.endsWithConnection(response) && !answers(address)) {
+          listener.callFailed(ticket, TargetFailure.RESET);
+          return;
+        }
         listener.answered(ticket, response.code(), body, load(response));
       } catch (IOException e) {
         listener.callFailed(ticket, TargetFailure.RESET);
