Show that an engine's final event without a length ends a generation

Cause: a field that is missing in a final event is read as 0, and an event that is null is taken from the open streams before it is looked at.

Ruled out by the tests that pass: streams cut at each byte before the final event's last line, in order, by the death of the process or by reset; whole answers without the final event, in chunks or empty; cut chunks; another content type; an error whose body is a final event.

--- /dev/null
+++ b/gatereel-adapters/src/test/java/org/gatereel/adapters/targets/EngineClientTest.java
@@ -0,0 +1,139 @@
+package org.gatereel.adapters.targets;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.gatereel.adapters.HttpClients;
+import org.gatereel.adapters.RawServer;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.model.AccountId;
+import org.gatereel.core.model.Address;
+import org.gatereel.core.model.DataCentre;
+import org.gatereel.core.model.GenerationSpec;
+import org.gatereel.core.model.LifeState;
+import org.gatereel.core.model.RequestId;
+import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.model.TargetDescription;
+import org.gatereel.core.model.TargetId;
+import org.gatereel.core.model.TargetKind;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What counts as the end of an engine's stream: its final event, and nothing else. */
+class EngineClientTest {
+  private static final String STREAM = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+  private static final String UNFRAMED = STREAM + "Connection: close\r\n\r\n";
+  private static final String TOKENS =
+      "event: token\ndata: {\"offset\":3,\"token\":\"a\",\"load\":1}\n\n"
+          + "event: token\ndata: {\"offset\":4,\"token\":\"b\",\"load\":1}\n\n";
+  private static final String END = "event: end\ndata: {\"length\":5}\n\n";
+
+  /** Has an engine that gives an answer go on after three tokens, and returns how that ended. */
+  private static String run(String answer, RawServer.Ending ending) throws Exception {
+    try (HttpClients clients = new HttpClients();
+        RawServer server = new RawServer(answer, ending)) {
+      HeardTargets heard = new HeardTargets();
+      EngineClient client = new EngineClient(clients.streaming(), heard);
+      GenerationSpec spec =
+          new GenerationSpec(
+              new RequestId("1"),
+              new AccountId("ward"),
+              new ServiceName("assistant"),
+              "a long ledger",
+              40,
+              0);
+      client.start(
+          new Action.StartAttempt(spec, 1, target(server.address()), List.of("x", "y", "z")));
+      return heard.ending();
+    }
+  }
+
+  private static TargetDescription target(Address address) {
+    return new TargetDescription(
+        new TargetId("engine-1"),
+        TargetKind.ENGINE,
+        new ServiceName("assistant"),
+        new DataCentre("ollur"),
+        address,
+        8,
+        LifeState.LIVE);
+  }
+
+  private static String chunked(String body) {
+    String length = Integer.toHexString(body.length());
+    return STREAM + "Transfer-Encoding: chunked\r\n\r\n" + length + "\r\n" + body + "\r\n";
+  }
+
+  private static Stream<Arguments> cuts() {
+    // Every place in a token's event, between two events, and in the last one up to its last line.
+    return IntStream.range(0, (TOKENS + END).length())
+        .boxed()
+        .flatMap(
+            length ->
+                Stream.of(RawServer.Ending.values()).map(ending -> Arguments.of(length, ending)));
+  }
+
+  @ParameterizedTest
+  @MethodSource("cuts")
+  void aStreamThatIsCutAnywhereBeforeItsFinalEventHasFailed(int length, RawServer.Ending ending)
+      throws Exception {
+    String part = (TOKENS + END).substring(0, length);
+    assertEquals("failed RESET", run(UNFRAMED + part, ending));
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = RawServer.Ending.class,
+      names = {"CLOSE", "DIE"})
+  void aStreamWhoseFinalEventCameIsFinishedThoughNothingElseEndsIt(RawServer.Ending ending)
+      throws Exception {
+    assertEquals("finished 5", run(UNFRAMED + TOKENS + END, ending));
+    assertEquals("finished 5", run(chunked(TOKENS + END), ending));
+  }
+
+  @Test
+  void anAnswerThatIsWholeWithoutTheFinalEventHasFailed() throws Exception {
+    String whole = chunked(TOKENS) + "0\r\n\r\n";
+    assertEquals("failed RESET", run(whole, RawServer.Ending.CLOSE));
+    String empty = STREAM + "Content-Length: 0\r\n\r\n";
+    assertEquals("failed RESET", run(empty, RawServer.Ending.CLOSE));
+  }
+
+  @Test
+  void anAnswerWhoseChunksAreCutHasFailed() throws Exception {
+    assertEquals("failed RESET", run(chunked(TOKENS), RawServer.Ending.DIE));
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"application/json", "text/plain"})
+  void anAnswerOfAnotherTypeHasFailed(String type) throws Exception {
+    String answer = "HTTP/1.1 200 OK\r\nContent-Type: " + type + "\r\n";
+    String length = "Content-Length: " + END.length() + "\r\n\r\n";
+    assertEquals("failed RESET", run(answer + length + END, RawServer.Ending.CLOSE));
+  }
+
+  @Test
+  void anErrorIsNoEndThoughItsBodyLooksLikeOne() throws Exception {
+    String answer = "HTTP/1.1 500 Error\r\nContent-Type: text/event-stream\r\n";
+    String length = "Content-Length: " + END.length() + "\r\n\r\n";
+    assertEquals("failed ERROR", run(answer + length + END, RawServer.Ending.CLOSE));
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"{}", "{\"length\":null}", "{\"size\":5}", "null", "\"\"", "", "{\"length\":"})
+  void aFinalEventWithoutTheLengthIsNoEnd(String data) throws Exception {
+    // An engine's final event had no length. It was taken for the end of an answer of no tokens, so
+    // that a generation which had none yet was told as finished; where the event had nothing at
+    // all, the attempt never ended.
+    String answer = UNFRAMED + "event: end\ndata: " + data + "\n\n";
+    String ended = run(answer, RawServer.Ending.CLOSE);
+    assertEquals("failed", ended.replaceAll(" .*", ""), ended);
+  }
+}
