Take an engine's final event for an end only if it has the length

Cause: a missing or null length was read as 0, and a null event ended the attempt's stream without a word to the core.

Ruled out: the same for tokens. A token without an offset counts as offset 0: it is dropped or, as the first, followed by a final event whose length differs, which is an error already.

Change: final events are read by a reader that refuses missing and null lengths; such an event is an ERROR of the attempt, so that another engine goes on.

Conclusion: an engine's stream has no other way to an end than its own final event.

--- a/gatereel-adapters/src/main/java/org/gatereel/adapters/targets/EngineClient.java
+++ b/gatereel-adapters/src/main/java/org/gatereel/adapters/targets/EngineClient.java
@@ -1,6 +1,9 @@
 package org.gatereel.adapters.targets;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.databind.exc.MismatchedInputException;
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -21,10 +24,22 @@
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.RequestId;
 
-/** Speaks with model engines: server-sent events for tokens. */
+/**
+ * Speaks with model engines: server-sent events for tokens.
+ *
+ * <p>An attempt is finished only by the engine's final event with the length of the answer; a
+ * stream that ends in any other way has failed.
+ */
 public final class EngineClient {
   private static final String END = "end";
 
+  /** Reads final events; without it a length that is missing would be read as 0. */
+  private static final ObjectReader END_READER =
+      Json.MAPPER
+          .readerFor(EngineMessages.End.class)
+          .with(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
+          .with(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+
   private final OkHttpClient client;
   private final TargetListener listener;
   private final Map<Key, Stream> streams = new ConcurrentHashMap<>();
@@ -105,9 +120,9 @@
     public void onEvent(EventSource eventSource, String id, String type, String data) {
       try {
         if (END.equals(type)) {
-          EngineMessages.End end = Json.MAPPER.readValue(data, EngineMessages.End.class);
+          int length = endLength(data);
           if (streams.remove(key, this)) {
-            listener.finished(key.request(), key.attempt(), end.length());
+            listener.finished(key.request(), key.attempt(), length);
           }
         } else {
           EngineMessages.Token token = Json.MAPPER.readValue(data, EngineMessages.Token.class);
@@ -119,6 +134,14 @@
       }
     }
 
+    private static int endLength(String data) throws JsonProcessingException {
+      EngineMessages.End end = END_READER.readValue(data);
+      if (end == null) {
+        throw MismatchedInputException.from(null, EngineMessages.End.class, "no length");
+      }
+      return end.length();
+    }
+
     @Override
     public void onClosed(EventSource eventSource) {
       fail(TargetFailure.RESET);
