Show that a cut document of the platform is never read as a whole one

The platform's answers may end with their connection. Rows and conflicts that are cut at any byte, in order, by death or by reset, are not read: a JSON object is whole only with its last brace.

--- /dev/null
+++ b/gatereel-adapters/src/test/java/org/gatereel/adapters/platform/PlatformClientTest.java
@@ -0,0 +1,99 @@
+package org.gatereel.adapters.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.gatereel.adapters.HttpClients;
+import org.gatereel.adapters.RawServer;
+import org.gatereel.core.platform.ReadResult;
+import org.gatereel.core.platform.TableWrite;
+import org.gatereel.core.platform.TransactionResult;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** What counts as a document of the platform, where nothing but its connection ends it. */
+class PlatformClientTest {
+  private static final long PATIENCE_SECONDS = 30;
+  private static final String UNFRAMED = "\r\nConnection: close\r\n\r\n";
+  private static final String ROWS = "{\"rows\":{\"a\":\"1\",\"b\":\"{\\\"c\\\":2}\"}}";
+  private static final String CONFLICT = "{\"keys\":[\"a\"],\"present\":{\"a\":\"1\"}}";
+
+  private static <T> T ask(
+      String answer, RawServer.Ending ending, BiConsumer<PlatformClient, Consumer<T>> question)
+      throws Exception {
+    BlockingQueue<T> results = new LinkedBlockingQueue<>();
+    try (HttpClients clients = new HttpClients();
+        RawServer server = new RawServer(answer, ending)) {
+      question.accept(new PlatformClient(clients.platform(), server.address()), results::add);
+      T result = results.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+      assertNotNull(result, "no result for " + answer);
+      return result;
+    }
+  }
+
+  private static ReadResult read(String document, RawServer.Ending ending) throws Exception {
+    return ask(
+        "HTTP/1.1 200 OK" + UNFRAMED + document,
+        ending,
+        (client, done) -> client.read(List.of("a", "b"), done));
+  }
+
+  private static TransactionResult transact(String answer, RawServer.Ending ending)
+      throws Exception {
+    TableWrite write = new TableWrite("a", Optional.of("0"), "2");
+    return ask(answer, ending, (client, done) -> client.transact(List.of(write), done));
+  }
+
+  private static Stream<Arguments> cuts(String document) {
+    return IntStream.range(0, document.length())
+        .boxed()
+        .flatMap(
+            length ->
+                Stream.of(RawServer.Ending.values())
+                    .map(ending -> Arguments.of(document.substring(0, length), ending)));
+  }
+
+  private static Stream<Arguments> cutRows() {
+    return cuts(ROWS);
+  }
+
+  private static Stream<Arguments> cutConflicts() {
+    return cuts(CONFLICT);
+  }
+
+  @Test
+  void wholeDocumentsAreRead() throws Exception {
+    assertEquals(
+        "1",
+        assertInstanceOf(ReadResult.Rows.class, read(ROWS, RawServer.Ending.DIE)).rows().get("a"));
+    assertInstanceOf(
+        TransactionResult.Conflict.class,
+        transact("HTTP/1.1 409 Conflict" + UNFRAMED + CONFLICT, RawServer.Ending.DIE));
+  }
+
+  @ParameterizedTest
+  @MethodSource("cutRows")
+  void rowsThatAreCutAnywhereAreNotRead(String part, RawServer.Ending ending) throws Exception {
+    assertInstanceOf(ReadResult.Failed.class, read(part, ending));
+  }
+
+  @ParameterizedTest
+  @MethodSource("cutConflicts")
+  void aConflictThatIsCutAnywhereIsOfUnknownOutcome(String part, RawServer.Ending ending)
+      throws Exception {
+    String answer = "HTTP/1.1 409 Conflict" + UNFRAMED + part;
+    assertInstanceOf(TransactionResult.Unknown.class, transact(answer, ending));
+  }
+}
