Show that streams which are not whole are ended in order for their callers

Cause: Exchange.disconnect closes an open stream with its last chunk and without any event. It is called for the answer that a caller left by coming back with another request (at this host or another one) and for all that is open when a host ends. By the framing both are whole answers; only the missing final event tells, which docs/API.md names as what makes an answer whole.

Ruled out by the tests that pass: a whole stream ends with its final event and last chunk, for callers of HTTP/1.1 and 1.0; the two answers of a caller who came back at another host while the first was open bring, for each offset, the same digest of the tokens before it: nothing is mixed.

--- a/gatereel-daemon/src/test/java/org/gatereel/daemon/callers/ExchangeTest.java
+++ b/gatereel-daemon/src/test/java/org/gatereel/daemon/callers/ExchangeTest.java
@@ -1,15 +1,23 @@
 package org.gatereel.daemon.callers;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.jooby.Context;
+import io.jooby.Route;
+import io.jooby.Sender;
 import java.lang.reflect.Proxy;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.event.Event;
+import org.gatereel.core.generation.EventId;
 import org.junit.jupiter.api.Test;
 
 class ExchangeTest {
+  private static final String ID = "1~df4d7a8a0ca3c3ab~entry-1~-~none~1000~1~0~9e3779b97f4a7c15";
+
   private final List<String> bodies = new ArrayList<>();
 
   /** A context that only remembers what is sent. */
@@ -22,7 +30,25 @@
               if (method.getName().equals("send") && arguments[0] instanceof byte[] body) {
                 bodies.add(new String(body, StandardCharsets.UTF_8));
               }
-              return proxy;
+              return switch (method.getName()) {
+                case "responseSender" -> sender();
+                case "detach" -> ((Route.Handler) arguments[0]).apply((Context) proxy);
+                default -> proxy;
+              };
+            });
+  }
+
+  /** A sender that only remembers what is written. */
+  private Sender sender() {
+    return (Sender)
+        Proxy.newProxyInstance(
+            Sender.class.getClassLoader(),
+            new Class<?>[] {Sender.class},
+            (proxy, method, arguments) -> {
+              if (method.getName().equals("write") && arguments[0] instanceof byte[] event) {
+                bodies.add(new String(event, StandardCharsets.UTF_8));
+              }
+              return method.getName().equals("write") ? proxy : null;
             });
   }
 
@@ -31,4 +57,17 @@
     new Exchange(context(), 1_000, () -> {}).disconnect();
     assertTrue(bodies.get(0).contains("\"outcome\":\"UNKNOWN\""), bodies.toString());
   }
+
+  @Test
+  void aHostThatEndsTellsTheReadersOfItsOpenStreams() throws Exception {
+    // A host's open streams were ended in order and without any event when it was stopped, so that
+    // to their framing they were whole.
+    try (Exchanges exchanges = new Exchanges(1_000_000, event -> {})) {
+      exchanges.take(context(), caller -> new Event.CallerGone(caller));
+      exchanges.run(new Action.OpenStream(1, EventId.parse(ID)));
+    }
+    assertEquals(2, bodies.size(), bodies.toString());
+    assertTrue(bodies.get(1).startsWith("event: problem\n"), bodies.toString());
+    assertTrue(bodies.get(1).contains("/problems/draining"), bodies.toString());
+  }
 }
