End streams that are not whole with the reason as their last event

Cause: Exchange.disconnect ended an open stream with its last chunk and no event, so that by its framing alone it was whole.

Ruled out: to break the connection instead of ending the answer; the server offers no way to it.

Change: disconnect takes the reason and, in an open stream, writes it as a problem before the end, as for slow readers and for generations without an engine: SUPERSEDED (new, 409) where the caller came back by another request, DRAINING where the host ends.

Conclusion: every stream ends with its final event, with a problem, or cut. A caller of HTTP/1.0 gets chunks as any other, and has no other sign than these events; nothing was changed in that.

--- a/gatereel-core/src/main/java/org/gatereel/core/model/ProblemType.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/model/ProblemType.java
@@ -14,6 +14,7 @@
   UNKNOWN_ROW(404, "The table has no such row"),
   ALREADY_CLAIMED(409, "A request with this Idempotency-Key was already given to a target"),
   LOST_RACE(409, "The row has changed since the revision that the edit was based on"),
+  SUPERSEDED(409, "The generation goes on in the answer to a later request"),
   GENERATION_LOST(410, "No host that is left holds this generation"),
   INVALID_EDIT(422, "The edit breaks a rule of the table"),
   REQUEST_CHANGED(422, "The Idempotency-Key was used before with another body"),
--- a/gatereel-daemon/src/main/java/org/gatereel/daemon/callers/Exchange.java
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/callers/Exchange.java
@@ -86,14 +86,16 @@
     }
   }
 
-  /** Ends the exchange without an answer; the caller connects again. */
-  void disconnect() {
-    if (sender != null) {
-      close();
-    } else if (!ended) {
-      // What the request has come to is known to the core only, which was not asked.
-      refuse(new Problem(ProblemType.DRAINING, Outcome.UNKNOWN, "connect again", 1));
-    }
+  /**
+   * Ends the exchange before its answer is whole; the caller connects again.
+   *
+   * <p>The reason goes into an open stream too: by its last chunk alone it would look whole.
+   */
+  void disconnect(ProblemType reason) {
+    // What a request that has no answer yet has come to is known to the core only, which was not
+    // asked.
+    Outcome outcome = sender == null ? Outcome.UNKNOWN : Outcome.RAN;
+    refuse(new Problem(reason, outcome, "connect again", 1));
   }
 
   private void close() {
--- a/gatereel-daemon/src/main/java/org/gatereel/daemon/callers/Exchanges.java
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/callers/Exchanges.java
@@ -10,6 +10,7 @@
 import java.util.function.LongFunction;
 import org.gatereel.core.action.Action;
 import org.gatereel.core.event.Event;
+import org.gatereel.core.model.ProblemType;
 
 /** The open requests of callers and operators, by number. */
 public final class Exchanges implements AutoCloseable {
@@ -54,7 +55,7 @@
     } else if (action instanceof Action.Refuse refuse) {
       end(refuse.caller(), exchange -> exchange.refuse(refuse.problem()));
     } else if (action instanceof Action.Disconnect disconnect) {
-      end(disconnect.caller(), Exchange::disconnect);
+      end(disconnect.caller(), exchange -> exchange.disconnect(ProblemType.SUPERSEDED));
     } else if (action instanceof Action.Answer answer) {
       byte[] body = answer.body().getBytes(StandardCharsets.UTF_8);
       end(
@@ -90,7 +91,7 @@
 
   @Override
   public void close() {
-    open.values().forEach(Exchange::disconnect);
+    open.values().forEach(exchange -> exchange.disconnect(ProblemType.DRAINING));
     open.clear();
   }
 }
--- a/gatereel-daemon/src/test/java/org/gatereel/daemon/callers/ExchangeTest.java
+++ b/gatereel-daemon/src/test/java/org/gatereel/daemon/callers/ExchangeTest.java
@@ -13,6 +13,7 @@
 import org.gatereel.core.action.Action;
 import org.gatereel.core.event.Event;
 import org.gatereel.core.generation.EventId;
+import org.gatereel.core.model.ProblemType;
 import org.junit.jupiter.api.Test;
 
 class ExchangeTest {
@@ -54,7 +55,7 @@
 
   @Test
   void anExchangeThatIsCutOffNeverClaimsThatItsRequestDidNotRun() {
-    new Exchange(context(), 1_000, () -> {}).disconnect();
+    new Exchange(context(), 1_000, () -> {}).disconnect(ProblemType.DRAINING);
     assertTrue(bodies.get(0).contains("\"outcome\":\"UNKNOWN\""), bodies.toString());
   }
 
