Test that a caller who left before its request was handled is gone too (fails)

Cause: that a caller has left is put ahead of all that waits, also ahead of its own request; the core then hears of somebody unknown, and the generation runs for nobody. Run: fails, the time line has GENERATION_FINISHED and no CALLER_GONE.

--- a/gatereel-daemon/src/test/java/org/gatereel/daemon/callers/SlowReaderTest.java
+++ b/gatereel-daemon/src/test/java/org/gatereel/daemon/callers/SlowReaderTest.java
@@ -13,7 +13,9 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.gatereel.core.EntryHost;
@@ -189,4 +191,41 @@
     assertTrue(last.contains("event: problem") && last.contains("slow-reader"), last);
     assertTrue(written.stream().noneMatch(event -> event.contains("event: end")));
   }
+
+  @Test
+  void aCallerWhoLeftBeforeItsRequestWasHandledIsGoneToo() throws Exception {
+    // That a caller has left goes ahead of what engines send, and so also ahead of its own request
+    // where that still waits. Told of only then, it would be told of somebody unknown, and the
+    // generation would run for nobody.
+    seed(1, RowKind.ACCOUNT, "ward", Map.of("key_sha256", CREDENTIAL));
+    seed(2, RowKind.SERVICE, "assistant", Map.of("kind", "generation"));
+    EntryHost core = new EntryHost(new HostId("entry-1"), new DataCentre("ollur"), new Random(1));
+    try (EventLog events = new EventLog(SettingsReader.parse(SETTINGS));
+        ControlLoop control = new ControlLoop(core, events, this::run)) {
+      loop = control;
+      control.start(List.of());
+      control.post(new Event.HostListSeen(new HostList(1, List.of(), List.of(engine()))));
+      while (!control.ask(EntryHost::isReady).get(PATIENCE_SECONDS, TimeUnit.SECONDS)) {
+        Thread.onSpinWait();
+      }
+      CountDownLatch posted = new CountDownLatch(1);
+      CompletableFuture<Boolean> busy = control.ask(host -> awaitQuietly(posted));
+      control.post(new Event.GenerationRequested(7, CREDENTIAL, SERVICE, "long", TOKENS));
+      control.post(new Event.CallerGone(7));
+      posted.countDown();
+      assertTrue(busy.get(PATIENCE_SECONDS, TimeUnit.SECONDS));
+
+      List<EventCode> seen = untilFinished();
+      assertTrue(seen.contains(EventCode.CALLER_GONE), seen.toString());
+    }
+  }
+
+  private static boolean awaitQuietly(CountDownLatch latch) {
+    try {
+      return latch.await(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
 }
