Tell of a caller's leaving ahead and again in its turn

Change: the event is handled twice; the second time the caller is unknown, which does nothing, unless its request waited in between. Ruled out: putting all of a caller's events ahead, which would let new requests overtake running streams.

--- a/gatereel-daemon/src/main/java/org/gatereel/daemon/control/ControlLoop.java
+++ b/gatereel-daemon/src/main/java/org/gatereel/daemon/control/ControlLoop.java
@@ -51,9 +51,9 @@
     Runnable handling = () -> perform(core.handle(event, nowMillis()));
     if (event instanceof Event.CallerGone) {
       inbox.addFirst(handling);
-    } else {
-      inbox.addLast(handling);
     }
+    // A caller's leaving comes again in its turn, since its request itself may still wait.
+    inbox.addLast(handling);
   }
 
   /** Asks the core something, on its thread. */
