Test that a closed connection alone ends no answer as complete

Cause: the close of a connection is taken for the end of an answer without length or chunks. A process that ends closes its connections in the same way, so that a cut stream or answer is passed on as complete. Ruled out: ends by length or last chunk; these are the target's own word.

--- a/gatereel-core/src/test/java/org/gatereel/core/forward/PlainForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/PlainForwardingTest.java
@@ -1,9 +1,11 @@
 package org.gatereel.core.forward;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.gatereel.core.event.TargetFailure;
 import org.junit.jupiter.api.Test;
@@ -187,4 +189,80 @@
     assertTrue(caller.aborted);
     assertEquals(1, world.sent.size());
   }
+
+  private ForwardWorld.SentCall closedAfter(String path, int status) {
+    world.ask(path, caller);
+    ForwardWorld.SentCall call = world.last().accepted().head(status, false);
+    call.listener.received("part".getBytes(StandardCharsets.UTF_8));
+    call.listener.ended(AnswerEnd.CONNECTION_CLOSED);
+    assertFalse(caller.isOver());
+    return call;
+  }
+
+  /**
+   * A service whose process ended while it wrote an answer without a length closed the connection
+   * in order. What had come of the answer was passed on as all of it.
+   */
+  @Test
+  void repeatsASafeRequestWhenTheTargetOfAClosedConnectionIsGone() {
+    ForwardWorld.SentCall first = closedAfter("/safe/x", 200);
+
+    world.lastProbe().listener().probed(false);
+
+    assertNotEquals(first.target(), world.last().target());
+    world.last().answer(200, "whole");
+    assertEquals("whole", caller.body.toString());
+  }
+
+  @Test
+  void refusesARequestThatMayRunOnceWhenTheTargetOfAClosedConnectionIsGone() {
+    closedAfter("/once/x", 200);
+
+    world.lastProbe().listener().probed(false);
+
+    assertEquals(Refusal.TARGET_FAILED, caller.refusal);
+    assertEquals(1, world.sent.size());
+  }
+
+  @Test
+  void passesAnAnswerWithoutLengthOnOnceItsTargetAnswersAProbe() {
+    closedAfter("/once/x", 200);
+
+    world.lastProbe().listener().probed(true);
+
+    assertEquals("part", caller.body.toString());
+    assertTrue(caller.finished);
+  }
+
+  /** An error that is cut short is no better answer than any other that is. */
+  @Test
+  void passesNoErrorOnWhoseTargetIsGone() {
+    closedAfter("/once/x", 500);
+
+    world.lastProbe().listener().probed(false);
+
+    assertEquals(Refusal.TARGET_FAILED, caller.refusal);
+  }
+
+  @Test
+  void keepsNoErrorBackWhoseTargetIsGone() {
+    closedAfter("/safe/x", 500);
+    world.lastProbe().listener().probed(false);
+
+    world.last().accepted();
+    world.fail(world.last(), TargetFailure.RESET);
+
+    assertEquals(Refusal.TARGET_FAILED, caller.refusal);
+  }
+
+  @Test
+  void saysAtTheDeadlineThatARequestRanWhoseEndIsInDoubt() {
+    closedAfter("/once/x", 200);
+
+    world.pass(ForwardWorld.TIMEOUT_MILLIS);
+
+    assertEquals(Refusal.TIMED_OUT, caller.refusal);
+    world.lastProbe().listener().probed(true);
+    assertFalse(caller.finished);
+  }
 }
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/StreamEndTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/StreamEndTest.java
@@ -4,7 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import java.util.OptionalLong;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
 import org.junit.jupiter.api.Test;
 
@@ -12,6 +15,7 @@
 class StreamEndTest {
   private final ForwardWorld world = new ForwardWorld();
   private final ForwardWorld.Caller caller = new ForwardWorld.Caller();
+  private Exchange latest;
 
   private ForwardWorld.SentCall running(long lastEvent) {
     world.ask("/stream/x", caller);
@@ -93,4 +97,128 @@
     assertTrue(caller.aborted);
     assertEquals(eventsUpTo(1), caller.body.toString());
   }
+
+  /** Has a target end its answer by closing the connection, with neither length nor last chunk. */
+  private static void close(ForwardWorld.SentCall call) {
+    call.listener.ended(AnswerEnd.CONNECTION_CLOSED);
+  }
+
+  /**
+   * An engine's process ended between two events. Its connections were closed in order, as they are
+   * when a stream without chunks is whole, and the caller got the part it had as a complete answer.
+   */
+  @Test
+  void goesOnElsewhereWhenTheTargetOfAClosedConnectionIsGone() {
+    ForwardWorld.SentCall first = running(2);
+
+    close(first);
+    assertFalse(caller.isOver());
+    assertEquals(first.target(), world.lastProbe().target().id().value());
+    world.lastProbe().listener().probed(false);
+
+    assertFalse(caller.isOver());
+    assertEquals(2, world.sent.size());
+    assertEquals(OptionalLong.of(2), world.last().dispatch.lastEventId());
+    world.last().accepted().head(200, true).event(3).listener.ended(AnswerEnd.LAST_CHUNK);
+    assertEquals(eventsUpTo(3), caller.body.toString());
+    assertTrue(caller.finished);
+  }
+
+  @Test
+  void takesAStreamForWholeWhoseTargetAnswersAfterItClosedTheConnection() {
+    close(running(2));
+    assertFalse(caller.isOver());
+
+    world.lastProbe().listener().probed(true);
+
+    assertTrue(caller.finished);
+    assertEquals(1, world.sent.size());
+    assertEquals(0, world.forwarder.openExchanges());
+  }
+
+  /** An answer that was on its way before the connection was closed tells of the time before. */
+  @Test
+  void believesNoProbeThatWasSentBeforeTheEnd() {
+    ForwardWorld.SentCall first = running(2);
+    world.pass(250);
+    ForwardWorld.SentProbe early = world.lastProbe();
+
+    close(first);
+    early.listener().probed(true);
+
+    assertFalse(caller.isOver());
+    assertEquals(2, world.probes.size());
+    world.lastProbe().listener().probed(false);
+    assertEquals(2, world.sent.size());
+  }
+
+  @Test
+  void breaksAStreamOffThatNobodyCanGoOnWithWhenTheTargetOfAClosedConnectionIsGone() {
+    world.ask("/stream/x", caller);
+    ForwardWorld.SentCall call = world.last().accepted().head(200, false);
+    call.listener.received(new byte[ForwardPolicy.STANDARD.bufferBytes() + 1]);
+
+    close(call);
+    world.lastProbe().listener().probed(false);
+
+    assertTrue(caller.aborted);
+    assertEquals(1, world.sent.size());
+  }
+
+  @Test
+  void givesOneFinalAnswerWhateverComesWhileAnEndIsInDoubt() {
+    for (Runnable event : whatMayComeWhileAnEndIsInDoubt()) {
+      world.probes.clear();
+      ForwardWorld.Caller asking = new ForwardWorld.Caller();
+      latest = world.ask("/stream/x", asking).orElseThrow();
+      int before = world.sent.size();
+      ForwardWorld.SentCall call = world.last().accepted().head(200, true).event(1);
+      close(call);
+      ForwardWorld.SentProbe probe = world.lastProbe();
+
+      event.run();
+
+      assertTrue(call.cancelled);
+      String body = asking.body.toString();
+      boolean wasOver = asking.isOver();
+      probe.listener().probed(true);
+      probe.listener().probed(false);
+      assertEquals(body, asking.body.toString());
+      assertFalse(asking.finished);
+      assertEquals(wasOver, asking.isOver());
+      assertTrue(world.sent.size() <= before + 1);
+      latest.callerGone();
+    }
+    assertEquals(0, world.forwarder.openExchanges());
+  }
+
+  private List<Runnable> whatMayComeWhileAnEndIsInDoubt() {
+    return List.of(
+        () -> world.pass(ForwardWorld.TIMEOUT_MILLIS),
+        () -> latest.callerGone(),
+        () -> world.forwarder.stopAll(),
+        () -> latest.targetLost(TargetFailure.TIMEOUT));
+  }
+
+  @Test
+  void logsAnEndInDoubtAndWhatBecameOfIt() {
+    close(running(2));
+    world.pass(3);
+    world.lastProbe().listener().probed(true);
+
+    List<String> logged = logged(EventCode.ANSWER_ENDED);
+    assertEquals(2, logged.size());
+    String inputs = "end=CONNECTION_CLOSED events=2 lastOfRun=2 ";
+    assertTrue(logged.get(0).contains(inputs + "verdict=IN_DOUBT"), logged.get(0));
+    assertTrue(logged.get(1).contains(inputs + "verdict=TARGET_ALIVE"), logged.get(1));
+  }
+
+  private List<String> logged(EventCode code) {
+    return world.context.takeActions().stream()
+        .filter(Action.Note.class::isInstance)
+        .map(Action.Note.class::cast)
+        .filter(note -> note.code() == code)
+        .map(Action.Note::detail)
+        .toList();
+  }
 }
