Take a closed connection for an answer's end only from a target that lives

Ruled out: the end by length or last chunk; and the probes of silent targets, which may have been sent before the end and so prove nothing of it. Change: EndCheck decides on an answer's end. After CONNECTION_CLOSED the attempt stays open and its target is probed by a probe of its own; if it answers, the answer is whole, else the attempt has failed (RESET) and is handled as any other. Errors are checked in the same way: one that is cut short would be passed on, or kept back, as complete. ANSWER_ENDED carries the verdict with its inputs, also IN_DOUBT while the probe is out: two lines an attempt at most. The test of what may come while an end is in doubt proves the configuration anew before it asks; without that its later requests were refused as stale.

--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -41,7 +41,9 @@
   STREAM_PAUSED(317, "A stream's next event came later than its route's longest pause."),
   REPEATS_LENT(
       318, "Another host asked for repeats out of the data centre's part of the retry budget."),
-  ANSWER_ENDED(319, "A target's stream, or an answer without a length, is at its end."),
+  ANSWER_ENDED(
+      319,
+      "A target's stream, or an answer without a length, is at its end; with the verdict on it."),
   CLAIM_GRANTED(320, "The Idempotency-Key was claimed for this host."),
   CLAIM_TAKEN(321, "The Idempotency-Key was claimed before."),
   CLAIM_FAILED(322, "The platform did not confirm the claim; the call was not sent."),
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/AnswerEnd.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/AnswerEnd.java
@@ -9,9 +9,20 @@
  */
 public enum AnswerEnd {
   /** As many bytes came as the head announced, or the status has no body. */
-  LENGTH_REACHED,
+  LENGTH_REACHED(true),
   /** The last chunk came. */
-  LAST_CHUNK,
+  LAST_CHUNK(true),
   /** The target closed the connection of an answer that has neither length nor chunks. */
-  CONNECTION_CLOSED
+  CONNECTION_CLOSED(false);
+
+  private final boolean targetsWord;
+
+  AnswerEnd(boolean targetsWord) {
+    this.targetsWord = targetsWord;
+  }
+
+  /** Returns whether the target itself has said that nothing is missing. */
+  public boolean isTargetsWord() {
+    return targetsWord;
+  }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
@@ -1,6 +1,7 @@
 package org.gatereel.core.forward;
 
 import java.io.ByteArrayOutputStream;
+import java.util.OptionalLong;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.target.TargetState;
 
@@ -16,9 +17,12 @@
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private TargetPort.Call call;
   private AnswerHead head;
+  private AnswerEnd end;
+  private long endedAt;
   private boolean sent;
   private boolean closed;
   private long eventCount;
+  private OptionalLong lastOfRun = OptionalLong.empty();
   private boolean reading;
   private long lastSignAt;
 
@@ -60,6 +64,21 @@
     return head;
   }
 
+  /** Notes that the answer is at its end. */
+  void noteEnd(AnswerEnd how, long now) {
+    end = how;
+    endedAt = now;
+  }
+
+  /** Returns how the transport knew that the answer was at its end. */
+  AnswerEnd end() {
+    return end;
+  }
+
+  long endedAt() {
+    return endedAt;
+  }
+
   EventStreamReader events() {
     return events;
   }
@@ -90,6 +109,16 @@
     return eventCount;
   }
 
+  /** Returns the id of the last event that came in this attempt, also if the caller had it. */
+  OptionalLong lastOfRun() {
+    return lastOfRun;
+  }
+
+  /** Notes an event of this attempt that has an id. */
+  void noteCame(long id) {
+    lastOfRun = OptionalLong.of(id);
+  }
+
   void notePassed() {
     eventCount++;
     endReading();
@@ -156,9 +185,9 @@
   }
 
   @Override
-  public void ended(AnswerEnd end) {
+  public void ended(AnswerEnd how) {
     if (!closed) {
-      exchange.ended(this, end);
+      exchange.ended(this, how);
     }
   }
 
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/EndVerdict.java
@@ -0,0 +1,29 @@
+package org.gatereel.core.forward;
+
+import java.util.Optional;
+import org.gatereel.core.event.TargetFailure;
+
+/** What the end of a target's answer is taken for. */
+enum EndVerdict {
+  /** The target has said that nothing is missing. */
+  TARGETS_WORD(Optional.empty()),
+  /** The target closed the connection and lives, so that it meant the close as the end. */
+  TARGET_ALIVE(Optional.empty()),
+  /** The connection was closed, and it is not known yet whether the target lives. */
+  IN_DOUBT(Optional.empty()),
+  /** The connection was closed, and the target did not answer a probe after that. */
+  TARGET_GONE(Optional.of(TargetFailure.RESET)),
+  /** The end came within an event. */
+  WITHIN_EVENT(Optional.of(TargetFailure.RESET));
+
+  private final Optional<TargetFailure> failure;
+
+  EndVerdict(Optional<TargetFailure> failure) {
+    this.failure = failure;
+  }
+
+  /** Returns what the attempt failed by, or nothing if the answer may be whole. */
+  Optional<TargetFailure> failure() {
+    return failure;
+  }
+}
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -34,9 +34,10 @@
   private final Turn turn;
   private final CopyPlan copies;
   private final ExchangeLog log;
-  private Attempt attempt;
+  private final EndCheck ends;
   private final StreamRelay relay;
   private final TryCount tries = new TryCount();
+  private Attempt attempt;
   private boolean mayHaveRun;
   private boolean over;
 
@@ -65,6 +66,7 @@
             + Math.min(route.timeoutMillis(), request.remainingMillis().orElse(Long.MAX_VALUE));
     this.relay = new StreamRelay(this, context, request, reply, route);
     this.log = new ExchangeLog(forwarder, this, request);
+    this.ends = new EndCheck(forwarder, this, log);
     this.copies = search.copies();
     this.deadlineTimer = context.timers().add(deadline, this::deadlinePassed);
     this.silence = new SilenceWatch(forwarder, this, route);
@@ -228,24 +230,18 @@
   }
 
   void ended(Attempt from, AnswerEnd end) {
-    if (from.answersWithStream() && from.events().isWithinEvent()) {
-      failed(from, TargetFailure.RESET);
-      return;
-    }
+    ends.ended(from, end);
+  }
+
+  /** The target's answer is at its end and nothing of it is missing. */
+  void whole(Attempt from) {
     settle(from);
     tries.ran();
-    if (from.answersWithStream() || end == AnswerEnd.CONNECTION_CLOSED) {
-      log.ended(from, end);
-    }
     if (route.kind() != RouteKind.STREAM) {
-      forwarder.overload().learn(service, context.now() - from.startedAt());
+      forwarder.overload().learn(service, from.endedAt() - from.startedAt());
     }
     Answer answer = from.takeAnswer();
-    if (answer.isError()) {
-      forwarder.targets().answeredWithError(from.target());
-    } else {
-      forwarder.targets().answered(from.target());
-    }
+    search.answered(from, answer);
     if (answer.isError() && !reply.hasBegun() && mayTryAgain()) {
       reply.keepBack(answer);
       log.note(
@@ -279,12 +275,7 @@
       mayHaveRun = true;
       tries.ran();
     }
-    if (from.isContinuation() && failure == TargetFailure.FULL) {
-      // The copy is not there; that says nothing of the target's load.
-      search.takeBack(from.target());
-    } else {
-      forwarder.targets().failed(from.target(), failure);
-    }
+    search.failed(from, failure);
     if (over) {
       return;
     }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
@@ -71,14 +71,20 @@
     note(EventCode.PROMPT_LOCATED, inputs);
   }
 
-  void ended(Attempt attempt, AnswerEnd end) {
+  void ended(Attempt attempt, EndVerdict verdict) {
     String inputs =
         "target="
             + attempt.target().description().id()
             + " end="
-            + end
+            + attempt.end()
             + " events="
-            + attempt.eventCount();
+            + attempt.eventCount()
+            + " lastOfRun="
+            + attempt.lastOfRun().orElse(-1)
+            + " verdict="
+            + verdict
+            + " probeMillis="
+            + (forwarder.context().now() - attempt.endedAt());
     note(EventCode.ANSWER_ENDED, inputs);
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
@@ -45,6 +45,7 @@
       if (isMissingOneBefore(event)) {
         return false;
       }
+      event.id().ifPresent(from::noteCame);
       if (!isKnown(event)) {
         pass(from, event);
       }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.gatereel.core.choice.TargetChoice;
 import org.gatereel.core.choice.TargetQuery;
+import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.model.TargetId;
@@ -84,8 +85,22 @@
     return copiesRuns ? copies.begin(target, query) : Optional.empty();
   }
 
-  /** Notes that a target was not really tried. */
-  void takeBack(TargetState target) {
-    tried.remove(target.description().id());
+  /** Notes what a target's whole answer says of it. */
+  void answered(Attempt from, Answer answer) {
+    if (answer.isError()) {
+      forwarder.targets().answeredWithError(from.target());
+    } else {
+      forwarder.targets().answered(from.target());
+    }
+  }
+
+  /** Notes what an attempt's failure says of its target. */
+  void failed(Attempt from, TargetFailure failure) {
+    if (from.isContinuation() && failure == TargetFailure.FULL) {
+      // The copy is not there; that says nothing of the target's load.
+      tried.remove(from.target().description().id());
+    } else {
+      forwarder.targets().failed(from.target(), failure);
+    }
   }
 }
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/StreamEndTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/StreamEndTest.java
@@ -168,7 +168,7 @@
   @Test
   void givesOneFinalAnswerWhateverComesWhileAnEndIsInDoubt() {
     for (Runnable event : whatMayComeWhileAnEndIsInDoubt()) {
-      world.probes.clear();
+      world.keeper.confirm(1, world.context.now());
       ForwardWorld.Caller asking = new ForwardWorld.Caller();
       latest = world.ask("/stream/x", asking).orElseThrow();
       int before = world.sent.size();
