Test what ends a run without events, and one that ends before what the caller has

Cause: a run's end is judged without a look at what the run brought. A run without one event is taken for whole also where the target only closed its connection, and so is one that ends before the last event that the caller has. Ruled out: runs that stand where the caller does; for all of fresh, resumed, continued and from a copy their ends are judged rightly.

--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
@@ -80,7 +80,11 @@
     }
 
     SentCall event(long id) {
-      listener.received(eventText(id).getBytes(StandardCharsets.UTF_8));
+      return text(eventText(id));
+    }
+
+    SentCall text(String text) {
+      listener.received(text.getBytes(StandardCharsets.UTF_8));
       return this;
     }
 
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/StreamEndTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/StreamEndTest.java
@@ -9,12 +9,15 @@
 import org.gatereel.core.action.Action;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.forward.ForwardWorld.Caller;
 import org.junit.jupiter.api.Test;
 
 /** What is taken for the end of a stream, and what may follow its break. */
 class StreamEndTest {
+  private static final long HAD_BY_CALLER = 2;
+
   private final ForwardWorld world = new ForwardWorld();
-  private final ForwardWorld.Caller caller = new ForwardWorld.Caller();
+  private final Caller caller = new Caller();
   private Exchange latest;
 
   private ForwardWorld.SentCall running(long lastEvent) {
@@ -43,7 +46,7 @@
   void endsABegunStreamWithNoErrorOfTheTargetThatWasToGoOn() {
     for (int status : new int[] {500, 504, 400, 404, 200}) {
       ForwardWorld fresh = new ForwardWorld();
-      ForwardWorld.Caller asking = new ForwardWorld.Caller();
+      Caller asking = new Caller();
       fresh.ask("/stream/x", asking);
       fresh.last().accepted().head(200, true).event(1);
       fresh.fail(fresh.last(), TargetFailure.RESET);
@@ -169,7 +172,7 @@
   void givesOneFinalAnswerWhateverComesWhileAnEndIsInDoubt() {
     for (Runnable event : whatMayComeWhileAnEndIsInDoubt()) {
       world.keeper.confirm(1, world.context.now());
-      ForwardWorld.Caller asking = new ForwardWorld.Caller();
+      Caller asking = new Caller();
       latest = world.ask("/stream/x", asking).orElseThrow();
       int before = world.sent.size();
       ForwardWorld.SentCall call = world.last().accepted().head(200, true).event(1);
@@ -221,4 +224,106 @@
         .map(Action.Note::detail)
         .toList();
   }
+
+  /** How a run began whose end is judged. */
+  private enum Start {
+    /** The caller asks for the first time. */
+    FRESH,
+    /** The caller came back with the last event it had. */
+    RESUMED,
+    /** An earlier run broke, and this one goes on after its last event by reading all anew. */
+    CONTINUED,
+    /** The same, from a copy of the earlier run's memory. */
+    FROM_COPY
+  }
+
+  private static ForwardWorld.SentCall begin(Start start, ForwardWorld fresh, Caller asking) {
+    if (start == Start.RESUMED) {
+      fresh.lastEventId = OptionalLong.of(HAD_BY_CALLER);
+    }
+    fresh.ask("/stream/x", asking);
+    if (start == Start.CONTINUED || start == Start.FROM_COPY) {
+      fresh.last().accepted().head(200, true).event(1).event(HAD_BY_CALLER);
+      fresh.fail(fresh.last(), TargetFailure.RESET);
+    }
+    if (start == Start.CONTINUED) {
+      fresh.last().notRun(503);
+    }
+    assertEquals(start == Start.FROM_COPY, fresh.last().dispatch.continueFrom().isPresent());
+    return fresh.last().accepted().head(200, true);
+  }
+
+  /**
+   * A run that ends without one event says nothing that could be checked. That nothing is missing
+   * is then only as good as the target's own word; a connection that was closed is none, even if
+   * the target lives.
+   */
+  @Test
+  void aRunWithoutOneEventIsAtItsEndOnlyByTheTargetsWord() {
+    for (Start start : Start.values()) {
+      for (AnswerEnd end : AnswerEnd.values()) {
+        ForwardWorld fresh = new ForwardWorld();
+        Caller asking = new Caller();
+        ForwardWorld.SentCall call = begin(start, fresh, asking);
+
+        call.listener.ended(end);
+        fresh.probes.forEach(probe -> probe.listener().probed(true));
+
+        assertEquals(end.isTargetsWord(), asking.finished, start + " " + end);
+        assertEquals(!end.isTargetsWord(), fresh.last() != call, start + " " + end);
+        assertFalse(asking.aborted);
+      }
+    }
+  }
+
+  /** Comments keep a connection open; they are no events of the run. */
+  @Test
+  void aRunWithCommentsAloneIsOneWithoutEvents() {
+    for (Start start : Start.values()) {
+      ForwardWorld fresh = new ForwardWorld();
+      Caller asking = new Caller();
+      ForwardWorld.SentCall call = begin(start, fresh, asking);
+
+      call.text(": still here\n\n").listener.ended(AnswerEnd.CONNECTION_CLOSED);
+      fresh.probes.forEach(probe -> probe.listener().probed(true));
+
+      assertFalse(asking.isOver(), start.toString());
+      assertTrue(fresh.last() != call, start.toString());
+    }
+  }
+
+  /** The caller has the events up to the last one; one of them again shows where the run stands. */
+  @Test
+  void aRunThatStandsWhereTheCallerDoesMayEndByAClosedConnectionOfALiveTarget() {
+    for (Start start : Start.values()) {
+      ForwardWorld fresh = new ForwardWorld();
+      Caller asking = new Caller();
+      ForwardWorld.SentCall call = begin(start, fresh, asking);
+
+      call.event(start == Start.FRESH ? 1 : HAD_BY_CALLER);
+      call.listener.ended(AnswerEnd.CONNECTION_CLOSED);
+      assertFalse(asking.isOver());
+      fresh.lastProbe().listener().probed(true);
+
+      assertTrue(asking.finished, start.toString());
+    }
+  }
+
+  /** A run that ends before the last event that the caller has is a run of something else. */
+  @Test
+  void aRunThatEndsBeforeWhatTheCallerHasEndsNothing() {
+    for (Start start : List.of(Start.RESUMED, Start.CONTINUED, Start.FROM_COPY)) {
+      for (AnswerEnd end : AnswerEnd.values()) {
+        ForwardWorld fresh = new ForwardWorld();
+        Caller asking = new Caller();
+        ForwardWorld.SentCall call = begin(start, fresh, asking);
+
+        call.event(1).listener.ended(end);
+        fresh.probes.forEach(probe -> probe.listener().probed(true));
+
+        assertFalse(asking.isOver(), start + " " + end);
+        assertTrue(fresh.last() != call, start + " " + end);
+      }
+    }
+  }
 }
