Judge the end of a stream's run by what the run brought

Ruled out: taking the target's last chunk after no event for a fault: a run that made all events and broke before its last chunk is ended in just that way by the next one. Decided, alike for fresh, resumed and continued runs and those from a copy: without one event, LENGTH_REACHED and LAST_CHUNK end the stream, CONNECTION_CLOSED is a failure (RESET), also where the target lives, since nothing shows that the run took place; with events up to where the caller stands, CONNECTION_CLOSED is for the probe to decide; a run that ends before the last event that the caller has is a failure (ERROR), whatever its end. Change: EndCheck knows these as verdicts. A block of a stream with neither data nor id is a comment: it is passed on and counts as no event, so that a stream of which the caller has only comments starts anew elsewhere.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
@@ -104,6 +104,11 @@
     return eventCount > 0;
   }
 
+  /** Returns whether any event came in this attempt, also one that the caller had. */
+  boolean hasCome() {
+    return lastOfRun.isPresent() || hasEvents();
+  }
+
   /** Returns how many events of this attempt the caller was given. */
   long eventCount() {
     return eventCount;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/EndCheck.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/EndCheck.java
@@ -6,16 +6,19 @@
  * <p>Only a target's own word makes an answer whole. A connection that was closed in order is none,
  * since that of a process that ends looks the same; the target is then probed, and the attempt
  * stays open until it is known whether it lives. A probe that was sent before the end would tell of
- * the time before, so that each end is given one of its own.
+ * the time before, so that each end is given one of its own. A stream's run without events has
+ * nothing but the target's word: that its process lives does not show that it ran.
  */
 final class EndCheck {
   private final Forwarder forwarder;
   private final Exchange exchange;
+  private final StreamRelay relay;
   private final ExchangeLog log;
 
-  EndCheck(Forwarder forwarder, Exchange exchange, ExchangeLog log) {
+  EndCheck(Forwarder forwarder, Exchange exchange, StreamRelay relay, ExchangeLog log) {
     this.forwarder = forwarder;
     this.exchange = exchange;
+    this.relay = relay;
     this.log = log;
   }
 
@@ -29,9 +32,17 @@
     }
   }
 
-  private static EndVerdict verdict(Attempt from) {
-    if (from.answersWithStream() && from.events().isWithinEvent()) {
-      return EndVerdict.WITHIN_EVENT;
+  private EndVerdict verdict(Attempt from) {
+    if (from.answersWithStream()) {
+      if (from.events().isWithinEvent()) {
+        return EndVerdict.WITHIN_EVENT;
+      }
+      if (relay.isAheadOf(from)) {
+        return EndVerdict.BEHIND_CALLER;
+      }
+      if (!from.end().isTargetsWord() && !from.hasCome()) {
+        return EndVerdict.WITHOUT_EVENT;
+      }
     }
     return from.end().isTargetsWord() ? EndVerdict.TARGETS_WORD : EndVerdict.IN_DOUBT;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/EndVerdict.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/EndVerdict.java
@@ -14,7 +14,11 @@
   /** The connection was closed, and the target did not answer a probe after that. */
   TARGET_GONE(Optional.of(TargetFailure.RESET)),
   /** The end came within an event. */
-  WITHIN_EVENT(Optional.of(TargetFailure.RESET));
+  WITHIN_EVENT(Optional.of(TargetFailure.RESET)),
+  /** The connection was closed before any event, so that nothing shows that the run took place. */
+  WITHOUT_EVENT(Optional.of(TargetFailure.RESET)),
+  /** The run ended before the last event that the caller has, so that it is not of that stream. */
+  BEHIND_CALLER(Optional.of(TargetFailure.ERROR));
 
   private final Optional<TargetFailure> failure;
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/EventStreamReader.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/EventStreamReader.java
@@ -14,6 +14,10 @@
  */
 final class EventStreamReader {
   private static final String ID_FIELD = "id:";
+  private static final String DATA_FIELD = "data:";
+
+  /** A field may come without a colon; it is empty then. */
+  private static final String EMPTY_DATA_FIELD = "data";
 
   private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
   private int lineStart;
@@ -48,19 +52,23 @@
       return;
     }
     byte[] whole = pending.toByteArray();
-    events.add(new StreamEvent(idOf(whole), whole));
+    events.add(eventOf(whole));
     pending.reset();
     lineStart = 0;
   }
 
-  private static OptionalLong idOf(byte[] event) {
-    String text = new String(event, StandardCharsets.UTF_8);
+  /** Reads what the caller's reader would: the last id counts, and data makes an event. */
+  private static StreamEvent eventOf(byte[] whole) {
+    String text = new String(whole, StandardCharsets.UTF_8);
+    OptionalLong id = OptionalLong.empty();
+    boolean hasData = false;
     for (String line : text.split("\r?\n", -1)) {
       if (line.startsWith(ID_FIELD)) {
-        return parse(line.substring(ID_FIELD.length()).strip());
+        id = parse(line.substring(ID_FIELD.length()).strip());
       }
+      hasData |= line.startsWith(DATA_FIELD) || line.equals(EMPTY_DATA_FIELD);
     }
-    return OptionalLong.empty();
+    return new StreamEvent(id, hasData, whole);
   }
 
   private static OptionalLong parse(String digits) {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -66,7 +66,7 @@
             + Math.min(route.timeoutMillis(), request.remainingMillis().orElse(Long.MAX_VALUE));
     this.relay = new StreamRelay(this, context, request, reply, route);
     this.log = new ExchangeLog(forwarder, this, request);
-    this.ends = new EndCheck(forwarder, this, log);
+    this.ends = new EndCheck(forwarder, this, relay, log);
     this.copies = search.copies();
     this.deadlineTimer = context.timers().add(deadline, this::deadlinePassed);
     this.silence = new SilenceWatch(forwarder, this, route);
@@ -315,7 +315,7 @@
 
   private boolean isResumableStream() {
     boolean resumable = route.kind() == RouteKind.STREAM && route.resumable();
-    return resumable && !reply.isCommitted() && relay.lastEventId().isPresent();
+    return resumable && !reply.isCommitted() && relay.canGoOnElsewhere();
   }
 
   private boolean mayTryAgain() {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
@@ -37,11 +37,28 @@
     return lastEventId;
   }
 
+  /** Returns whether another target could go on, so that the caller has each event once. */
+  boolean canGoOnElsewhere() {
+    return lastEventId.isPresent() || (reply.hasBegun() && !hasPassed);
+  }
+
+  /** Returns whether a run has not come up to the last event that the caller has. */
+  boolean isAheadOf(Attempt run) {
+    OptionalLong last = run.lastOfRun();
+    return last.isPresent()
+        && lastEventId.isPresent()
+        && last.getAsLong() < lastEventId.getAsLong();
+  }
+
   /**
    * Passes on what bytes of an attempt complete; returns false if the attempt is of no more use.
    */
   boolean pass(Attempt from, byte[] bytes) {
     for (StreamEvent event : from.events().read(bytes)) {
+      if (event.isComment()) {
+        write(from, event);
+        continue;
+      }
       if (isMissingOneBefore(event)) {
         return false;
       }
@@ -74,12 +91,16 @@
     if (event.id().isPresent()) {
       lastEventId = event.id();
     }
-    reply.begin(from.head());
     if (hasPassed) {
       notePause(from);
     }
     hasPassed = true;
     passedAt = context.now();
+    write(from, event);
+  }
+
+  private void write(Attempt from, StreamEvent event) {
+    reply.begin(from.head());
     reply.write(event.bytes());
   }
 
