Test how runs are joined: events without ids, ids that go back, first events left out

Cause: an event without an id is passed on and the stream still goes on elsewhere after its last id, so that the event is repeated or lost; within one run, an id that is not above the last one is passed over as known; a first run may begin at any id. Ruled out: comments, which are no events; repeats at the beginning of a later run, which are passed over rightly.

--- /dev/null
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/StreamJoinTest.java
@@ -0,0 +1,204 @@
+package org.gatereel.core.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.OptionalLong;
+import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.forward.ForwardWorld.Caller;
+import org.junit.jupiter.api.Test;
+
+/** How the runs of several targets are joined to one stream. */
+class StreamJoinTest {
+  private static final String WITHOUT_ID = "data: x\n\n";
+  private static final String COMMENT = ": still here\n\n";
+
+  private final ForwardWorld world = new ForwardWorld();
+  private final Caller caller = new Caller();
+
+  private ForwardWorld.SentCall running(long lastEvent) {
+    world.ask("/stream/x", caller);
+    ForwardWorld.SentCall call = world.last().accepted().head(200, true);
+    for (long id = 1; id <= lastEvent; id++) {
+      call.event(id);
+    }
+    return call;
+  }
+
+  private ForwardWorld.SentCall goingOnAfter(long lastEvent) {
+    world.fail(running(lastEvent), TargetFailure.RESET);
+    return world.last().accepted().head(200, true);
+  }
+
+  private static String eventsUpTo(long last) {
+    StringBuilder events = new StringBuilder();
+    for (long id = 1; id <= last; id++) {
+      events.append(ForwardWorld.eventText(id));
+    }
+    return events.toString();
+  }
+
+  /**
+   * A caller had events 1 and 2 and one without an id after them. The next run, asked to go on
+   * after event 2, would have sent that one again, or left another one out, and nobody could have
+   * told.
+   */
+  @Test
+  void breaksAStreamOffThatHasAnEventWithoutId() {
+    ForwardWorld.SentCall call = running(2).text(WITHOUT_ID);
+
+    world.fail(call, TargetFailure.RESET);
+
+    assertTrue(caller.aborted);
+    assertEquals(1, world.sent.size());
+    assertEquals(eventsUpTo(2) + WITHOUT_ID, caller.body.toString());
+  }
+
+  @Test
+  void breaksAStreamOffAlsoIfEventsWithIdsFollowTheOneWithout() {
+    ForwardWorld.SentCall call = running(1).text(WITHOUT_ID).event(2);
+
+    world.fail(call, TargetFailure.RESET);
+
+    assertTrue(caller.aborted);
+    assertEquals(1, world.sent.size());
+  }
+
+  @Test
+  void takesAnIdThatIsNoNumberForNone() {
+    ForwardWorld.SentCall call = running(1).text("id: b7\n" + WITHOUT_ID);
+
+    world.fail(call, TargetFailure.RESET);
+
+    assertTrue(caller.aborted);
+  }
+
+  @Test
+  void endsAStreamWithoutIdsByItsTargetsWord() {
+    running(0).text(WITHOUT_ID).text(WITHOUT_ID).listener.ended(AnswerEnd.LAST_CHUNK);
+
+    assertTrue(caller.finished);
+    assertEquals(WITHOUT_ID + WITHOUT_ID, caller.body.toString());
+  }
+
+  @Test
+  void goesOnWithAStreamThatHasCommentsBetweenItsEvents() {
+    world.fail(running(1).text(COMMENT), TargetFailure.RESET);
+
+    world
+        .last()
+        .accepted()
+        .head(200, true)
+        .text(COMMENT)
+        .event(2)
+        .listener
+        .ended(AnswerEnd.LAST_CHUNK);
+
+    assertTrue(caller.finished);
+    assertEquals(
+        eventsUpTo(1) + COMMENT + COMMENT + ForwardWorld.eventText(2), caller.body.toString());
+  }
+
+  @Test
+  void startsAStreamAnewOfWhichTheCallerHasOnlyComments() {
+    world.fail(running(0).text(COMMENT), TargetFailure.RESET);
+
+    assertEquals(OptionalLong.empty(), world.last().dispatch.lastEventId());
+    world.last().accepted().head(200, true).event(1).listener.ended(AnswerEnd.LAST_CHUNK);
+    assertTrue(caller.finished);
+    assertEquals(COMMENT + eventsUpTo(1), caller.body.toString());
+  }
+
+  /** Nothing tells whether the caller has an event without an id already. */
+  @Test
+  void joinsNoEventWithoutIdToAnEarlierRun() {
+    ForwardWorld.SentCall second = goingOnAfter(2);
+
+    second.text(WITHOUT_ID);
+
+    assertTrue(second.cancelled);
+    assertFalse(caller.isOver());
+    assertEquals(eventsUpTo(2), caller.body.toString());
+  }
+
+  @Test
+  void passesAnEventWithoutIdOnOnceItsRunStandsWhereTheCallerDoes() {
+    goingOnAfter(2).event(2).text(WITHOUT_ID);
+
+    assertFalse(caller.isOver());
+    assertEquals(eventsUpTo(2) + WITHOUT_ID, caller.body.toString());
+  }
+
+  /**
+   * The ids of one run began anew after event 3. Its events up to 3 were taken for known and passed
+   * over, and the stream went on with another event 4 as if nothing had happened.
+   */
+  @Test
+  void givesARunUpWhoseIdsGoBack() {
+    for (long again : new long[] {1, 2, 3}) {
+      ForwardWorld fresh = new ForwardWorld();
+      Caller asking = new Caller();
+      fresh.ask("/stream/x", asking);
+      ForwardWorld.SentCall call = fresh.last().accepted().head(200, true);
+      call.event(1).event(2).event(3);
+
+      call.event(again);
+
+      assertTrue(call.cancelled, "again " + again);
+      assertEquals(2, fresh.sent.size());
+      assertEquals(OptionalLong.of(3), fresh.last().dispatch.lastEventId());
+      assertEquals(eventsUpTo(3), asking.body.toString());
+    }
+  }
+
+  @Test
+  void givesALaterRunUpWhoseIdsGoBackBeforeTheyReachTheCaller() {
+    ForwardWorld.SentCall second = goingOnAfter(3).event(1).event(2);
+
+    second.event(1);
+
+    assertTrue(second.cancelled);
+    assertFalse(caller.isOver());
+  }
+
+  @Test
+  void givesALaterRunUpThatLeavesOutWhatTheCallerHas() {
+    ForwardWorld.SentCall second = goingOnAfter(3).event(1);
+
+    second.event(3);
+
+    assertTrue(second.cancelled);
+  }
+
+  @Test
+  void passesOverWhatANewRunRepeatsFromTheBeginning() {
+    goingOnAfter(3).event(1).event(2).event(3).event(4);
+
+    assertEquals(eventsUpTo(4), caller.body.toString());
+  }
+
+  /** Ids begin at 1 and rise by one; a run that begins later has left its first events out. */
+  @Test
+  void givesAFirstRunUpWhoseFirstEventIsMissing() {
+    ForwardWorld.SentCall call = running(0);
+
+    call.event(2);
+
+    assertTrue(call.cancelled);
+    assertEquals("", caller.body.toString());
+    assertEquals(2, world.sent.size());
+    world.last().accepted().head(200, true).event(1);
+    assertEquals(eventsUpTo(1), caller.body.toString());
+  }
+
+  @Test
+  void givesAFirstRunUpThatBeginsLateAfterAComment() {
+    ForwardWorld.SentCall call = running(0).text(COMMENT);
+
+    call.event(2);
+
+    assertTrue(call.cancelled);
+    assertFalse(caller.isOver());
+  }
+}
