Join a run only where the stream's ids show that it fits

Ruled out: passing over the first events of a later run, which stays as it is. Change, in StreamRelay: within one run each id is one above the last; the first id of a run may be any that the caller has or the next, which for a caller without events is 1; everything else ends the attempt (ERROR), with a numbered event (EVENT_MISPLACED) that has the ids. After an event with data but without an id a stream does not go on elsewhere: a break cuts it off. In a later run such an event is passed on only once the run stands where the caller does. Comments change nothing of this.

--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -50,6 +50,9 @@
   CLAIMS_WRITTEN(323, "A group of claims was written in one transaction."),
   PROMPT_LOCATED(
       330, "Engines were asked which of them keeps the prompt of a stream that is resumed."),
+  EVENT_MISPLACED(
+      331,
+      "An event of a target's stream is not the next one of its run, or has no place; the run ends."),
   EDIT_ACCEPTED(400, "An edit of the table was committed."),
   EDIT_REFUSED(401, "An edit of the table was refused."),
   EDIT_UNKNOWN(402, "The answer to an edit was lost; its edit id is read back."),
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
@@ -7,11 +7,13 @@
 /**
  * Passes the events of a stream on, each once and in order, whichever attempt they come from.
  *
- * <p>An event that the caller has is passed over; one before which another is missing ends the
- * attempt.
+ * <p>Ids begin at 1 and rise by one. The first events of a run may repeat what the caller has, and
+ * are passed over; an event that is not the next one of its run, or before which the caller misses
+ * one, ends the attempt. After an event without an id no other run can tell where to go on.
  */
 final class StreamRelay {
   private static final int LONGEST_EVENT_BYTES = 1 << 20;
+  private static final long FIRST_ID = 1;
 
   private final Exchange exchange;
   private final CoreContext context;
@@ -20,6 +22,7 @@
   private final Route route;
   private OptionalLong lastEventId;
   private boolean hasPassed;
+  private boolean hasUnnumbered;
   private long passedAt;
 
   StreamRelay(
@@ -39,7 +42,8 @@
 
   /** Returns whether another target could go on, so that the caller has each event once. */
   boolean canGoOnElsewhere() {
-    return lastEventId.isPresent() || (reply.hasBegun() && !hasPassed);
+    boolean startsAnew = reply.hasBegun() && !hasPassed;
+    return !hasUnnumbered && (lastEventId.isPresent() || startsAnew);
   }
 
   /** Returns whether a run has not come up to the last event that the caller has. */
@@ -59,7 +63,8 @@
         write(from, event);
         continue;
       }
-      if (isMissingOneBefore(event)) {
+      if (!isInOrder(from, event)) {
+        noteMisplaced(from, event);
         return false;
       }
       event.id().ifPresent(from::noteCame);
@@ -76,10 +81,35 @@
         && event.id().getAsLong() <= lastEventId.getAsLong();
   }
 
-  private boolean isMissingOneBefore(StreamEvent event) {
-    return event.id().isPresent()
-        && lastEventId.isPresent()
-        && event.id().getAsLong() > lastEventId.getAsLong() + 1;
+  private boolean isInOrder(Attempt from, StreamEvent event) {
+    if (event.id().isEmpty()) {
+      return hasPlaceWithoutId(from);
+    }
+    long id = event.id().getAsLong();
+    if (from.lastOfRun().isPresent()) {
+      return id == from.lastOfRun().getAsLong() + 1;
+    }
+    return id <= lastEventId.orElse(FIRST_ID - 1) + 1;
+  }
+
+  /** An event without an id stands where its run does; only there can it be no repeat. */
+  private boolean hasPlaceWithoutId(Attempt from) {
+    boolean isFirstRun = !hasPassed;
+    return isFirstRun || from.hasEvents() || from.lastOfRun().equals(lastEventId);
+  }
+
+  private void noteMisplaced(Attempt from, StreamEvent event) {
+    context.note(
+        EventCode.EVENT_MISPLACED,
+        request.id(),
+        "target="
+            + from.target().description().id()
+            + " event="
+            + event.id().orElse(-1)
+            + " lastOfRun="
+            + from.lastOfRun().orElse(-1)
+            + " lastEvent="
+            + lastEventId.orElse(-1));
   }
 
   private void pass(Attempt from, StreamEvent event) {
@@ -90,6 +120,8 @@
     }
     if (event.id().isPresent()) {
       lastEventId = event.id();
+    } else {
+      hasUnnumbered = true;
     }
     if (hasPassed) {
       notePause(from);
