--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
@@ -118,7 +118,7 @@
       implements ForwardRequest {}
 
   /** What a caller got. */
-  static final class Caller implements CallerPort {
+  static class Caller implements CallerPort {
     final StringBuilder body = new StringBuilder();
     int status = -1;
     boolean finished;
