Hear nothing of an attempt after its end, and write nothing after the caller is gone

Ruled out: today's transport, which ends an attempt once; the core now doesn't depend on it. Change: an attempt that has its end is not listened to any more, also while the end is in doubt; what is written of one read stops once the attempt is closed.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
@@ -169,14 +169,21 @@
     }
   }
 
+  /** Nothing that comes after an attempt's end, or after it was given up, is taken in. */
+  private boolean isHeard() {
+    return !closed && end == null;
+  }
+
   @Override
   public void sent() {
-    sent = true;
+    if (isHeard()) {
+      sent = true;
+    }
   }
 
   @Override
   public void answered(AnswerHead answer) {
-    if (!closed) {
+    if (isHeard()) {
       head = answer;
       exchange.answered(this);
     }
@@ -184,21 +191,21 @@
 
   @Override
   public void received(byte[] bytes) {
-    if (!closed) {
+    if (isHeard()) {
       exchange.received(this, bytes);
     }
   }
 
   @Override
   public void ended(AnswerEnd how) {
-    if (!closed) {
+    if (isHeard()) {
       exchange.ended(this, how);
     }
   }
 
   @Override
   public void failed(TargetFailure failure) {
-    if (!closed) {
+    if (isHeard()) {
       exchange.failed(this, failure);
     }
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
@@ -56,9 +56,13 @@
 
   /**
    * Passes on what bytes of an attempt complete; returns false if the attempt is of no more use.
+   * The caller may be found gone within a write; nothing more is written then.
    */
   boolean pass(Attempt from, byte[] bytes) {
     for (StreamEvent event : from.events().read(bytes)) {
+      if (from.isClosed()) {
+        return true;
+      }
       if (event.isComment()) {
         write(from, event);
         continue;
