Play ends by closed connections, errors instead of streams and ids out of order

Cause: the oracle's scenario let a target answer streams only with streams, so that neither the fault matrix nor the fuzz test could see an error of the target that was to go on end a begun stream. Ends by a closed connection, events without ids, ids that go back, first events left out and late callbacks were not played at all. Change: the scenario has these, for streams and plain answers, with targets whose process is gone and whom no probe reaches from then on (one sent before may be answered); ERROR, UNSIGNED and a 200 of another type are for streams too. The oracle also holds plain answers ended as complete to the whole body, events without ids to their place, and late callbacks to changing nothing. The matrix has a step at which a second run has not sent an event. SKIP_EVENT leaves out a run's first event too: the check that let it be is gone, since ids begin at 1.

--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
@@ -121,6 +121,7 @@
   static class Caller implements CallerPort {
     final StringBuilder body = new StringBuilder();
     int status = -1;
+    boolean hasStream;
     boolean finished;
     boolean aborted;
     Refusal refusal;
@@ -142,6 +143,7 @@
         throw new AssertionError("a second head");
       }
       status = head.status();
+      hasStream = head.isEventStream();
     }
 
     @Override
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardingMatrixTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardingMatrixTest.java
@@ -22,6 +22,7 @@
     FIRST_EVENT(Happening.ACCEPT, Happening.NEXT_EVENT),
     MIDWAY(Happening.ACCEPT, Happening.NEXT_EVENT, Happening.NEXT_EVENT, Happening.NEXT_EVENT),
     MOVED_ONCE(Happening.ACCEPT, Happening.NEXT_EVENT, Happening.RESET),
+    ACCEPTED_AGAIN(Happening.ACCEPT, Happening.NEXT_EVENT, Happening.RESET, Happening.ACCEPT),
     RUNNING_AGAIN(
         Happening.ACCEPT,
         Happening.NEXT_EVENT,
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardingScenario.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardingScenario.java
@@ -1,31 +1,52 @@
 package org.gatereel.core.forward;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.model.TargetDescription;
+import org.gatereel.core.model.TargetId;
 
 /**
  * A host with its callers and targets, what each of them has seen, and an oracle: one final answer
- * for each request, no second run of what may run once, true promises, whole streams in order.
+ * for each request, no second run of what may run once, true promises, whole streams in order, and
+ * no answer ended as complete that no target ended so.
  */
 final class ForwardingScenario {
   /** The paths of the three kinds of requests. */
   static final String[] PATHS = {"/stream/x", "/safe/x", "/once/x"};
 
+  private static final Pattern ID = Pattern.compile("(?m)^id: ([0-9]+)$");
   private static final int LAST_EVENT = 12;
+  private static final String WHOLE_BODY = "body";
+  private static final String WITHOUT_ID = "data: without id ";
+  private static final String COMMENT = ": still here\n\n";
+  private static final ForwardWorld.Head ERROR_HEAD =
+      new ForwardWorld.Head(500, false, true, false);
+  private static final ForwardWorld.Head PLAIN_HEAD =
+      new ForwardWorld.Head(200, false, true, false);
+  private static final ForwardWorld.Head UNSIGNED_HEAD =
+      new ForwardWorld.Head(200, false, false, false);
 
   private final ForwardWorld world = new ForwardWorld();
   private final List<Told> requests = new ArrayList<>();
   private final Map<ForwardWorld.SentCall, Work> works = new HashMap<>();
   private final Map<ForwardWorld.SentCall, Told> owners = new HashMap<>();
+  private final Set<TargetId> gone = new HashSet<>();
+  private final Map<ForwardWorld.SentProbe, Boolean> reaching = new IdentityHashMap<>();
   private int names;
+  private int unnumbered;
 
   /** What may happen next. */
   enum Happening {
@@ -36,11 +57,21 @@
     NEXT_EVENT,
     SKIP_EVENT,
     REPEAT_EVENT,
+    EARLIER_EVENT,
+    START_ANEW,
+    EVENT_WITHOUT_ID,
+    COMMENT,
     HALF_EVENT_THEN_END,
     HALF_EVENT_THEN_RESET,
+    HALF_EVENT_THEN_CLOSE,
     END,
+    END_BY_CLOSE,
+    DIE_BY_CLOSE,
     ERROR,
+    ERROR_BY_CLOSE,
+    OTHER_TYPE,
     UNSIGNED,
+    LATE_CALLBACKS,
     RESET,
     NOT_CONNECTED,
     CALLER_GOES,
@@ -75,13 +106,18 @@
   private static final class Work {
     boolean accepted;
     boolean over;
+
+    /** Where the run stands; it may not have sent any event yet. */
     long lastEvent;
+
+    boolean hasEvents;
   }
 
   /** Has something happen, and checks what every caller has seen so far. */
   void happen(Happening happening, int number) {
     step(happening, number);
     adoptNewCalls();
+    world.probes.forEach(probe -> reaching.putIfAbsent(probe, !isGone(probe.target())));
     requests.forEach(this::checkSoFar);
   }
 
@@ -89,6 +125,11 @@
   void finish() {
     world.pass(2 * ForwardWorld.TIMEOUT_MILLIS);
     adoptNewCalls();
+    while (!world.probes.isEmpty()) {
+      answerProbe(true);
+    }
+    adoptNewCalls();
+    requests.forEach(this::checkSoFar);
     for (Told told : requests) {
       assertTrue(told.isOver(), "a request was never answered");
     }
@@ -107,12 +148,24 @@
       case REFUSE_MISDIRECTED -> call.ifPresent(open -> refuse(open, 421));
       case NEXT_EVENT -> call.ifPresent(open -> event(open, 1));
       case SKIP_EVENT -> call.ifPresent(open -> event(open, 2));
-      case REPEAT_EVENT -> call.ifPresent(this::repeatEvent);
-      case HALF_EVENT_THEN_END -> call.ifPresent(this::halfEventThenEnd);
-      case HALF_EVENT_THEN_RESET -> call.ifPresent(this::halfEvent);
-      case END -> call.ifPresent(this::end);
-      case ERROR -> call.ifPresent(open -> answer(open, 500, true));
-      case UNSIGNED -> call.ifPresent(open -> answer(open, 200, false));
+      case REPEAT_EVENT -> call.ifPresent(open -> eventAgain(open, works.get(open).lastEvent));
+      case EARLIER_EVENT -> call.ifPresent(open -> eventAgain(open, works.get(open).lastEvent - 1));
+      case START_ANEW -> call.ifPresent(open -> eventAgain(open, 1));
+      case EVENT_WITHOUT_ID -> call.ifPresent(this::eventWithoutId);
+      case COMMENT -> call.ifPresent(this::comment);
+      case HALF_EVENT_THEN_END -> call.ifPresent(open -> halfEvent(open, AnswerEnd.LAST_CHUNK));
+      case HALF_EVENT_THEN_RESET -> call.ifPresent(this::halfEventThenReset);
+      case HALF_EVENT_THEN_CLOSE ->
+          call.ifPresent(open -> halfEvent(open, AnswerEnd.CONNECTION_CLOSED));
+      case END -> call.ifPresent(open -> end(open, AnswerEnd.LAST_CHUNK));
+      case END_BY_CLOSE -> call.ifPresent(open -> end(open, AnswerEnd.CONNECTION_CLOSED));
+      case DIE_BY_CLOSE -> call.ifPresent(this::dieByClose);
+      case ERROR -> call.ifPresent(open -> answer(open, ERROR_HEAD, AnswerEnd.LAST_CHUNK));
+      case ERROR_BY_CLOSE ->
+          call.ifPresent(open -> answer(open, ERROR_HEAD, AnswerEnd.CONNECTION_CLOSED));
+      case OTHER_TYPE -> call.ifPresent(open -> answer(open, PLAIN_HEAD, AnswerEnd.LAST_CHUNK));
+      case UNSIGNED -> call.ifPresent(open -> answer(open, UNSIGNED_HEAD, AnswerEnd.LAST_CHUNK));
+      case LATE_CALLBACKS -> lateCallbacks();
       case RESET -> call.ifPresent(open -> fail(open, TargetFailure.RESET));
       case NOT_CONNECTED -> call.ifPresent(this::notConnected);
       case CALLER_GOES -> callerGoes(number);
@@ -142,6 +195,9 @@
   }
 
   private void own(ForwardWorld.SentCall call, Told told) {
+    assertFalse(
+        told.caller.body.toString().contains(WITHOUT_ID),
+        "a stream went on elsewhere after an event without an id");
     works.put(call, new Work());
     owners.put(call, told);
   }
@@ -173,17 +229,25 @@
   }
 
   private void accept(ForwardWorld.SentCall call) {
-    Work work = works.get(call);
-    if (work.accepted) {
-      return;
+    if (!works.get(call).accepted) {
+      take(call);
+      if (isStream(call)) {
+        call.head(200, true);
+      }
     }
+  }
+
+  /** The target has the request, and has not answered yet. */
+  private void take(ForwardWorld.SentCall call) {
+    Work work = works.get(call);
     work.accepted = true;
     work.lastEvent = call.dispatch.lastEventId().orElse(0);
     owners.get(call).runs++;
     call.accepted();
-    if (isStream(call)) {
-      call.head(200, true);
-    }
+  }
+
+  private boolean isGone(TargetDescription target) {
+    return gone.contains(target.id());
   }
 
   private boolean isStream(ForwardWorld.SentCall call) {
@@ -197,67 +261,142 @@
     }
   }
 
+  private boolean isStreaming(ForwardWorld.SentCall call) {
+    return works.get(call).accepted && isStream(call);
+  }
+
   private void event(ForwardWorld.SentCall call, int step) {
     Work work = works.get(call);
-    // Where the ids of a stream begin is nowhere said, so that no host can miss its first event.
-    boolean first = work.lastEvent == 0;
-    if (work.accepted && isStream(call) && work.lastEvent + step <= LAST_EVENT) {
-      step = first ? 1 : step;
+    if (isStreaming(call) && work.lastEvent + step <= LAST_EVENT) {
       work.lastEvent += step;
+      work.hasEvents = true;
       call.event(work.lastEvent);
     }
   }
 
-  private void repeatEvent(ForwardWorld.SentCall call) {
+  /** A run may begin with what the caller has, but must never go back. */
+  private void eventAgain(ForwardWorld.SentCall call, long id) {
     Work work = works.get(call);
-    if (work.accepted && isStream(call) && work.lastEvent > 0) {
-      call.event(work.lastEvent);
+    if (!isStreaming(call) || id < 1 || id > work.lastEvent) {
+      return;
     }
+    boolean goesBack = work.hasEvents;
+    work.lastEvent = id;
+    work.hasEvents = true;
+    call.event(id);
+    assertEquals(goesBack, call.cancelled, "a run that went back is given up, and no other");
   }
 
-  private void halfEventThenEnd(ForwardWorld.SentCall call) {
-    if (works.get(call).accepted && isStream(call)) {
+  /** Such an event may be passed on only by a run that stands where the caller does. */
+  private void eventWithoutId(ForwardWorld.SentCall call) {
+    if (!isStreaming(call)) {
+      return;
+    }
+    ForwardWorld.Caller caller = owners.get(call).caller;
+    long callerStandsAt = lastId(caller.body);
+    int before = caller.body.length();
+    call.text(WITHOUT_ID + ++unnumbered + "\n\n");
+    if (caller.body.length() > before) {
+      Work work = works.get(call);
+      assertEquals(callerStandsAt, work.lastEvent, "an event without an id was misplaced");
+      assertTrue(work.hasEvents || callerStandsAt == 0, "a run had not shown where it stands");
+    }
+  }
+
+  private void comment(ForwardWorld.SentCall call) {
+    if (isStreaming(call)) {
+      call.text(COMMENT);
+      assertFalse(call.cancelled, "a comment ended a run");
+    }
+  }
+
+  private void halfEvent(ForwardWorld.SentCall call, AnswerEnd end) {
+    if (isStreaming(call)) {
       works.get(call).over = true;
-      call.listener.received("id: 9".getBytes(StandardCharsets.UTF_8));
-      call.listener.ended(AnswerEnd.LAST_CHUNK);
+      call.text("id: 9");
+      call.listener.ended(end);
     }
   }
 
-  private void halfEvent(ForwardWorld.SentCall call) {
-    if (works.get(call).accepted && isStream(call)) {
-      call.listener.received("id: 9".getBytes(StandardCharsets.UTF_8));
+  private void halfEventThenReset(ForwardWorld.SentCall call) {
+    if (isStreaming(call)) {
+      call.text("id: 9");
       fail(call, TargetFailure.RESET);
     }
   }
 
-  private void end(ForwardWorld.SentCall call) {
-    accept(call);
-    if (call.cancelled) {
-      return;
-    }
+  private void end(ForwardWorld.SentCall call, AnswerEnd end) {
     if (!isStream(call)) {
-      answer(call, 200, true);
+      answer(call, PLAIN_HEAD, end);
       return;
     }
+    accept(call);
     Work work = works.get(call);
     while (work.lastEvent < LAST_EVENT && !call.cancelled) {
       event(call, 1);
     }
     if (!call.cancelled) {
       work.over = true;
-      call.listener.ended(AnswerEnd.LAST_CHUNK);
+      call.listener.ended(end);
     }
   }
 
-  private void answer(ForwardWorld.SentCall call, int status, boolean authentic) {
+  /** The target's process ends, which closes its connections in order; no probe reaches it then. */
+  private void dieByClose(ForwardWorld.SentCall call) {
     accept(call);
-    if (isStream(call) || call.cancelled) {
+    if (call.cancelled) {
       return;
     }
     works.get(call).over = true;
-    call.listener.answered(new ForwardWorld.Head(status, false, authentic, false));
-    call.listener.received("body".getBytes(StandardCharsets.UTF_8));
-    call.listener.ended(AnswerEnd.LAST_CHUNK);
+    gone.add(call.dispatch.target().id());
+    if (!isStream(call)) {
+      call.listener.answered(PLAIN_HEAD);
+      call.text(WHOLE_BODY.substring(1));
+    }
+    call.listener.ended(AnswerEnd.CONNECTION_CLOSED);
+  }
+
+  /** Answers without a stream; a target that has begun one can't any more. */
+  private void answer(ForwardWorld.SentCall call, ForwardWorld.Head head, AnswerEnd end) {
+    if (isStreaming(call)) {
+      return;
+    }
+    if (!works.get(call).accepted) {
+      take(call);
+    }
+    works.get(call).over = true;
+    call.listener.answered(head);
+    call.text(WHOLE_BODY);
+    call.listener.ended(end);
+  }
+
+  /** What still comes of attempts that were given up, or have ended, must change nothing. */
+  private void lateCallbacks() {
+    String before = seen();
+    for (ForwardWorld.SentCall call : List.copyOf(world.sent)) {
+      if (call.cancelled || works.get(call).over) {
+        call.accepted();
+        call.head(200, true);
+        call.event(works.get(call).lastEvent + 1);
+        call.head(500, false);
+        call.text(WHOLE_BODY);
+        call.listener.ended(AnswerEnd.LAST_CHUNK);
+        call.listener.ended(AnswerEnd.CONNECTION_CLOSED);
+        call.listener.failed(TargetFailure.RESET);
+      }
+    }
+    assertEquals(before, seen(), "something late of a given-up attempt was taken in");
+  }
+
+  /** What all callers and targets have seen so far. */
+  private String seen() {
+    StringBuilder seen = new StringBuilder();
+    for (Told told : requests) {
+      ForwardWorld.Caller caller = told.caller;
+      seen.append(caller.status).append(caller.isOver()).append(caller.body).append('|');
+    }
+    world.sent.forEach(call -> seen.append(call.target()).append(call.cancelled));
+    return seen.append(world.probes.size()).toString();
   }
 
   private void fail(ForwardWorld.SentCall call, TargetFailure failure) {
@@ -282,9 +421,12 @@
     }
   }
 
+  /** A target whose process was gone when it was asked never answers, whatever comes later. */
   private void answerProbe(boolean alive) {
     if (!world.probes.isEmpty()) {
-      world.probes.remove(0).listener().probed(alive);
+      ForwardWorld.SentProbe probe = world.probes.remove(0);
+      boolean reached = reaching.getOrDefault(probe, !isGone(probe.target()));
+      probe.listener().probed(alive && reached);
     }
   }
 
@@ -305,20 +447,45 @@
       boolean mayRunTwice = !told.path.startsWith("/once/");
       assertTrue(mayRunTwice || told.runs == 0, "not run was said of a request that ran");
     }
-    if (told.path.startsWith("/stream/")) {
+    if (caller.hasStream) {
       checkStream(caller);
+    } else {
+      checkPlain(caller);
+    }
+  }
+
+  private static void checkPlain(ForwardWorld.Caller caller) {
+    if (caller.finished) {
+      assertEquals(WHOLE_BODY, caller.body.toString(), "an answer ended as complete and is not");
+    } else {
+      assertEquals("", caller.body.toString());
     }
   }
 
+  /** The ids of a stream begin at 1 and rise by one, whatever stands between its events. */
   private static void checkStream(ForwardWorld.Caller caller) {
     StringBuilder expected = new StringBuilder();
     long id = 0;
-    while (expected.length() < caller.body.length()) {
-      expected.append(ForwardWorld.eventText(++id));
+    for (String block : caller.body.toString().split("(?<=\n\n)")) {
+      boolean numbered = !block.isEmpty() && !block.equals(COMMENT) && !isWithoutId(block);
+      expected.append(numbered ? ForwardWorld.eventText(++id) : block);
     }
     assertEquals(expected.toString(), caller.body.toString());
     if (caller.finished) {
       assertEquals(LAST_EVENT, id, "a stream ended as complete before its last event");
     }
   }
+
+  private static boolean isWithoutId(String block) {
+    return block.startsWith(WITHOUT_ID) && block.endsWith("\n\n");
+  }
+
+  private static long lastId(CharSequence body) {
+    long last = 0;
+    Matcher ids = ID.matcher(body);
+    while (ids.find()) {
+      last = Long.parseLong(ids.group(1));
+    }
+    return last;
+  }
 }
