Lead from an answer's end to the verdict on it; test how blocks of a stream are read

Cause: ANSWER_ENDED has a verdict now, and EVENT_MISPLACED is new; the page on operations knew neither. Ruled out: leaving the verdicts in words only; the page's test holds names, not words. Change: the page lists the verdicts and what follows; OperationsPageTest takes their names from EndVerdict, public for that.

--- a/gatereel-control/src/test/java/org/gatereel/control/OperationsPageTest.java
+++ b/gatereel-control/src/test/java/org/gatereel/control/OperationsPageTest.java
@@ -14,6 +14,7 @@
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.AnswerEnd;
+import org.gatereel.core.forward.EndVerdict;
 import org.gatereel.core.forward.Refusal;
 import org.junit.jupiter.api.Test;
 
@@ -34,7 +35,8 @@
                 names(EventCode.values()),
                 names(Refusal.values()),
                 names(TargetFailure.values()),
-                names(AnswerEnd.values()))
+                names(AnswerEnd.values()),
+                names(EndVerdict.values()))
             .flatMap(all -> all)
             .collect(Collectors.toCollection(TreeSet::new));
     known.addAll(OTHER_NAMES);
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/EndVerdict.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/EndVerdict.java
@@ -4,7 +4,7 @@
 import org.gatereel.core.event.TargetFailure;
 
 /** What the end of a target's answer is taken for. */
-enum EndVerdict {
+public enum EndVerdict {
   /** The target has said that nothing is missing. */
   TARGETS_WORD(Optional.empty()),
   /** The target closed the connection and lives, so that it meant the close as the end. */
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/StreamJoinTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/StreamJoinTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.ForwardWorld.Caller;
@@ -201,4 +202,21 @@
     assertTrue(call.cancelled);
     assertFalse(caller.isOver());
   }
+
+  /** A caller's reader makes events of some blocks and of others none; the host must agree. */
+  @Test
+  void readsBlocksAsTheCallerDoes() {
+    assertTrue(blockOf(COMMENT).isComment());
+    assertTrue(blockOf("retry: 500\n\n").isComment());
+    assertTrue(blockOf("event: note\n\n").isComment());
+    assertFalse(blockOf("data\n\n").isComment());
+    assertFalse(blockOf("data:\r\n\r\n").isComment());
+    assertFalse(blockOf("id: 4\n\n").isComment());
+    assertEquals(OptionalLong.of(4), blockOf("id: 3\ndata: x\nid:4\n\n").id());
+    assertEquals(OptionalLong.empty(), blockOf("data: id: 3\n\n").id());
+  }
+
+  private static StreamEvent blockOf(String text) {
+    return new EventStreamReader().read(text.getBytes(StandardCharsets.UTF_8)).get(0);
+  }
 }
