--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -41,13 +41,18 @@
   STREAM_PAUSED(317, "A stream's next event came later than its route's longest pause."),
   REPEATS_LENT(
       318, "Another host asked for repeats out of the data centre's part of the retry budget."),
-  ANSWER_ENDED(319, "A target's stream, or an answer without a length, is at its end."),
+  ANSWER_ENDED(
+      319,
+      "A target's stream, or an answer without a length, is at its end; with the verdict on it."),
   CLAIM_GRANTED(320, "The Idempotency-Key was claimed for this host."),
   CLAIM_TAKEN(321, "The Idempotency-Key was claimed before."),
   CLAIM_FAILED(322, "The platform did not confirm the claim; the call was not sent."),
   CLAIMS_WRITTEN(323, "A group of claims was written in one transaction."),
   PROMPT_LOCATED(
       330, "Engines were asked which of them keeps the prompt of a stream that is resumed."),
+  EVENT_MISPLACED(
+      331,
+      "An event of a target's stream is not the next one of its run, or has no place; the run ends."),
   EDIT_ACCEPTED(400, "An edit of the table was committed."),
   EDIT_REFUSED(401, "An edit of the table was refused."),
   EDIT_UNKNOWN(402, "The answer to an edit was lost; its edit id is read back."),
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
@@ -80,7 +80,11 @@
     }
 
     SentCall event(long id) {
-      listener.received(eventText(id).getBytes(StandardCharsets.UTF_8));
+      return text(eventText(id));
+    }
+
+    SentCall text(String text) {
+      listener.received(text.getBytes(StandardCharsets.UTF_8));
       return this;
     }
 
@@ -114,9 +118,10 @@
       implements ForwardRequest {}
 
   /** What a caller got. */
-  static final class Caller implements CallerPort {
+  static class Caller implements CallerPort {
     final StringBuilder body = new StringBuilder();
     int status = -1;
+    boolean hasStream;
     boolean finished;
     boolean aborted;
     Refusal refusal;
@@ -138,6 +143,7 @@
         throw new AssertionError("a second head");
       }
       status = head.status();
+      hasStream = head.isEventStream();
     }
 
     @Override
--- /dev/null
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/StreamEndTest.java
@@ -0,0 +1,329 @@
+package org.gatereel.core.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.OptionalLong;
+import org.gatereel.core.action.Action;
+import org.gatereel.core.event.EventCode;
+import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.forward.ForwardWorld.Caller;
+import org.junit.jupiter.api.Test;
+
+/** What is taken for the end of a stream, and what may follow its break. */
+class StreamEndTest {
+  private static final long HAD_BY_CALLER = 2;
+
+  private final ForwardWorld world = new ForwardWorld();
+  private final Caller caller = new Caller();
+  private Exchange latest;
+
+  private ForwardWorld.SentCall running(long lastEvent) {
+    world.ask("/stream/x", caller);
+    ForwardWorld.SentCall call = world.last().accepted().head(200, true);
+    for (long id = 1; id <= lastEvent; id++) {
+      call.event(id);
+    }
+    return call;
+  }
+
+  private ForwardWorld.SentCall resumedAfterABreak() {
+    world.fail(running(2), TargetFailure.RESET);
+    return world.last();
+  }
+
+  private static String eventsUpTo(long last) {
+    StringBuilder events = new StringBuilder();
+    for (long id = 1; id <= last; id++) {
+      events.append(ForwardWorld.eventText(id));
+    }
+    return events.toString();
+  }
+
+  @Test
+  void endsABegunStreamWithNoErrorOfTheTargetThatWasToGoOn() {
+    for (int status : new int[] {500, 504, 400, 404, 200}) {
+      ForwardWorld fresh = new ForwardWorld();
+      Caller asking = new Caller();
+      fresh.ask("/stream/x", asking);
+      fresh.last().accepted().head(200, true).event(1);
+      fresh.fail(fresh.last(), TargetFailure.RESET);
+
+      fresh.last().answer(status, "no event stream");
+
+      assertFalse(asking.isOver(), "status " + status);
+      assertEquals(3, fresh.sent.size());
+      assertEquals(OptionalLong.of(1), fresh.last().dispatch.lastEventId());
+      fresh.last().accepted().head(200, true).event(2).listener.ended(AnswerEnd.LAST_CHUNK);
+      assertEquals(eventsUpTo(2), asking.body.toString());
+      assertTrue(asking.finished);
+    }
+  }
+
+  @Test
+  void passesNoLongBodyOfAnotherKindOnInsideABegunStream() {
+    ForwardWorld.SentCall second = resumedAfterABreak().accepted().head(200, false);
+
+    second.listener.received(new byte[ForwardPolicy.STANDARD.bufferBytes() + 1]);
+
+    assertEquals(eventsUpTo(2), caller.body.toString());
+    assertTrue(second.cancelled);
+    assertFalse(caller.isOver());
+  }
+
+  @Test
+  void breaksABegunStreamOffWhenEachTargetAnswersWithAnError() {
+    running(2);
+    world.fail(world.last(), TargetFailure.RESET);
+
+    while (!caller.isOver()) {
+      world.last().answer(500, "error");
+    }
+
+    assertTrue(caller.aborted);
+    assertEquals(eventsUpTo(2), caller.body.toString());
+  }
+
+  @Test
+  void breaksABegunStreamOffWhereAnEarlierErrorWasKeptBack() {
+    world.ask("/stream/x", caller);
+    world.last().answer(500, "kept back");
+    world.last().accepted().head(200, true).event(1);
+    world.fail(world.last(), TargetFailure.RESET);
+
+    while (!caller.isOver()) {
+      world.last().answer(500, "error");
+    }
+
+    assertTrue(caller.aborted);
+    assertEquals(eventsUpTo(1), caller.body.toString());
+  }
+
+  /** Has a target end its answer by closing the connection, with neither length nor last chunk. */
+  private static void close(ForwardWorld.SentCall call) {
+    call.listener.ended(AnswerEnd.CONNECTION_CLOSED);
+  }
+
+  /**
+   * An engine's process ended between two events. Its connections were closed in order, as they are
+   * when a stream without chunks is whole, and the caller got the part it had as a complete answer.
+   */
+  @Test
+  void goesOnElsewhereWhenTheTargetOfAClosedConnectionIsGone() {
+    ForwardWorld.SentCall first = running(2);
+
+    close(first);
+    assertFalse(caller.isOver());
+    assertEquals(first.target(), world.lastProbe().target().id().value());
+    world.lastProbe().listener().probed(false);
+
+    assertFalse(caller.isOver());
+    assertEquals(2, world.sent.size());
+    assertEquals(OptionalLong.of(2), world.last().dispatch.lastEventId());
+    world.last().accepted().head(200, true).event(3).listener.ended(AnswerEnd.LAST_CHUNK);
+    assertEquals(eventsUpTo(3), caller.body.toString());
+    assertTrue(caller.finished);
+  }
+
+  @Test
+  void takesAStreamForWholeWhoseTargetAnswersAfterItClosedTheConnection() {
+    close(running(2));
+    assertFalse(caller.isOver());
+
+    world.lastProbe().listener().probed(true);
+
+    assertTrue(caller.finished);
+    assertEquals(1, world.sent.size());
+    assertEquals(0, world.forwarder.openExchanges());
+  }
+
+  /** An answer that was on its way before the connection was closed tells of the time before. */
+  @Test
+  void believesNoProbeThatWasSentBeforeTheEnd() {
+    ForwardWorld.SentCall first = running(2);
+    world.pass(250);
+    ForwardWorld.SentProbe early = world.lastProbe();
+
+    close(first);
+    early.listener().probed(true);
+
+    assertFalse(caller.isOver());
+    assertEquals(2, world.probes.size());
+    world.lastProbe().listener().probed(false);
+    assertEquals(2, world.sent.size());
+  }
+
+  @Test
+  void breaksAStreamOffThatNobodyCanGoOnWithWhenTheTargetOfAClosedConnectionIsGone() {
+    world.ask("/stream/x", caller);
+    ForwardWorld.SentCall call = world.last().accepted().head(200, false);
+    call.listener.received(new byte[ForwardPolicy.STANDARD.bufferBytes() + 1]);
+
+    close(call);
+    world.lastProbe().listener().probed(false);
+
+    assertTrue(caller.aborted);
+    assertEquals(1, world.sent.size());
+  }
+
+  @Test
+  void givesOneFinalAnswerWhateverComesWhileAnEndIsInDoubt() {
+    for (Runnable event : whatMayComeWhileAnEndIsInDoubt()) {
+      world.keeper.confirm(1, world.context.now());
+      Caller asking = new Caller();
+      latest = world.ask("/stream/x", asking).orElseThrow();
+      int before = world.sent.size();
+      ForwardWorld.SentCall call = world.last().accepted().head(200, true).event(1);
+      close(call);
+      ForwardWorld.SentProbe probe = world.lastProbe();
+
+      event.run();
+
+      assertTrue(call.cancelled);
+      String body = asking.body.toString();
+      boolean wasOver = asking.isOver();
+      probe.listener().probed(true);
+      probe.listener().probed(false);
+      assertEquals(body, asking.body.toString());
+      assertFalse(asking.finished);
+      assertEquals(wasOver, asking.isOver());
+      assertTrue(world.sent.size() <= before + 1);
+      latest.callerGone();
+    }
+    assertEquals(0, world.forwarder.openExchanges());
+  }
+
+  private List<Runnable> whatMayComeWhileAnEndIsInDoubt() {
+    return List.of(
+        () -> world.pass(ForwardWorld.TIMEOUT_MILLIS),
+        () -> latest.callerGone(),
+        () -> world.forwarder.stopAll(),
+        () -> latest.targetLost(TargetFailure.TIMEOUT));
+  }
+
+  @Test
+  void logsAnEndInDoubtAndWhatBecameOfIt() {
+    close(running(2));
+    world.pass(3);
+    world.lastProbe().listener().probed(true);
+
+    List<String> logged = logged(EventCode.ANSWER_ENDED);
+    assertEquals(2, logged.size());
+    String inputs = "end=CONNECTION_CLOSED events=2 lastOfRun=2 ";
+    assertTrue(logged.get(0).contains(inputs + "verdict=IN_DOUBT"), logged.get(0));
+    assertTrue(logged.get(1).contains(inputs + "verdict=TARGET_ALIVE"), logged.get(1));
+  }
+
+  private List<String> logged(EventCode code) {
+    return world.context.takeActions().stream()
+        .filter(Action.Note.class::isInstance)
+        .map(Action.Note.class::cast)
+        .filter(note -> note.code() == code)
+        .map(Action.Note::detail)
+        .toList();
+  }
+
+  /** How a run began whose end is judged. */
+  private enum Start {
+    /** The caller asks for the first time. */
+    FRESH,
+    /** The caller came back with the last event it had. */
+    RESUMED,
+    /** An earlier run broke, and this one goes on after its last event by reading all anew. */
+    CONTINUED,
+    /** The same, from a copy of the earlier run's memory. */
+    FROM_COPY
+  }
+
+  private static ForwardWorld.SentCall begin(Start start, ForwardWorld fresh, Caller asking) {
+    if (start == Start.RESUMED) {
+      fresh.lastEventId = OptionalLong.of(HAD_BY_CALLER);
+    }
+    fresh.ask("/stream/x", asking);
+    if (start == Start.CONTINUED || start == Start.FROM_COPY) {
+      fresh.last().accepted().head(200, true).event(1).event(HAD_BY_CALLER);
+      fresh.fail(fresh.last(), TargetFailure.RESET);
+    }
+    if (start == Start.CONTINUED) {
+      fresh.last().notRun(503);
+    }
+    assertEquals(start == Start.FROM_COPY, fresh.last().dispatch.continueFrom().isPresent());
+    return fresh.last().accepted().head(200, true);
+  }
+
+  /**
+   * A run that ends without one event says nothing that could be checked. That nothing is missing
+   * is then only as good as the target's own word; a connection that was closed is none, even if
+   * the target lives.
+   */
+  @Test
+  void aRunWithoutOneEventIsAtItsEndOnlyByTheTargetsWord() {
+    for (Start start : Start.values()) {
+      for (AnswerEnd end : AnswerEnd.values()) {
+        ForwardWorld fresh = new ForwardWorld();
+        Caller asking = new Caller();
+        ForwardWorld.SentCall call = begin(start, fresh, asking);
+
+        call.listener.ended(end);
+        fresh.probes.forEach(probe -> probe.listener().probed(true));
+
+        assertEquals(end.isTargetsWord(), asking.finished, start + " " + end);
+        assertEquals(!end.isTargetsWord(), fresh.last() != call, start + " " + end);
+        assertFalse(asking.aborted);
+      }
+    }
+  }
+
+  /** Comments keep a connection open; they are no events of the run. */
+  @Test
+  void aRunWithCommentsAloneIsOneWithoutEvents() {
+    for (Start start : Start.values()) {
+      ForwardWorld fresh = new ForwardWorld();
+      Caller asking = new Caller();
+      ForwardWorld.SentCall call = begin(start, fresh, asking);
+
+      call.text(": still here\n\n").listener.ended(AnswerEnd.CONNECTION_CLOSED);
+      fresh.probes.forEach(probe -> probe.listener().probed(true));
+
+      assertFalse(asking.isOver(), start.toString());
+      assertTrue(fresh.last() != call, start.toString());
+    }
+  }
+
+  /** The caller has the events up to the last one; one of them again shows where the run stands. */
+  @Test
+  void aRunThatStandsWhereTheCallerDoesMayEndByAClosedConnectionOfALiveTarget() {
+    for (Start start : Start.values()) {
+      ForwardWorld fresh = new ForwardWorld();
+      Caller asking = new Caller();
+      ForwardWorld.SentCall call = begin(start, fresh, asking);
+
+      call.event(start == Start.FRESH ? 1 : HAD_BY_CALLER);
+      call.listener.ended(AnswerEnd.CONNECTION_CLOSED);
+      assertFalse(asking.isOver());
+      fresh.lastProbe().listener().probed(true);
+
+      assertTrue(asking.finished, start.toString());
+    }
+  }
+
+  /** A run that ends before the last event that the caller has is a run of something else. */
+  @Test
+  void aRunThatEndsBeforeWhatTheCallerHasEndsNothing() {
+    for (Start start : List.of(Start.RESUMED, Start.CONTINUED, Start.FROM_COPY)) {
+      for (AnswerEnd end : AnswerEnd.values()) {
+        ForwardWorld fresh = new ForwardWorld();
+        Caller asking = new Caller();
+        ForwardWorld.SentCall call = begin(start, fresh, asking);
+
+        call.event(1).listener.ended(end);
+        fresh.probes.forEach(probe -> probe.listener().probed(true));
+
+        assertFalse(asking.isOver(), start + " " + end);
+        assertTrue(fresh.last() != call, start + " " + end);
+      }
+    }
+  }
+}
