--- a/gatereel-core/src/test/java/org/gatereel/core/forward/StreamEndTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/StreamEndTest.java
@@ -42,6 +42,42 @@
     return events.toString();
   }
 
+  /**
+   * An engine went dark after 110 events of a stream. The engine that had a copy of the run's
+   * memory was asked to go on and answered with an error at once, as it had before the stream
+   * began. The host took that answer for the final one: it added its body and ended the caller's
+   * answer, whose head was the first engine's 200, as complete. The host's lines of that request
+   * settled it:
+   *
+   * <pre>
+   * ATTEMPT_FAILED target=B failure=TIMEOUT mayHaveRun=true tries=2 lastEvent=110 millis=3913
+   * REQUEST_FORWARDED try=3 target=A fromCopy=true tries=3 lastEvent=110 millis=3913
+   * REQUEST_ANSWERED status=500 tries=3 lastEvent=110 millis=3923
+   * </pre>
+   */
+  @Test
+  void goesOnAfterAnErrorOfTheEngineThatHadTheCopyOfADarkOnesRun() {
+    world.ask("/stream/x", caller);
+    world.last().answer(500, "error");
+    ForwardWorld.SentCall second = world.last().accepted().head(200, true);
+    for (long id = 1; id <= 110; id++) {
+      second.event(id);
+    }
+    world.pass(250);
+    world.lastProbe().listener().probed(false);
+    ForwardWorld.SentCall third = world.last();
+    assertTrue(third.dispatch.continueFrom().isPresent());
+
+    third.answer(500, "error");
+
+    assertFalse(caller.isOver());
+    assertEquals(eventsUpTo(110), caller.body.toString());
+    assertEquals(OptionalLong.of(110), world.last().dispatch.lastEventId());
+    world.last().accepted().head(200, true).event(111).listener.ended(AnswerEnd.LAST_CHUNK);
+    assertEquals(eventsUpTo(111), caller.body.toString());
+    assertTrue(caller.finished);
+  }
+
   @Test
   void endsABegunStreamWithNoErrorOfTheTargetThatWasToGoOn() {
     for (int status : new int[] {500, 504, 400, 404, 200}) {
