Ask a busy target again, ask for bodies that wait, and place events without ids by what the caller has

Change: a probe says ALIVE, GONE (refused, or another target has the address) or UNKNOWN (silence, a broken connection). After UNKNOWN the target is asked again with twice the time, until the request's time is up; two probes where the request may go elsewhere. 100 Continue comes after the answers that are owed. An event without an id is first only where the caller has nothing. Also: a stream's first id may be any again. Ruled out: taking silence for life (a frozen process may have been cut off).

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/EndCheck.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/EndCheck.java
@@ -10,6 +10,11 @@
  * nothing but the target's word: that its process lives does not show that it ran.
  */
 final class EndCheck {
+  private static final int FIRST_PROBE = 1;
+
+  /** Two probes take three times a probe's time, which a stream may pause without being late. */
+  private static final int MOST_PROBES_OF_THE_MOVABLE = 2;
+
   private final Forwarder forwarder;
   private final Exchange exchange;
   private final StreamRelay relay;
@@ -28,7 +33,7 @@
     EndVerdict verdict = verdict(from);
     decide(from, verdict);
     if (verdict == EndVerdict.IN_DOUBT) {
-      probe(from);
+      probe(from, FIRST_PROBE);
     }
   }
 
@@ -47,19 +52,32 @@
     return from.end().isTargetsWord() ? EndVerdict.TARGETS_WORD : EndVerdict.IN_DOUBT;
   }
 
-  private void probe(Attempt from) {
+  /** Each probe is given twice the time of the one before, since a busy target is slow. */
+  private void probe(Attempt from, int number) {
+    long patience = forwarder.policy().unreachableMillis() << (number - FIRST_PROBE);
     forwarder
         .port()
-        .probe(
-            from.target().description(),
-            forwarder.policy().unreachableMillis(),
-            alive -> probed(from, alive));
+        .probe(from.target().description(), patience, result -> probed(from, number, result));
   }
 
   /** Meanwhile the caller may have left, or the attempt may have been given up. */
-  private void probed(Attempt from, boolean alive) {
-    if (!from.isClosed()) {
-      decide(from, alive ? EndVerdict.TARGET_ALIVE : EndVerdict.TARGET_GONE);
+  private void probed(Attempt from, int number, ProbeResult result) {
+    if (from.isClosed()) {
+      return;
+    }
+    switch (result) {
+      case ALIVE -> decide(from, EndVerdict.TARGET_ALIVE);
+      case GONE -> decide(from, EndVerdict.TARGET_GONE);
+      case UNKNOWN -> unanswered(from, number);
+    }
+  }
+
+  /** Where nothing else can be tried, the target is asked again until the request's time is up. */
+  private void unanswered(Attempt from, int number) {
+    if (exchange.mayMove() && number >= MOST_PROBES_OF_THE_MOVABLE) {
+      decide(from, EndVerdict.TARGET_SILENT);
+    } else {
+      probe(from, number + 1);
     }
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/EndVerdict.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/EndVerdict.java
@@ -7,12 +7,14 @@
 public enum EndVerdict {
   /** The target has said that nothing is missing. */
   TARGETS_WORD(Optional.empty()),
-  /** The target closed the connection and lives, so that it meant the close as the end. */
+  /** The target closed the connection and lives, so that its end did not close it. */
   TARGET_ALIVE(Optional.empty()),
   /** The connection was closed, and it is not known yet whether the target lives. */
   IN_DOUBT(Optional.empty()),
-  /** The connection was closed, and the target did not answer a probe after that. */
+  /** The connection was closed, and the target was not there any more when it was probed. */
   TARGET_GONE(Optional.of(TargetFailure.RESET)),
+  /** The connection was closed, and the target has answered none of several probes. */
+  TARGET_SILENT(Optional.of(TargetFailure.RESET)),
   /** The end came within an event. */
   WITHIN_EVENT(Optional.of(TargetFailure.RESET)),
   /** The connection was closed before any event, so that nothing shows that the run took place. */
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -132,9 +132,9 @@
     port.probe(
         target.description(),
         policy.unreachableMillis(),
-        alive -> {
+        result -> {
           probing.remove(id);
-          if (alive) {
+          if (result == ProbeResult.ALIVE) {
             targets.answered(target);
           } else {
             lost(target, askedAt);
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
@@ -7,13 +7,13 @@
 /**
  * Passes the events of a stream on, each once and in order, whichever attempt they come from.
  *
- * <p>Ids begin at 1 and rise by one. The first events of a run may repeat what the caller has, and
- * are passed over; an event that is not the next one of its run, or before which the caller misses
- * one, ends the attempt. After an event without an id no other run can tell where to go on.
+ * <p>Ids rise by one, from wherever the first run begins. The first events of a run may repeat what
+ * the caller has, and are passed over; an event that is not the next one of its run, or before
+ * which the caller misses one, ends the attempt. After an event without an id no other run can tell
+ * where to go on.
  */
 final class StreamRelay {
   private static final int LONGEST_EVENT_BYTES = 1 << 20;
-  private static final long FIRST_ID = 1;
 
   private final Exchange exchange;
   private final CoreContext context;
@@ -93,13 +93,13 @@
     if (from.lastOfRun().isPresent()) {
       return id == from.lastOfRun().getAsLong() + 1;
     }
-    return id <= lastEventId.orElse(FIRST_ID - 1) + 1;
+    return lastEventId.isEmpty() || id <= lastEventId.getAsLong() + 1;
   }
 
   /** An event without an id stands where its run does; only there can it be no repeat. */
   private boolean hasPlaceWithoutId(Attempt from) {
-    boolean isFirstRun = !hasPassed;
-    return isFirstRun || from.hasEvents() || from.lastOfRun().equals(lastEventId);
+    boolean callerHasNothing = !hasPassed && lastEventId.isEmpty();
+    return callerHasNothing || from.hasEvents() || from.lastOfRun().equals(lastEventId);
   }
 
   private void noteMisplaced(Attempt from, StreamEvent event) {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetPort.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetPort.java
@@ -11,7 +11,7 @@
   /** Opens a connection and sends a request; the listener is called later, never from within. */
   Call send(Dispatch dispatch, Listener listener);
 
-  /** Asks a target whether it works at all; the answer is given exactly once. */
+  /** Asks a target, by its name, whether it works at all; the answer is given exactly once. */
   void probe(TargetDescription target, long timeoutMillis, ProbeListener listener);
 
   /**
@@ -47,6 +47,6 @@
 
   /** Hears what came of a probe. */
   interface ProbeListener {
-    void probed(boolean alive);
+    void probed(ProbeResult result);
   }
 }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
@@ -115,7 +115,13 @@
     requests
         .done()
         .ifPresentOrElse(
-            next -> channel.eventLoop().execute(() -> handleWaiting(next)), guard::letGo);
+            next -> channel.eventLoop().execute(() -> handleWaiting(next)), this::answersGiven);
+  }
+
+  /** All answers that were owed are given; what waited for that may be written now. */
+  private void answersGiven() {
+    guard.letGo();
+    channel.pipeline().fireUserEventTriggered(CallerEvent.ALL_ANSWERED);
   }
 
   private void handleWaiting(FullHttpRequest next) {
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/ProbeHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/ProbeHandler.java
@@ -1,10 +1,13 @@
 package org.gatereel.forward.http;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.net.ConnectException;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.AnswerEnd;
+import org.gatereel.core.forward.ProbeResult;
 import org.gatereel.core.forward.TargetPort;
 import org.gatereel.forward.ControlThread;
 
@@ -16,19 +19,28 @@
  */
 final class ProbeHandler extends TargetHandler {
   private final TargetPort.ProbeListener listener;
+  private boolean refused;
 
   ProbeHandler(ControlThread control, TargetPort.ProbeListener listener) {
     super(control, HttpMethod.GET);
     this.listener = listener;
   }
 
+  /** A connection that does not come about in time says less: a full queue drops its opening. */
+  @Override
+  void connectFailed(Throwable cause) {
+    refused = cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    super.connectFailed(cause);
+  }
+
   @Override
   void onConnected() {}
 
   @Override
   void onHead(HttpResponse head) {
     forget();
-    listener.probed(!head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST));
+    boolean another = head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
+    listener.probed(another ? ProbeResult.GONE : ProbeResult.ALIVE);
   }
 
   @Override
@@ -39,6 +51,6 @@
 
   @Override
   void onFailure(TargetFailure failure) {
-    listener.probed(false);
+    listener.probed(refused ? ProbeResult.GONE : ProbeResult.UNKNOWN);
   }
 }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetHandler.java
@@ -49,6 +49,11 @@
 
   abstract void onFailure(TargetFailure failure);
 
+  /** The connection did not come about. */
+  void connectFailed(Throwable cause) {
+    fail(TargetFailure.NOT_CONNECTED);
+  }
+
   final void connected() {
     step(this::onConnected);
   }
