Name two things for what they say, and set one test host up in one place

Renames (isCallerAheadOf, ConnectionEnds in place of a second AnswerFraming) and one set-up of SlowReaderTest; no change of logic.

--- a/gatereel-adapters/src/main/java/org/gatereel/adapters/targets/AnswerFraming.java
+++ b/gatereel-adapters/src/main/java/org/gatereel/adapters/targets/ConnectionEnds.java
@@ -4,11 +4,11 @@
 import okhttp3.Response;
 
 /** Tells by what the end of a target's answer is known. */
-final class AnswerFraming {
+final class ConnectionEnds {
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
 
-  private AnswerFraming() {}
+  private ConnectionEnds() {}
 
   /**
    * Returns whether only the end of the connection is the end of the answer.
--- a/gatereel-adapters/src/main/java/org/gatereel/adapters/targets/ServiceClient.java
+++ b/gatereel-adapters/src/main/java/org/gatereel/adapters/targets/ServiceClient.java
@@ -95,7 +95,7 @@
           return;
         }
         String body = response.body().string();
-        if (AnswerFraming.endsWithConnection(response) && !answers(address)) {
+        if (ConnectionEnds.endsWithConnection(response) && !answers(address)) {
           listener.callFailed(ticket, TargetFailure.RESET);
           return;
         }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/EndCheck.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/EndCheck.java
@@ -42,7 +42,7 @@
       if (from.events().isWithinEvent()) {
         return EndVerdict.WITHIN_EVENT;
       }
-      if (relay.isAheadOf(from)) {
+      if (relay.isCallerAheadOf(from)) {
         return EndVerdict.BEHIND_CALLER;
       }
       if (!from.end().isTargetsWord() && !from.hasCome()) {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
@@ -47,7 +47,7 @@
   }
 
   /** Returns whether a run has not come up to the last event that the caller has. */
-  boolean isAheadOf(Attempt run) {
+  boolean isCallerAheadOf(Attempt run) {
     OptionalLong last = run.lastOfRun();
     return last.isPresent()
         && lastEventId.isPresent()
--- a/gatereel-daemon/src/test/java/org/gatereel/daemon/callers/SlowReaderTest.java
+++ b/gatereel-daemon/src/test/java/org/gatereel/daemon/callers/SlowReaderTest.java
@@ -62,6 +62,8 @@
   private final List<String> written = new CopyOnWriteArrayList<>();
   private final Exchanges exchanges =
       new Exchanges(MOST_WAITING_BYTES, event -> this.loop.post(event));
+  private final EntryHost core =
+      new EntryHost(new HostId("entry-1"), new DataCentre("ollur"), new Random(1));
   private ControlLoop loop;
 
   private void seed(long revision, RowKind kind, String name, Map<String, String> cells) {
@@ -151,6 +153,18 @@
         LifeState.LIVE);
   }
 
+  /** Has the host run with an account, a service and an engine. */
+  private void startWithOneEngine(ControlLoop control) throws Exception {
+    seed(1, RowKind.ACCOUNT, "ward", Map.of("key_sha256", CREDENTIAL));
+    seed(2, RowKind.SERVICE, "assistant", Map.of("kind", "generation"));
+    loop = control;
+    control.start(List.of());
+    control.post(new Event.HostListSeen(new HostList(1, List.of(), List.of(engine()))));
+    while (!control.ask(EntryHost::isReady).get(PATIENCE_SECONDS, TimeUnit.SECONDS)) {
+      Thread.onSpinWait();
+    }
+  }
+
   /** Returns the events of the time line up to the end of the engine's answer. */
   private List<EventCode> untilFinished() throws InterruptedException {
     List<EventCode> seen = new CopyOnWriteArrayList<>();
@@ -168,17 +182,9 @@
     // caller did not read and was cut off after the first part. That it had left was put behind all
     // that waited: the host went through the rest for nobody and noted the answer as delivered,
     // though the caller never had its end.
-    seed(1, RowKind.ACCOUNT, "ward", Map.of("key_sha256", CREDENTIAL));
-    seed(2, RowKind.SERVICE, "assistant", Map.of("kind", "generation"));
-    EntryHost core = new EntryHost(new HostId("entry-1"), new DataCentre("ollur"), new Random(1));
     try (EventLog events = new EventLog(SettingsReader.parse(SETTINGS));
         ControlLoop control = new ControlLoop(core, events, this::run)) {
-      loop = control;
-      control.start(List.of());
-      control.post(new Event.HostListSeen(new HostList(1, List.of(), List.of(engine()))));
-      while (!control.ask(EntryHost::isReady).get(PATIENCE_SECONDS, TimeUnit.SECONDS)) {
-        Thread.onSpinWait();
-      }
+      startWithOneEngine(control);
       exchanges.take(
           unread(),
           caller -> new Event.GenerationRequested(caller, CREDENTIAL, SERVICE, "long", TOKENS));
@@ -197,17 +203,9 @@
     // That a caller has left goes ahead of what engines send, and so also ahead of its own request
     // where that still waits. Told of only then, it would be told of somebody unknown, and the
     // generation would run for nobody.
-    seed(1, RowKind.ACCOUNT, "ward", Map.of("key_sha256", CREDENTIAL));
-    seed(2, RowKind.SERVICE, "assistant", Map.of("kind", "generation"));
-    EntryHost core = new EntryHost(new HostId("entry-1"), new DataCentre("ollur"), new Random(1));
     try (EventLog events = new EventLog(SettingsReader.parse(SETTINGS));
         ControlLoop control = new ControlLoop(core, events, this::run)) {
-      loop = control;
-      control.start(List.of());
-      control.post(new Event.HostListSeen(new HostList(1, List.of(), List.of(engine()))));
-      while (!control.ask(EntryHost::isReady).get(PATIENCE_SECONDS, TimeUnit.SECONDS)) {
-        Thread.onSpinWait();
-      }
+      startWithOneEngine(control);
       CountDownLatch posted = new CountDownLatch(1);
       CompletableFuture<Boolean> busy = control.ask(host -> awaitQuietly(posted));
       control.post(new Event.GenerationRequested(7, CREDENTIAL, SERVICE, "long", TOKENS));
