Test that a target that resets probes is not asked without a pause (fails)

Cause: found by reading. A probe that is reset says UNKNOWN at once, and the next one followed at once, until the request's time was up; only silence took the time that bounds them. Run: the new test fails at its first probe.

--- a/gatereel-core/src/test/java/org/gatereel/core/forward/PlainForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/PlainForwardingTest.java
@@ -274,9 +274,11 @@
   void asksABusyTargetUntilItAnswers() {
     closedAfter("/once/x", 200);
     for (int unanswered = 0; unanswered < 4; unanswered++) {
+      world.pass(ForwardPolicy.STANDARD.unreachableMillis() << unanswered);
       world.lastProbe().listener().probed(ProbeResult.UNKNOWN);
       assertFalse(caller.isOver());
     }
+    world.pass(1);
 
     world.lastProbe().listener().probed(ProbeResult.ALIVE);
 
@@ -284,11 +286,32 @@
     assertEquals(5, world.probes.size());
   }
 
+  /**
+   * A target that has too many connections resets each probe at once. Asked again as fast as it
+   * resets, it would be given thousands of connections for one answer.
+   */
+  @Test
+  void doesNotAskATargetThatResetsProbesFasterThanASilentOne() {
+    closedAfter("/once/x", 200);
+    long asked = world.context.now();
+    while (world.context.now() - asked < 10_000) {
+      int before = world.probes.size();
+      world.lastProbe().listener().probed(ProbeResult.UNKNOWN);
+      assertEquals(before, world.probes.size());
+      while (world.probes.size() == before) {
+        world.pass(1);
+      }
+    }
+
+    assertTrue(world.probes.size() <= 8, world.probes.size() + " probes");
+  }
+
   @Test
   void repeatsASafeRequestWhoseTargetLeavesTwoProbesUnanswered() {
     closedAfter("/safe/x", 200);
     world.lastProbe().listener().probed(ProbeResult.UNKNOWN);
     assertEquals(1, world.sent.size());
+    world.pass(ForwardPolicy.STANDARD.unreachableMillis());
 
     world.lastProbe().listener().probed(ProbeResult.UNKNOWN);
 
