Leave time between probes that a busy target resets

Change: the next probe comes when the one before could have run out of time, each with twice the time, at most 4.8 s. Ruled out: a fixed pause, which a target that is slow to answer would need longer.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/EndCheck.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/EndCheck.java
@@ -15,6 +15,9 @@
   /** Two probes take three times a probe's time, which a stream may pause without being late. */
   private static final int MOST_PROBES_OF_THE_MOVABLE = 2;
 
+  /** Keeps the time of one probe at 4.8 s, so that a request of half a minute has some ten. */
+  private static final int MOST_DOUBLINGS = 5;
+
   private final Forwarder forwarder;
   private final Exchange exchange;
   private final StreamRelay relay;
@@ -52,33 +55,47 @@
     return from.end().isTargetsWord() ? EndVerdict.TARGETS_WORD : EndVerdict.IN_DOUBT;
   }
 
-  /** Each probe is given twice the time of the one before, since a busy target is slow. */
+  /** Meanwhile the caller may have left, or the attempt may have been given up. */
   private void probe(Attempt from, int number) {
-    long patience = forwarder.policy().unreachableMillis() << (number - FIRST_PROBE);
+    if (from.isClosed()) {
+      return;
+    }
+    long nextAt = forwarder.context().now() + patienceMillis(number);
     forwarder
         .port()
-        .probe(from.target().description(), patience, result -> probed(from, number, result));
+        .probe(
+            from.target().description(),
+            patienceMillis(number),
+            result -> probed(from, number, nextAt, result));
   }
 
-  /** Meanwhile the caller may have left, or the attempt may have been given up. */
-  private void probed(Attempt from, int number, ProbeResult result) {
+  /** Each probe is given twice the time of the one before, since a busy target is slow. */
+  private long patienceMillis(int number) {
+    return forwarder.policy().unreachableMillis() << Math.min(number - FIRST_PROBE, MOST_DOUBLINGS);
+  }
+
+  private void probed(Attempt from, int number, long nextAt, ProbeResult result) {
     if (from.isClosed()) {
       return;
     }
     switch (result) {
       case ALIVE -> decide(from, EndVerdict.TARGET_ALIVE);
       case GONE -> decide(from, EndVerdict.TARGET_GONE);
-      case UNKNOWN -> unanswered(from, number);
+      case UNKNOWN -> unanswered(from, number, nextAt);
     }
   }
 
-  /** Where nothing else can be tried, the target is asked again until the request's time is up. */
-  private void unanswered(Attempt from, int number) {
+  /**
+   * Where nothing else can be tried, the target is asked again until the request's time is up. One
+   * that resets a probe at once is not asked sooner for it.
+   */
+  private void unanswered(Attempt from, int number, long nextAt) {
     if (exchange.mayMove() && number >= MOST_PROBES_OF_THE_MOVABLE) {
       decide(from, EndVerdict.TARGET_SILENT);
-    } else {
-      probe(from, number + 1);
+      return;
     }
+    long wait = Math.max(0, nextAt - forwarder.context().now());
+    forwarder.context().after(wait, () -> probe(from, number + 1));
   }
 
   private void decide(Attempt from, EndVerdict verdict) {
