--- a/gatereel-core/src/main/java/org/gatereel/core/forward/CopyPlan.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/CopyPlan.java
@@ -10,7 +10,8 @@
  * Sees to it that a running stream has a copy of its memory at another engine.
  *
  * <p>The runner is told a holder when the run begins and copies to it by itself. The holder is
- * known by its address: if it restarts meanwhile, the copy may be made anew under its next name.
+ * known by its address: if it restarts meanwhile, its next run holds nothing of before, and has a
+ * copy only if the runner went on making events.
  */
 final class CopyPlan {
   private final Forwarder forwarder;
@@ -18,6 +19,7 @@
   private final ServiceName service;
   private Optional<TargetState> holder = Optional.empty();
   private Optional<Address> left = Optional.empty();
+  private long leftAt;
 
   CopyPlan(Forwarder forwarder, ForwardRequest request, ServiceName service) {
     this.forwarder = forwarder;
@@ -34,12 +36,14 @@
   /** Notes that a run broke. One that made no event has not left a copy that can be used. */
   void attemptBroke(Attempt run) {
     left = run.hasEvents() ? holder.map(state -> state.description().address()) : Optional.empty();
+    leftAt = run.lastSignAt();
   }
 
   /** Takes the copy that the last attempt left behind, if its holder takes requests; once. */
   Optional<MemoryCopy> take() {
     Optional<MemoryCopy> taken =
         left.flatMap(address -> forwarder.targets().at(service, address))
+            .filter(state -> state.seenAt() <= leftAt)
             .map(state -> new MemoryCopy(state, request.id()));
     left = Optional.empty();
     return taken;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/EndCheck.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/EndCheck.java
@@ -81,7 +81,7 @@
     switch (result) {
       case ALIVE -> decide(from, EndVerdict.TARGET_ALIVE);
       case GONE -> decide(from, EndVerdict.TARGET_GONE);
-      case UNKNOWN -> unanswered(from, number, nextAt);
+      case ANSWERED, UNKNOWN -> unanswered(from, number, nextAt);
     }
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
@@ -63,7 +63,7 @@
   void located(PromptLocator.Located found) {
     String inputs =
         "target="
-            + found.target().map(TargetId::value).orElse("-")
+            + found.target().map(TargetId::toString).orElse("-")
             + " answered="
             + found.answered()
             + " asked="
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -134,7 +134,7 @@
         policy.unreachableMillis(),
         result -> {
           probing.remove(id);
-          if (result == ProbeResult.ALIVE) {
+          if (result.isAnswer()) {
             targets.answered(target);
           } else {
             lost(target, askedAt);
@@ -144,7 +144,7 @@
 
   /** Moves every stream that was silent since the probe began. */
   private void lost(TargetState target, long askedAt) {
-    context.note(EventCode.TARGET_UNREACHABLE, target.description().id().value(), "");
+    context.note(EventCode.TARGET_UNREACHABLE, target.description().id().toString(), "");
     targets.failed(target, TargetFailure.TIMEOUT);
     loads.changed();
     for (Exchange exchange : List.copyOf(open)) {
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
@@ -24,7 +24,10 @@
   /** Heads of question and answer with what a report says of its sender, as counted on the wire. */
   private static final int REPORT_BYTES = 330;
 
-  /** One target or demand in a report, as counted on the wire. */
+  /**
+   * One target or demand in a report, as counted on the wire; 9 more where targets tell their
+   * start, which is within what a host may send.
+   */
   private static final int ENTRY_BYTES = 32;
 
   private static final long FIRST_BACKOFF_MILLIS = 250;
--- a/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
@@ -57,35 +57,47 @@
   private Set<TargetId> seeAll(HostList list) {
     Set<TargetId> named = new HashSet<>();
     for (TargetDescription description : list.targets()) {
-      named.add(description.id());
-      seeTarget(description);
+      named.add(seeTarget(description));
     }
     listVersion = list.version();
     return named;
   }
 
-  private void seeTarget(TargetDescription description) {
+  /** Takes an entry in; returns the run that now has its name, a later one if it came late. */
+  private TargetId seeTarget(TargetDescription description) {
     TargetState known = targets.get(description.id());
     if (known == null) {
+      Optional<TargetId> later =
+          targets.keySet().stream().filter(description.id()::isBefore).findFirst();
+      if (later.isPresent()) {
+        return later.get();
+      }
       supersede(description);
-      known = new TargetState(description);
+      known = new TargetState(description, context.now());
       targets.put(description.id(), known);
-      context.note(EventCode.TARGET_SEEN, description.id().value(), description.service().value());
+      context.note(
+          EventCode.TARGET_SEEN, description.id().toString(), description.service().value());
     }
     known.update(description);
     if (description.state() == LifeState.LEAVING || leavingHints.contains(description.id())) {
       leaving(description.id());
     }
+    return description.id();
   }
 
-  /** Gives up the target that had the address of a new one: it ended, though it is still listed. */
+  /**
+   * Gives up the target that had the address of a new one, and the earlier run under its name: they
+   * ended, though they may still be listed.
+   */
   private void supersede(TargetDescription successor) {
     if (listVersion < 0) {
       return;
     }
     for (TargetState known : List.copyOf(targets.values())) {
-      if (known.description().address().equals(successor.address())) {
-        leaving(known.description().id());
+      TargetId id = known.description().id();
+      if (id.isBefore(successor.id())
+          || known.description().address().equals(successor.address())) {
+        leaving(id);
       }
     }
   }
@@ -95,7 +107,7 @@
       if (!named.contains(id)) {
         leaving(id);
         targets.remove(id);
-        context.note(EventCode.TARGET_GONE, id.value(), "");
+        context.note(EventCode.TARGET_GONE, id.toString(), "");
       }
     }
     leavingHints.removeIf(id -> !named.contains(id) && !targets.containsKey(id));
@@ -108,7 +120,7 @@
     if (target == null || !target.markLeaving()) {
       return false;
     }
-    context.note(EventCode.TARGET_LEAVING, id.value(), "open here: " + target.openHere());
+    context.note(EventCode.TARGET_LEAVING, id.toString(), "open here: " + target.openHere());
     leavingListeners.forEach(listener -> listener.accept(target));
     return true;
   }
@@ -208,7 +220,7 @@
   /** Notes a sign of life. */
   public void answered(TargetState target) {
     if (target.answered()) {
-      context.note(EventCode.TARGET_RECOVERED, target.description().id().value(), "");
+      context.note(EventCode.TARGET_RECOVERED, target.description().id().toString(), "");
     }
   }
 
@@ -229,7 +241,7 @@
       target.noteError(context.now());
     }
     if (target.failed(failure, context.now())) {
-      context.note(EventCode.TARGET_FAILING, id.value(), failure.name());
+      context.note(EventCode.TARGET_FAILING, id.toString(), failure.name());
     }
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/target/TargetState.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/target/TargetState.java
@@ -17,6 +17,7 @@
 
   private final GapTracker gaps = new GapTracker();
   private final DecayingCount errors = new DecayingCount(ERROR_HALF_LIFE_MILLIS);
+  private final long seenAt;
   private TargetDescription description;
   private boolean leaving;
   private int openHere;
@@ -32,8 +33,9 @@
   private long lastFailureAt = Long.MIN_VALUE;
   private long lastFullAt = Long.MIN_VALUE;
 
-  TargetState(TargetDescription description) {
+  TargetState(TargetDescription description, long seenAt) {
     this.description = description;
+    this.seenAt = seenAt;
     this.leaving = description.state() == LifeState.LEAVING;
   }
 
@@ -41,6 +43,11 @@
     return description;
   }
 
+  /** Returns when this host first knew of this run of the target. */
+  public long seenAt() {
+    return seenAt;
+  }
+
   public GapTracker gaps() {
     return gaps;
   }
@@ -63,7 +70,7 @@
     return now < failingUntil;
   }
 
-  /** Marks the target as leaving for good; a target that returns comes under a new id. */
+  /** Marks the target as leaving for good; one that returns is another run, with another id. */
   boolean markLeaving() {
     boolean first = !leaving;
     leaving = true;
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/ProbeHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/ProbeHandler.java
@@ -4,25 +4,49 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.ByteArrayOutputStream;
 import java.net.ConnectException;
+import java.util.OptionalLong;
+import java.util.function.Function;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.AnswerEnd;
 import org.gatereel.core.forward.ProbeResult;
 import org.gatereel.core.forward.TargetPort;
+import org.gatereel.core.model.TargetId;
 import org.gatereel.forward.ControlThread;
 
 /**
- * Tells the core whether a target answers at all.
+ * Tells the core whether one run of a target answers.
  *
  * <p>Any head counts but that the target is not the one that was meant: a process that has taken an
- * address over proves nothing about the one before.
+ * address over proves nothing about the one before. Where targets tell when they began, a later run
+ * under the same name is another one too, and only a report that names the run proves that it
+ * lives.
  */
 final class ProbeHandler extends TargetHandler {
+  /** Reports have some hundred bytes; of a longer answer nothing is read. */
+  private static final int MOST_BYTES = 64 << 10;
+
+  private final TargetId probed;
+  private final Function<byte[], OptionalLong> readBorn;
   private final TargetPort.ProbeListener listener;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private boolean refused;
+  private boolean answered;
 
-  ProbeHandler(ControlThread control, TargetPort.ProbeListener listener) {
+  /**
+   * Makes a handler for the answer to one probe.
+   *
+   * @param readBorn reads from a report when its sender began
+   */
+  ProbeHandler(
+      ControlThread control,
+      TargetId probed,
+      Function<byte[], OptionalLong> readBorn,
+      TargetPort.ProbeListener listener) {
     super(control, HttpMethod.GET);
+    this.probed = probed;
+    this.readBorn = readBorn;
     this.listener = listener;
   }
 
@@ -38,19 +62,44 @@
 
   @Override
   void onHead(HttpResponse head) {
-    forget();
-    boolean another = head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
-    listener.probed(another ? ProbeResult.GONE : ProbeResult.ALIVE);
+    if (head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
+      conclude(ProbeResult.GONE);
+    } else if (probed.born() == TargetId.UNKNOWN_BORN) {
+      conclude(ProbeResult.ALIVE);
+    }
+    answered = true;
   }
 
   @Override
-  void onBody(byte[] bytes) {}
+  void onBody(byte[] bytes) {
+    if (body.size() + bytes.length > MOST_BYTES) {
+      conclude(ProbeResult.ANSWERED);
+      return;
+    }
+    body.writeBytes(bytes);
+  }
 
   @Override
-  void onEnd(AnswerEnd end) {}
+  void onEnd(AnswerEnd end) {
+    OptionalLong born = readBorn.apply(body.toByteArray());
+    if (born.isEmpty()) {
+      listener.probed(ProbeResult.ANSWERED);
+    } else {
+      listener.probed(born.getAsLong() == probed.born() ? ProbeResult.ALIVE : ProbeResult.GONE);
+    }
+  }
 
   @Override
   void onFailure(TargetFailure failure) {
-    listener.probed(refused ? ProbeResult.GONE : ProbeResult.UNKNOWN);
+    if (answered) {
+      listener.probed(ProbeResult.ANSWERED);
+    } else {
+      listener.probed(refused ? ProbeResult.GONE : ProbeResult.UNKNOWN);
+    }
+  }
+
+  private void conclude(ProbeResult result) {
+    forget();
+    listener.probed(result);
   }
 }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
@@ -78,7 +78,7 @@
         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, dialect.probePath());
     request.headers().set(HttpHeaderNames.HOST, target.address().toString());
     request.headers().set(names.expectedTarget(), target.id().value());
-    ProbeHandler handler = new ProbeHandler(control, listener);
+    ProbeHandler handler = new ProbeHandler(control, target.id(), dialect::readBorn, listener);
     Channel channel = open(target.address(), handler, request);
     control
         .loop()
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
@@ -111,7 +111,7 @@
   private static Entry entry(TargetId target, TargetLoad load, long now) {
     boolean failed = load.failedAt() != TargetLoad.NEVER;
     return new Entry(
-        target.value(),
+        TargetNames.write(target),
         load.open(),
         load.reading(),
         load.copies(),
@@ -133,7 +133,7 @@
 
   private static LoadReport report(Message message, long now) {
     Map<TargetId, TargetLoad> loads = new HashMap<>();
-    message.loads().forEach(entry -> loads.put(new TargetId(entry.target()), load(entry, now)));
+    message.loads().forEach(entry -> loads.put(TargetNames.read(entry.target()), load(entry, now)));
     Map<DemandKey, Double> demand = new HashMap<>();
     message.demand().forEach(entry -> demand.put(entry.key(), Math.max(0, entry.perSecond())));
     return new LoadReport(
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
@@ -79,6 +79,11 @@
   private TargetConnector connector;
 
   private record Dialect(HeaderNames headers) implements TargetDialect {
+    @Override
+    public OptionalLong readBorn(byte[] answer) {
+      return OptionalLong.empty();
+    }
+
     @Override
     public String probePath() {
       return "/report";
