--- a/gatereel-control/src/main/java/org/gatereel/control/ControlMain.java
+++ b/gatereel-control/src/main/java/org/gatereel/control/ControlMain.java
@@ -36,6 +36,7 @@
     commands.forEach((name, command) -> addCommand(commander, name, command));
     commander.addCommand("explain", new ExplainCommand());
     commander.addCommand("summary", new SummaryCommand());
+    commander.addCommand("rollout", new RolloutCommand());
     commander.addCommand(TABLE, new Group());
     JCommander table = commander.getCommands().get(TABLE);
     tableCommands.forEach((name, command) -> addCommand(table, name, command));
--- /dev/null
+++ b/gatereel-control/src/test/java/org/gatereel/control/RolloutCommandTest.java
@@ -0,0 +1,82 @@
+package org.gatereel.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class RolloutCommandTest {
+  private static final String PAGE =
+      "counters version=v2 state=RUNNING\n  route=r answers=3\nengines version=v7 state=COMPLETED\n";
+
+  private HttpServer host;
+  private String address;
+
+  @BeforeEach
+  void start() throws Exception {
+    host = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    host.createContext(
+        "/rollouts",
+        exchange -> {
+          byte[] page = PAGE.getBytes(StandardCharsets.UTF_8);
+          exchange.sendResponseHeaders(200, page.length);
+          exchange.getResponseBody().write(page);
+          exchange.close();
+        });
+    host.start();
+    address = "127.0.0.1:" + host.getAddress().getPort();
+  }
+
+  @AfterEach
+  void stop() {
+    host.stop(0);
+  }
+
+  private static String printed(ExitCode expected, String... words) {
+    PrintStream before = System.out;
+    ByteArrayOutputStream output = new ByteArrayOutputStream();
+    System.setOut(new PrintStream(output, true, StandardCharsets.UTF_8));
+    try {
+      assertEquals(expected, new ControlMain().run(words));
+    } finally {
+      System.setOut(before);
+    }
+    return output.toString(StandardCharsets.UTF_8);
+  }
+
+  @Test
+  void printsWhatTheHostKnowsOfTheService() {
+    String text = printed(ExitCode.DONE, "rollout", "counters", "--at", address);
+
+    assertTrue(text.contains("counters version=v2 state=RUNNING"), text);
+    assertTrue(text.contains("route=r answers=3"), text);
+    assertEquals(-1, text.indexOf("engines"), text);
+  }
+
+  @Test
+  void saysThatAServiceHasNone() {
+    String text = printed(ExitCode.DONE, "rollout", "other", "--at", address);
+
+    assertTrue(text.contains("no roll-out of other is known"), text);
+  }
+
+  @Test
+  void saysWhichHostsDoNotAnswer() {
+    host.stop(0);
+
+    printed(ExitCode.UNREACHABLE, "rollout", "counters", "--at", address);
+  }
+
+  @Test
+  void anAddressThatIsNoneIsAMistakeOfTheCaller() {
+    printed(ExitCode.USAGE, "rollout", "counters", "--at", "a b");
+  }
+}
