Test where requests go while a service moves to another version; tell a stream's pace once

Cause, found on reading: a stream's pace was told again with each piece of bytes while it stood at 16 events, and not at all if a piece brought two. Change: told once, from 16 events on. RolloutForwardingTest (9).

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
@@ -25,7 +25,7 @@
   private OptionalLong lastOfRun = OptionalLong.empty();
   private boolean reading;
   private long lastSignAt;
-  private long paceFrom;
+  private OptionalLong paceFrom = OptionalLong.empty();
 
   Attempt(Exchange exchange, TargetState target, boolean continuation, long now) {
     this.exchange = exchange;
@@ -147,11 +147,14 @@
 
   /** Notes when the first event came, from which the pace of the others is taken. */
   void notePaceFrom(long now) {
-    paceFrom = now;
+    paceFrom = OptionalLong.of(now);
   }
 
-  long paceFrom() {
-    return paceFrom;
+  /** Returns when the first event came; once, so that the pace is told once. */
+  OptionalLong takePaceFrom() {
+    OptionalLong taken = paceFrom;
+    paceFrom = OptionalLong.empty();
+    return taken;
   }
 
   /** Returns when the target last showed that it works on this attempt. */
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/VersionWitness.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/VersionWitness.java
@@ -40,9 +40,14 @@
 
   /** An event after the first is here. */
   void event(Attempt attempt, long now) {
-    if (attempt.eventCount() == PACE_EVENTS) {
-      double millis = (double) (now - attempt.paceFrom()) / (PACE_EVENTS - 1);
-      answered(attempt, Signal.EVENT_GAP, millis, false);
+    if (attempt.eventCount() >= PACE_EVENTS) {
+      attempt
+          .takePaceFrom()
+          .ifPresent(
+              from -> {
+                double millis = (double) (now - from) / (attempt.eventCount() - 1);
+                answered(attempt, Signal.EVENT_GAP, millis, false);
+              });
     }
   }
 
--- /dev/null
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/RolloutForwardingTest.java
@@ -0,0 +1,217 @@
+package org.gatereel.core.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.model.Address;
+import org.gatereel.core.model.DataCentre;
+import org.gatereel.core.model.HostList;
+import org.gatereel.core.model.LifeState;
+import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.model.TargetDescription;
+import org.gatereel.core.model.TargetId;
+import org.gatereel.core.model.TargetKind;
+import org.gatereel.core.rollout.EvidenceKey;
+import org.gatereel.core.rollout.RolloutOrder;
+import org.gatereel.core.rollout.RolloutRecord;
+import org.gatereel.core.rollout.RolloutState;
+import org.gatereel.core.rollout.Signal;
+import org.gatereel.core.rollout.Tally;
+import org.junit.jupiter.api.Test;
+
+/** Where requests, repeats and continuations go while a service moves to another version. */
+class RolloutForwardingTest {
+  private static final long DURATION = 60_000;
+  private static final long STORE_MILLIS = 7_000_000;
+  private static final int REQUESTS = 400;
+
+  private final ForwardWorld world = new ForwardWorld();
+
+  private static TargetDescription target(String id, ServiceName service, String version) {
+    return new TargetDescription(
+        new TargetId(id),
+        service.equals(ForwardWorld.ENGINES) ? TargetKind.ENGINE : TargetKind.PLAIN_SERVICE,
+        service,
+        new DataCentre("north"),
+        new Address("10.0.9." + (id.hashCode() & 0xff), 80),
+        100_000,
+        LifeState.LIVE,
+        version);
+  }
+
+  private void list(ServiceName service, String... ids) {
+    List<TargetDescription> targets = new ArrayList<>();
+    for (String id : ids) {
+      targets.add(target(id, service, id.startsWith("new") ? "v2" : "v1"));
+    }
+    HostList list = new HostList(world.context.now(), List.of(), targets);
+    world.rollouts.learnTargets(list);
+    world.targets.see(list);
+  }
+
+  private void order(ServiceName service, RolloutState state) {
+    long now = world.context.now();
+    world.rollouts.learnOrders(List.of(new RolloutOrder(service, "v2", DURATION, 5)), now);
+    world.rollouts.learnRecords(
+        List.of(new RolloutRecord(service, "v2", 5, STORE_MILLIS, DURATION, state, 9)),
+        STORE_MILLIS,
+        now);
+  }
+
+  private int sentToNew(int from) {
+    return (int)
+        world.sent.subList(from, world.sent.size()).stream()
+            .filter(call -> call.target().startsWith("new"))
+            .count();
+  }
+
+  @Test
+  void aSmallPartOfTheRequestsTriesTheNewVersion() {
+    list(ForwardWorld.COUNTERS, "old1", "old2");
+    order(ForwardWorld.COUNTERS, RolloutState.RUNNING);
+    list(ForwardWorld.COUNTERS, "old1", "old2", "new1", "new2", "new3");
+
+    for (int request = 0; request < REQUESTS; request++) {
+      world.ask("/safe/x", new ForwardWorld.Caller());
+      world.last().answer(200, "ok");
+    }
+
+    int fresh = sentToNew(0);
+    assertTrue(fresh >= REQUESTS / 50 && fresh <= REQUESTS / 20, "sent to the new one: " + fresh);
+  }
+
+  @Test
+  void aRepeatDoesNotTryTheNewVersion() {
+    list(ForwardWorld.COUNTERS, "old1", "old2");
+    order(ForwardWorld.COUNTERS, RolloutState.RUNNING);
+    list(ForwardWorld.COUNTERS, "old1", "old2", "new1", "new2", "new3");
+
+    for (int request = 0; request < REQUESTS; request++) {
+      int before = world.sent.size();
+      world.ask("/safe/x", new ForwardWorld.Caller());
+      world.last().answer(500, "error");
+      if (world.sent.size() > before + 1) {
+        assertEquals(0, sentToNew(before + 1));
+        world.last().answer(200, "ok");
+      }
+    }
+  }
+
+  @Test
+  void aStreamThatBreaksAtTheNewVersionGoesOnAtTheOneBefore() {
+    list(ForwardWorld.ENGINES, "old1", "old2");
+    order(ForwardWorld.ENGINES, RolloutState.RUNNING);
+    list(ForwardWorld.ENGINES, "old1", "old2", "new1", "new2", "new3");
+
+    int broken = 0;
+    for (int request = 0; request < REQUESTS; request++) {
+      Optional<Exchange> exchange = world.ask("/stream/x", new ForwardWorld.Caller());
+      ForwardWorld.SentCall first = world.last();
+      if (first.target().startsWith("new")) {
+        int before = world.sent.size();
+        first.accepted().head(200, true).event(1);
+        world.fail(first, TargetFailure.RESET);
+        assertEquals(before + 1, world.sent.size());
+        assertEquals(0, sentToNew(before));
+        broken++;
+      }
+      exchange.ifPresent(Exchange::callerGone);
+    }
+    assertTrue(broken > 0);
+  }
+
+  @Test
+  void aStreamThatACallerResumesDoesNotTryTheNewVersion() {
+    list(ForwardWorld.ENGINES, "old1");
+    order(ForwardWorld.ENGINES, RolloutState.RUNNING);
+    list(ForwardWorld.ENGINES, "old1", "new1", "new2");
+    world.lastEventId = OptionalLong.of(3);
+
+    for (int request = 0; request < REQUESTS; request++) {
+      world.ask("/stream/x", new ForwardWorld.Caller());
+    }
+
+    assertEquals(0, sentToNew(0));
+  }
+
+  @Test
+  void afterARollBackNothingGoesToTheNewVersionAlsoIfNothingElseIsLeft() {
+    list(ForwardWorld.COUNTERS, "old1");
+    order(ForwardWorld.COUNTERS, RolloutState.ROLLED_BACK);
+    list(ForwardWorld.COUNTERS, "new1");
+
+    ForwardWorld.Caller caller = new ForwardWorld.Caller();
+    world.ask("/safe/x", caller);
+
+    assertEquals(0, world.sent.size());
+    assertEquals(Refusal.NO_TARGET, caller.refusal);
+  }
+
+  @Test
+  void afterTheEndTheVersionsBeforeAreLeftForTheNewOne() {
+    list(ForwardWorld.COUNTERS, "old1");
+    order(ForwardWorld.COUNTERS, RolloutState.COMPLETED);
+    list(ForwardWorld.COUNTERS, "old1", "old2", "new1");
+
+    for (int request = 0; request < 20; request++) {
+      world.ask("/safe/x", new ForwardWorld.Caller());
+    }
+
+    assertEquals(20, sentToNew(0));
+  }
+
+  @Test
+  void whatAnswersShowIsCountedOnceForEachSignal() {
+    list(ForwardWorld.ENGINES, "old1");
+    order(ForwardWorld.ENGINES, RolloutState.RUNNING);
+    world.ask("/stream/x", new ForwardWorld.Caller());
+    ForwardWorld.SentCall call = world.last().accepted().head(200, true);
+    for (int event = 1; event <= 40; event++) {
+      world.pass(10);
+      call.event(event);
+      call.text("");
+    }
+
+    Map<EvidenceKey, Tally> counted = world.rollouts.ownEvidence();
+    for (Signal signal : new Signal[] {Signal.SENT, Signal.FIRST_EVENT, Signal.EVENT_GAP}) {
+      EvidenceKey key = new EvidenceKey(ForwardWorld.ENGINES, 5, "route/stream/", signal, false);
+      assertEquals(1, counted.getOrDefault(key, Tally.NONE).answers(), signal.toString());
+    }
+  }
+
+  @Test
+  void connectionsThatBreakAreNoEvidenceAgainstAVersion() {
+    list(ForwardWorld.COUNTERS, "old1");
+    order(ForwardWorld.COUNTERS, RolloutState.RUNNING);
+    world.ask("/safe/x", new ForwardWorld.Caller());
+    world.last().accepted();
+    world.fail(world.last(), TargetFailure.RESET);
+
+    assertTrue(
+        world.rollouts.ownEvidence().keySet().stream()
+            .allMatch(key -> key.signal() == Signal.SENT));
+  }
+
+  @Test
+  void aVersionThatNobodyOrderedWaitsUntilTheOrdersWereReadAgain() {
+    list(ForwardWorld.COUNTERS, "old1");
+    world.rollouts.confirmOrders(world.context.now());
+    world.pass(10);
+    list(ForwardWorld.COUNTERS, "new1");
+    ForwardWorld.Caller early = new ForwardWorld.Caller();
+    world.ask("/safe/x", early);
+    assertEquals(0, world.sent.size());
+
+    world.pass(10);
+    world.rollouts.confirmOrders(world.context.now());
+    world.ask("/safe/x", new ForwardWorld.Caller());
+
+    assertEquals(1, sentToNew(0));
+  }
+}
