Log what a list of targets changes as one line

Change: event 507 with the number of all and 32 names of each kind; 500 and 502 are not written any more; 501 stays for targets and peers that say it themselves.

--- a/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
@@ -43,28 +43,32 @@
   /** Takes in the platform's list, unless a later one was seen. */
   public void see(HostList list) {
     if (list.version() >= listVersion) {
-      dropUnnamed(seeAll(list));
+      ListChanges changes = new ListChanges();
+      dropUnnamed(seeAll(list, changes), changes);
+      changes.note(context, listVersion, targets.size());
     }
   }
 
   /** Takes in a list that may lack targets which live: known ones that it does not name stay. */
   public void seePartial(HostList list) {
     if (list.version() >= listVersion) {
-      seeAll(list);
+      ListChanges changes = new ListChanges();
+      seeAll(list, changes);
+      changes.note(context, listVersion, targets.size());
     }
   }
 
-  private Set<TargetId> seeAll(HostList list) {
+  private Set<TargetId> seeAll(HostList list, ListChanges changes) {
     Set<TargetId> named = new HashSet<>();
     for (TargetDescription description : list.targets()) {
-      named.add(seeTarget(description));
+      named.add(seeTarget(description, changes));
     }
     listVersion = list.version();
     return named;
   }
 
   /** Takes an entry in; returns the run that now has its name, a later one if it came late. */
-  private TargetId seeTarget(TargetDescription description) {
+  private TargetId seeTarget(TargetDescription description, ListChanges changes) {
     TargetState known = targets.get(description.id());
     if (known == null) {
       Optional<TargetId> later =
@@ -72,15 +76,14 @@
       if (later.isPresent()) {
         return later.get();
       }
-      supersede(description);
+      supersede(description, changes);
       known = new TargetState(description, context.now());
       targets.put(description.id(), known);
-      context.note(
-          EventCode.TARGET_SEEN, description.id().toString(), description.service().value());
+      changes.came(description.id());
     }
     known.update(description);
     if (description.state() == LifeState.LEAVING || leavingHints.contains(description.id())) {
-      leaving(description.id());
+      leave(description.id(), changes);
     }
     return description.id();
   }
@@ -89,7 +92,7 @@
    * Gives up the target that had the address of a new one, and the earlier run under its name: they
    * ended, though they may still be listed.
    */
-  private void supersede(TargetDescription successor) {
+  private void supersede(TargetDescription successor, ListChanges changes) {
     if (listVersion < 0) {
       return;
     }
@@ -97,30 +100,44 @@
       TargetId id = known.description().id();
       if (id.isBefore(successor.id())
           || known.description().address().equals(successor.address())) {
-        leaving(id);
+        leave(id, changes);
       }
     }
   }
 
-  private void dropUnnamed(Set<TargetId> named) {
+  private void dropUnnamed(Set<TargetId> named, ListChanges changes) {
     for (TargetId id : List.copyOf(targets.keySet())) {
       if (!named.contains(id)) {
-        leaving(id);
+        markLeaving(id);
         targets.remove(id);
-        context.note(EventCode.TARGET_GONE, id.toString(), "");
+        changes.gone(id);
       }
     }
     leavingHints.removeIf(id -> !named.contains(id) && !targets.containsKey(id));
   }
 
-  /** Marks a target as leaving, whoever said so; returns whether that is news. */
+  private void leave(TargetId id, ListChanges changes) {
+    if (markLeaving(id)) {
+      changes.leaving(id);
+    }
+  }
+
+  /** Marks a target as leaving that no list said so of; returns whether that is news. */
   public boolean leaving(TargetId id) {
+    boolean news = markLeaving(id);
+    if (news) {
+      int open = targets.get(id).openHere();
+      context.note(EventCode.TARGET_LEAVING, id.toString(), "open here: " + open);
+    }
+    return news;
+  }
+
+  private boolean markLeaving(TargetId id) {
     leavingHints.add(id);
     TargetState target = targets.get(id);
     if (target == null || !target.markLeaving()) {
       return false;
     }
-    context.note(EventCode.TARGET_LEAVING, id.toString(), "open here: " + target.openHere());
     leavingListeners.forEach(listener -> listener.accept(target));
     return true;
   }
