--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/EngineModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/EngineModel.java
@@ -8,17 +8,6 @@
  * piece of the first prompt that waits beside them.
  */
 final class EngineModel extends TargetModel {
-  /** A step of an engine that reads nothing, in microseconds. */
-  private static final long STEP_MICROS = 3_700;
-
-  /** What a token of a prompt costs to read, in microseconds; 8 are read in a millisecond. */
-  private static final long TOKEN_MICROS = 125;
-
-  /** How much of a prompt is read in one step. */
-  private static final int PIECE_TOKENS = 200;
-
-  private static final int TOKENS_AN_EVENT = 7;
-
   /** How long after an event a copy elsewhere has it, in microseconds. */
   private static final long COPY_LAG_MICROS = 300_000;
 
@@ -27,11 +16,14 @@
 
   private static final int OK_STATUS = 200;
 
+  private final Script.EngineSpeed speed;
   private boolean stepping;
   private long tokensRead;
 
-  EngineModel(VirtualTime time, TargetDescription description, int queued) {
+  EngineModel(
+      VirtualTime time, TargetDescription description, int queued, Script.EngineSpeed speed) {
     super(time, description, queued);
+    this.speed = speed;
   }
 
   long tokensRead() {
@@ -45,11 +37,11 @@
     }
     stepping = true;
     Run reading = running().stream().filter(run -> run.promptLeft > 0).findFirst().orElse(null);
-    int piece = reading == null ? 0 : Math.min(PIECE_TOKENS, reading.promptLeft);
+    int piece = reading == null ? 0 : Math.min(speed.pieceTokens(), reading.promptLeft);
     long begun = life();
     time()
         .after(
-            STEP_MICROS + piece * TOKEN_MICROS,
+            speed.stepMicros() + piece * speed.tokenMicros(),
             () -> {
               stepping = false;
               if (life() == begun) {
@@ -76,7 +68,7 @@
       run.client.head(OK_STATUS, false, true);
     }
     run.tokens++;
-    if (run.tokens % TOKENS_AN_EVENT != 0) {
+    if (run.tokens % speed.tokensAnEvent() != 0) {
       return;
     }
     run.event++;
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayWorld.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayWorld.java
@@ -83,7 +83,9 @@
     for (int index = 0; index < script.engines(); index++) {
       TargetDescription engine =
           describe(ENGINES, TargetKind.ENGINE, index, "10.2.", script.engineSlots());
-      targets.put(engine.address(), new EngineModel(time, engine, script.engineQueue()));
+      targets.put(
+          engine.address(),
+          new EngineModel(time, engine, script.engineQueue(), script.engineSpeed()));
       listed.put(engine.id(), engine);
     }
     for (int index = 0; index < script.counters(); index++) {
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/Script.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/Script.java
@@ -17,6 +17,7 @@
  * @param streams how many streams callers ask for in a second
  * @param calls how many plain calls they make in a second
  * @param accounts how many client accounts share them; the n-th asks for 1/n of what the first does
+ * @param engineSpeed how fast engines are; {@link EngineSpeed#USUAL} if it is left out
  * @param trouble what happens when
  */
 record Script(
@@ -35,6 +36,7 @@
     double streams,
     double calls,
     int accounts,
+    EngineSpeed engineSpeed,
     List<Trouble> trouble) {
   private static final ObjectMapper MAPPER =
       JsonMapper.builder()
@@ -43,9 +45,23 @@
           .build();
 
   Script {
+    engineSpeed = engineSpeed == null ? EngineSpeed.USUAL : engineSpeed;
     trouble = trouble == null ? List.of() : List.copyOf(trouble);
   }
 
+  /**
+   * How fast an engine is.
+   *
+   * @param stepMicros a step that reads nothing
+   * @param tokenMicros what a token of a prompt costs to read
+   * @param pieceTokens how much of a prompt is read in one step
+   * @param tokensAnEvent how many tokens an event of a stream holds
+   */
+  record EngineSpeed(long stepMicros, long tokenMicros, int pieceTokens, int tokensAnEvent) {
+    /** 8 tokens of a prompt are read in a millisecond. */
+    static final EngineSpeed USUAL = new EngineSpeed(3_700, 125, 200, 7);
+  }
+
   /**
    * One thing that happens.
    *
@@ -131,6 +147,7 @@
         streams,
         calls,
         accounts,
+        engineSpeed,
         trouble);
   }
 }
