Let queues of plain services empty while too much is asked of them

Cause: a plain service shows that it is overloaded by targets that have no room. By then their queues are full, and since all that it can do was shared out they stayed full: what was served was late.

--- a/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
@@ -81,7 +81,8 @@
       return new Verdict.Send();
     }
     double asked = perSecond(key);
-    double part = FairShares.of(capacity.perSecond(), askedFor(arrival.service())).part(key, asked);
+    double part =
+        FairShares.of(capacity.sharedPerSecond(), askedFor(arrival.service())).part(key, asked);
     turns.earn(key, part);
     if (!turns.hasWaiting(key) && turns.take(key)) {
       return new Verdict.Send();
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayTest.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayTest.java
@@ -81,6 +81,17 @@
     assertTrue(report.whole(CallerModel.Kind.STREAM) >= 0.9);
   }
 
+  /** 0.418 in the mean where queues stay full for as long as too much is asked for; 0.511. */
+  @Test
+  void queuesOfPlainServicesEmptyWhileTooMuchIsAskedFor() throws IOException {
+    double inTime = 0;
+    for (long seed = 1; seed <= 3; seed++) {
+      inTime += play("hot-account", seed).inTime(CallerModel.Kind.CALL) / 3;
+    }
+
+    assertTrue(inTime >= 0.47, "calls in time: " + inTime);
+  }
+
   /** Nobody has more than a share; what cannot be read at once waits, and none is lost. */
   @Test
   void aBurstOfAllAccountsIsServedWhole() throws IOException {
