Do not refuse a service whose only version is ordered

Cause, found on reading: while an order ran, its version was left out for all but the canary, also where all targets had it before: the whole service would have been refused until the end. Change: where no other version is listed, the ordered one is used unless it was rolled back. The new test of RolloutForwardingTest fails without it; RolloutModelTest passes.

--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/KnownVersions.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/KnownVersions.java
@@ -19,14 +19,16 @@
 final class KnownVersions {
   private final Map<ServiceName, Set<String>> vouched = new HashMap<>();
   private final Map<ServiceName, Map<String, Long>> pending = new HashMap<>();
+  private Map<ServiceName, Set<String>> listed = Map.of();
 
   /** Takes in the versions of a list that came now. */
   void learn(HostList list, long now) {
-    Map<ServiceName, Set<String>> listed = new HashMap<>();
+    Map<ServiceName, Set<String>> latest = new HashMap<>();
     for (TargetDescription target : list.targets()) {
-      listed.computeIfAbsent(target.service(), any -> new HashSet<>()).add(target.version());
+      latest.computeIfAbsent(target.service(), any -> new HashSet<>()).add(target.version());
     }
-    listed.forEach((service, versions) -> learn(service, versions, now));
+    listed = latest;
+    latest.forEach((service, versions) -> learn(service, versions, now));
   }
 
   private void learn(ServiceName service, Set<String> versions, long now) {
@@ -53,6 +55,11 @@
         });
   }
 
+  /** Returns whether all listed targets of a service have a version. */
+  boolean isOnly(ServiceName service, String version) {
+    return Set.of(version).equals(listed.get(service));
+  }
+
   /** Returns the versions of a service that are to be held back for now. */
   Set<String> heldBack(ServiceName service) {
     return pending.getOrDefault(service, Map.of()).keySet();
--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/Rollout.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/Rollout.java
@@ -67,6 +67,10 @@
     return record.map(RolloutRecord::state).filter(RolloutState::isEnd).isPresent();
   }
 
+  private boolean isIn(RolloutState state) {
+    return record.map(RolloutRecord::state).filter(state::equals).isPresent();
+  }
+
   boolean isRunning() {
     return record.isPresent() && !isEnded();
   }
@@ -130,11 +134,15 @@
     return draws.computeIfAbsent(route, any -> new CanaryDraw(random)).next(share);
   }
 
-  /** Returns what holds for requests that are not drawn, for repeats and for copies. */
-  VersionRule rule(long now, Set<String> heldBack) {
-    boolean completed =
-        record.map(RolloutRecord::state).filter(RolloutState.COMPLETED::equals).isPresent();
-    if (completed || bearsAll(now)) {
+  /**
+   * Returns what holds for requests that are not drawn, for repeats and for copies.
+   *
+   * @param alone whether all targets have the version that is ordered: it was in service before, or
+   *     nothing else is left; without it the service would be refused as a whole
+   */
+  VersionRule rule(long now, Set<String> heldBack, boolean alone) {
+    boolean inVain = isIn(RolloutState.ROLLED_BACK);
+    if (isIn(RolloutState.COMPLETED) || bearsAll(now) || (alone && !inVain)) {
       return VersionRule.prefer(order.version());
     }
     Set<String> excluded = new HashSet<>(heldBack);
--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
@@ -178,7 +178,8 @@
     if (rollout == null) {
       return VersionRule.except(heldBack);
     }
-    return rollout.rule(context.now(), heldBack);
+    boolean alone = versions.isOnly(service, rollout.order().version());
+    return rollout.rule(context.now(), heldBack, alone);
   }
 
   /** Counts a request that is sent to a target of a version. */
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/RolloutForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/RolloutForwardingTest.java
@@ -153,6 +153,17 @@
     assertEquals(Refusal.NO_TARGET, caller.refusal);
   }
 
+  /** Held back until somebody completes it, the whole service would be refused. */
+  @Test
+  void anOrderThatNamesTheVersionInServiceTakesNothingAway() {
+    list(ForwardWorld.COUNTERS, "new1", "new2");
+    order(ForwardWorld.COUNTERS, RolloutState.RUNNING);
+
+    world.ask("/safe/x", new ForwardWorld.Caller());
+
+    assertEquals(1, sentToNew(0));
+  }
+
   @Test
   void afterTheEndTheVersionsBeforeAreLeftForTheNewOne() {
     list(ForwardWorld.COUNTERS, "old1");
