--- a/gatereel-control/src/test/java/org/gatereel/control/ExplainCommandTest.java
+++ b/gatereel-control/src/test/java/org/gatereel/control/ExplainCommandTest.java
@@ -3,10 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
@@ -20,18 +17,6 @@
         .formatted(time, host, name, subject);
   }
 
-  private static String printed(ExitCode expected, String... words) {
-    PrintStream before = System.out;
-    ByteArrayOutputStream output = new ByteArrayOutputStream();
-    System.setOut(new PrintStream(output, true, StandardCharsets.UTF_8));
-    try {
-      assertEquals(expected, new ControlMain().run(words));
-    } finally {
-      System.setOut(before);
-    }
-    return output.toString(StandardCharsets.UTF_8);
-  }
-
   private Path file(String name, String... lines) throws IOException {
     return Files.writeString(folder.resolve(name), String.join("", lines));
   }
@@ -46,7 +31,8 @@
             "no json at all r1\n");
     Path other = file("other", line("T1", "h2", "REQUEST_FORWARDED", "r1"));
 
-    String text = printed(ExitCode.DONE, "explain", "r1", one.toString(), other.toString());
+    String text =
+        PrintedCommand.run(ExitCode.DONE, "explain", "r1", one.toString(), other.toString());
 
     assertTrue(text.indexOf("T1 h2") < text.indexOf("T3 h1"), text);
     assertTrue(text.contains("A request was sent to a target."), text);
@@ -57,11 +43,11 @@
   void saysThatNothingWasFound() throws IOException {
     Path one = file("one", line("T1", "h1", "REQUEST_FORWARDED", "r1"));
 
-    printed(ExitCode.INCOMPLETE, "explain", "other", one.toString());
+    PrintedCommand.run(ExitCode.INCOMPLETE, "explain", "other", one.toString());
   }
 
   @Test
   void refusesAFileThatCannotBeRead() {
-    printed(ExitCode.USAGE, "explain", "r1", folder.resolve("absent").toString());
+    PrintedCommand.run(ExitCode.USAGE, "explain", "r1", folder.resolve("absent").toString());
   }
 }
--- a/gatereel-control/src/test/java/org/gatereel/control/RolloutCommandTest.java
+++ b/gatereel-control/src/test/java/org/gatereel/control/RolloutCommandTest.java
@@ -4,8 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.sun.net.httpserver.HttpServer;
-import java.io.ByteArrayOutputStream;
-import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -40,21 +38,9 @@
     host.stop(0);
   }
 
-  private static String printed(ExitCode expected, String... words) {
-    PrintStream before = System.out;
-    ByteArrayOutputStream output = new ByteArrayOutputStream();
-    System.setOut(new PrintStream(output, true, StandardCharsets.UTF_8));
-    try {
-      assertEquals(expected, new ControlMain().run(words));
-    } finally {
-      System.setOut(before);
-    }
-    return output.toString(StandardCharsets.UTF_8);
-  }
-
   @Test
   void printsWhatTheHostKnowsOfTheService() {
-    String text = printed(ExitCode.DONE, "rollout", "counters", "--at", address);
+    String text = PrintedCommand.run(ExitCode.DONE, "rollout", "counters", "--at", address);
 
     assertTrue(text.contains("counters version=v2 state=RUNNING"), text);
     assertTrue(text.contains("route=r answers=3"), text);
@@ -63,7 +49,7 @@
 
   @Test
   void saysThatAServiceHasNone() {
-    String text = printed(ExitCode.DONE, "rollout", "other", "--at", address);
+    String text = PrintedCommand.run(ExitCode.DONE, "rollout", "other", "--at", address);
 
     assertTrue(text.contains("no roll-out of other is known"), text);
   }
@@ -72,11 +58,11 @@
   void saysWhichHostsDoNotAnswer() {
     host.stop(0);
 
-    printed(ExitCode.UNREACHABLE, "rollout", "counters", "--at", address);
+    PrintedCommand.run(ExitCode.UNREACHABLE, "rollout", "counters", "--at", address);
   }
 
   @Test
   void anAddressThatIsNoneIsAMistakeOfTheCaller() {
-    printed(ExitCode.USAGE, "rollout", "counters", "--at", "a b");
+    PrintedCommand.run(ExitCode.USAGE, "rollout", "counters", "--at", "a b");
   }
 }
