--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/VersionRule.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/VersionRule.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Set;
-import java.util.function.Predicate;
 import org.gatereel.core.target.TargetState;
 
 /** Which versions of targets a request may go to. */
@@ -13,13 +12,36 @@
   /** How versions are named. */
   public enum Kind {
     /** All may be used. */
-    ANY,
+    ANY {
+      @Override
+      boolean admits(boolean named) {
+        return true;
+      }
+    },
     /** Only those named. */
-    ONLY,
+    ONLY {
+      @Override
+      boolean admits(boolean named) {
+        return named;
+      }
+    },
     /** All but those named. */
-    EXCEPT,
+    EXCEPT {
+      @Override
+      boolean admits(boolean named) {
+        return !named;
+      }
+    },
     /** Those named as long as there are any, else others. */
-    PREFER
+    PREFER {
+      @Override
+      boolean admits(boolean named) {
+        return true;
+      }
+    };
+
+    /** Returns whether a version may be used that is {@code named} or not. */
+    abstract boolean admits(boolean named);
   }
 
   public VersionRule {
@@ -40,12 +62,11 @@
 
   /** Returns whether a target may be used, whichever others there are. */
   public boolean admits(TargetState target) {
-    boolean named = versions.contains(target.description().version());
-    return switch (kind) {
-      case ANY, PREFER -> true;
-      case ONLY -> named;
-      case EXCEPT -> !named;
-    };
+    return kind.admits(names(target));
+  }
+
+  private boolean names(TargetState target) {
+    return versions.contains(target.description().version());
   }
 
   /** Returns the targets to choose from, out of those of a service. */
@@ -53,8 +74,7 @@
     if (kind == Kind.ANY) {
       return targets;
     }
-    Predicate<TargetState> named = target -> versions.contains(target.description().version());
-    boolean preferred = kind == Kind.PREFER && targets.stream().anyMatch(named);
-    return targets.stream().filter(preferred ? named : this::admits).toList();
+    boolean preferred = kind == Kind.PREFER && targets.stream().anyMatch(this::names);
+    return targets.stream().filter(preferred ? this::names : this::admits).toList();
   }
 }
