--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
@@ -28,6 +28,8 @@
   /** Hosts that are no readers write what is left undone after a part of this, drawn by each. */
   private static final long SPREAD_MILLIS = 400;
 
+  private static final Comparator<ServiceName> BY_NAME = Comparator.comparing(ServiceName::value);
+
   private final CoreContext context;
   private final RolloutBounds bounds;
   private final KnownVersions versions = new KnownVersions();
@@ -43,8 +45,6 @@
   private long ordersProvenAt = Long.MIN_VALUE / 2;
   private boolean ticking;
 
-  private static final Comparator<ServiceName> BY_NAME = Comparator.comparing(ServiceName::value);
-
   /** When the rows were read, on both clocks. */
   private record Reading(long storeMillis, long provenAt) {
     long offset() {
--- a/gatereel-core/src/test/java/org/gatereel/core/rollout/RolloutModelTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/rollout/RolloutModelTest.java
@@ -157,4 +157,20 @@
             RolloutState.ROLLED_BACK),
         world.states);
   }
+
+  @Test
+  void anOrderThatIsGivenWhileAnotherRunsTakesItsPlace() {
+    for (long seed = 0; seed < 5; seed++) {
+      RolloutWorld world = ordered(Kind.GOOD, seed, 9);
+      world.pass(4_000, PER_SECOND);
+
+      world.order();
+      world.pass(RolloutWorld.DURATION_MILLIS + AFTER_MILLIS, PER_SECOND);
+
+      assertEquals(
+          List.of(RolloutState.RUNNING, RolloutState.RUNNING, RolloutState.COMPLETED),
+          world.states,
+          "seed " + seed);
+    }
+  }
 }
