Keep versions out whose order another one has replaced

Cause, found on reading: a host looked at a service's latest order alone. Once version 3 was ordered, version 2, rolled back or still unproved, had its full part of all requests again while its targets were listed. And where only the ordered version is listed it was used also if this host had found it bad. Change: versions of replaced orders that were not completed stay out until they are ordered again; a version found bad is not used for want of others. Left: a host that restarts after the next order knows only that one (the row holds no earlier ones). Shown: RolloutForwardingTest (new test), RolloutModelTest, RolloutTest passed.

--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/Rollout.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/Rollout.java
@@ -71,6 +71,10 @@
     return record.map(RolloutRecord::state).filter(state::equals).isPresent();
   }
 
+  boolean isCompleted() {
+    return isIn(RolloutState.COMPLETED);
+  }
+
   boolean isRunning() {
     return record.isPresent() && !isEnded();
   }
@@ -141,8 +145,8 @@
    *     nothing else is left; without it the service would be refused as a whole
    */
   VersionRule rule(long now, Set<String> heldBack, boolean alone) {
-    boolean inVain = isIn(RolloutState.ROLLED_BACK);
-    if (isIn(RolloutState.COMPLETED) || bearsAll(now) || (alone && !inVain)) {
+    boolean inVain = isIn(RolloutState.ROLLED_BACK) || verdict.kind() == Verdict.Kind.BAD;
+    if (isCompleted() || bearsAll(now) || (alone && !inVain)) {
       return VersionRule.prefer(order.version());
     }
     Set<String> excluded = new HashSet<>(heldBack);
--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -37,6 +38,10 @@
   private final Map<ServiceName, Rollout> rollouts = new TreeMap<>(BY_NAME);
   private final Map<ServiceName, RolloutRecord> records = new HashMap<>();
   private final Map<ServiceName, Long> writeAt = new HashMap<>();
+
+  /** Versions of earlier orders that were not completed: nobody vouches for them. */
+  private final Map<ServiceName, Set<String>> abandoned = new HashMap<>();
+
   private Supplier<Map<EvidenceKey, Tally>> others = Map::of;
   private BooleanSupplier reader = () -> false;
   private Predicate<Rollout> openBefore = rollout -> false;
@@ -115,6 +120,7 @@
     if (known != null && known.order().revision() >= order.revision()) {
       return;
     }
+    abandon(known, order);
     long notBefore = Math.max(ordersProvenAt, context.now() - order.durationMillis());
     rollouts.put(order.service(), new Rollout(bounds, context.random(), order, notBefore));
     book.keepOnly(order.service(), order.revision());
@@ -126,6 +132,15 @@
     tickSoon();
   }
 
+  /** A later order takes an earlier one's place, but makes its version no better. */
+  private void abandon(Rollout replaced, RolloutOrder order) {
+    Set<String> versions = abandoned.computeIfAbsent(order.service(), any -> new HashSet<>());
+    if (replaced != null && !replaced.isCompleted()) {
+      versions.add(replaced.order().version());
+    }
+    versions.remove(order.version());
+  }
+
   /**
    * Takes in all rows.
    *
@@ -173,7 +188,8 @@
 
   /** Returns which versions repeats, continuations and copies may go to. */
   public VersionRule rule(ServiceName service) {
-    Set<String> heldBack = versions.heldBack(service);
+    Set<String> heldBack = new HashSet<>(versions.heldBack(service));
+    heldBack.addAll(abandoned.getOrDefault(service, Set.of()));
     Rollout rollout = rollouts.get(service);
     if (rollout == null) {
       return VersionRule.except(heldBack);
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/RolloutForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/RolloutForwardingTest.java
@@ -164,6 +164,40 @@
     assertEquals(1, sentToNew(0));
   }
 
+  /** The next order alone was looked at: what had been rolled back had its part again. */
+  @Test
+  void aVersionThatWasRolledBackStaysOutWhenAnotherIsOrdered() {
+    for (RolloutState state : new RolloutState[] {RolloutState.ROLLED_BACK, RolloutState.RUNNING}) {
+      ForwardWorld fresh = new ForwardWorld();
+      HostList list =
+          new HostList(
+              fresh.context.now(),
+              List.of(),
+              List.of(
+                  target("old1", ForwardWorld.COUNTERS, "v1"),
+                  target("new1", ForwardWorld.COUNTERS, "v2"),
+                  target("new2", ForwardWorld.COUNTERS, "v3")));
+      fresh.rollouts.learnTargets(list);
+      fresh.targets.see(list);
+      long now = fresh.context.now();
+      fresh.rollouts.learnOrders(
+          List.of(new RolloutOrder(ForwardWorld.COUNTERS, "v2", DURATION, 5)), now);
+      fresh.rollouts.learnRecords(
+          List.of(
+              new RolloutRecord(ForwardWorld.COUNTERS, "v2", 5, STORE_MILLIS, DURATION, state, 9)),
+          STORE_MILLIS,
+          now);
+      fresh.rollouts.learnOrders(
+          List.of(new RolloutOrder(ForwardWorld.COUNTERS, "v3", DURATION, 10)), now);
+
+      for (int request = 0; request < 20; request++) {
+        fresh.ask("/safe/x", new ForwardWorld.Caller());
+        assertEquals("old1", fresh.last().target(), state.name());
+        fresh.last().answer(200, "ok");
+      }
+    }
+  }
+
   @Test
   void afterTheEndTheVersionsBeforeAreLeftForTheNewOne() {
     list(ForwardWorld.COUNTERS, "old1");
