Log of a failed run how far it had come, and of what content its request was

Cause: the logs could not tell whether exchanges were of the same content, nor whether an engine had begun to answer when it ended; the two hypotheses differ in just that. Ruled out: the request's id, which is new with each try of its caller. Change: ATTEMPT_FAILED of a run that may have run names the request's fingerprint (account, method, path with query, body), the time since it was sent and since the head, and its events. The digest is made when it is logged first; requests that do not fail cost nothing. Conclusion: sight only, no logic.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
@@ -17,6 +17,7 @@
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private TargetPort.Call call;
   private AnswerHead head;
+  private OptionalLong headAt = OptionalLong.empty();
   private AnswerEnd end;
   private long endedAt;
   private boolean sent;
@@ -65,6 +66,16 @@
     return head;
   }
 
+  /** Notes that the answer's head is here. */
+  void noteHead(long now) {
+    headAt = OptionalLong.of(now);
+  }
+
+  /** Returns when the answer's head came, by which a run had begun. */
+  OptionalLong headAt() {
+    return headAt;
+  }
+
   /** Notes that the answer is at its end. */
   void noteEnd(AnswerEnd how, long now) {
     end = how;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -1,5 +1,7 @@
 package org.gatereel.core.forward;
 
+import com.google.common.base.Supplier;
+import com.google.common.base.Suppliers;
 import java.util.Optional;
 import org.gatereel.core.choice.TargetChoice;
 import org.gatereel.core.event.EventCode;
@@ -10,6 +12,7 @@
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.overload.Arrival;
+import org.gatereel.core.poison.Fingerprint;
 import org.gatereel.core.target.TargetState;
 
 /**
@@ -38,6 +41,7 @@
   private final StreamRelay relay;
   private final VersionWitness witness;
   private final TryCount tries = new TryCount();
+  private final Supplier<Fingerprint> fingerprint;
   private Attempt attempt;
   private boolean mayHaveRun;
   private boolean over;
@@ -53,6 +57,7 @@
     this.reply = new Reply(caller);
     this.route = allowed.route();
     this.account = allowed.account();
+    this.fingerprint = Suppliers.memoize(() -> Fingerprint.of(account, request.contentDigest()));
     this.service = route.chooseService(context.random().nextDouble());
     this.search =
         new TargetSearch(
@@ -139,6 +144,11 @@
     return attempt;
   }
 
+  /** Returns what makes this request the same one when it comes again. */
+  Fingerprint fingerprint() {
+    return fingerprint.get();
+  }
+
   /** Returns whether the target may be left for another one without breaking a promise. */
   boolean mayMove() {
     return route.mayRepeat();
@@ -197,6 +207,7 @@
 
   void answered(Attempt from) {
     AnswerHead head = from.head();
+    from.noteHead(context.now());
     from.noteSign(context.now());
     if (head.declaresNotRun()) {
       failed(from, head.status() == 421 ? TargetFailure.GOODBYE : TargetFailure.FULL);
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
@@ -96,6 +96,21 @@
             + failure
             + " mayHaveRun="
             + mayHaveRun;
-    note(EventCode.ATTEMPT_FAILED, inputs);
+    note(EventCode.ATTEMPT_FAILED, mayHaveRun ? inputs + course(attempt) : inputs);
+  }
+
+  /** Tells how far a run had come, and of what content it was, so that its repeats are found. */
+  private String course(Attempt attempt) {
+    long now = forwarder.context().now();
+    String sinceHead =
+        attempt.headAt().isPresent() ? Long.toString(now - attempt.headAt().getAsLong()) : "-";
+    return " request="
+        + exchange.fingerprint()
+        + " sinceSentMillis="
+        + (now - attempt.startedAt())
+        + " sinceHeadMillis="
+        + sinceHead
+        + " events="
+        + attempt.eventCount();
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardRequest.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardRequest.java
@@ -1,5 +1,6 @@
 package org.gatereel.core.forward;
 
+import com.google.common.hash.HashCode;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -38,4 +39,10 @@
    * the same one, as when a caller resumes a stream at another host.
    */
   Optional<String> promptPart();
+
+  /**
+   * Returns a digest of what a target is given to work on: method, path with query, and body. It is
+   * made anew with each call, in time proportional to the body.
+   */
+  HashCode contentDigest();
 }
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
@@ -1,5 +1,7 @@
 package org.gatereel.core.forward;
 
+import com.google.common.hash.HashCode;
+import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -49,6 +51,10 @@
   final Forwarder forwarder;
   Optional<String> promptPart = Optional.empty();
   OptionalLong lastEventId = OptionalLong.empty();
+
+  /** The body of the requests that are asked next. */
+  String content = "";
+
   private long listVersion;
 
   /** A request at a target. */
@@ -117,8 +123,14 @@
       OptionalLong remainingMillis,
       OptionalLong lastEventId,
       long promptTokens,
-      Optional<String> promptPart)
-      implements ForwardRequest {}
+      Optional<String> promptPart,
+      String content)
+      implements ForwardRequest {
+    @Override
+    public HashCode contentDigest() {
+      return Hashing.sha256().hashString(path + content, StandardCharsets.UTF_8);
+    }
+  }
 
   /** What a caller got. */
   static class Caller implements CallerPort {
@@ -313,7 +325,8 @@
             OptionalLong.empty(),
             lastEventId,
             8_000,
-            promptPart),
+            promptPart,
+            content),
         caller);
   }
 
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/IncomingRequest.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/IncomingRequest.java
@@ -1,10 +1,13 @@
 package org.gatereel.forward.http;
 
+import com.google.common.hash.HashCode;
+import com.google.common.hash.Hashing;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -59,6 +62,19 @@
     return query < 0 ? uri : uri.substring(0, query);
   }
 
+  @Override
+  public HashCode contentDigest() {
+    return Hashing.sha256()
+        .newHasher()
+        .putString(method.name(), StandardCharsets.UTF_8)
+        .putChar('\n')
+        .putString(hostName, StandardCharsets.UTF_8)
+        .putString(uri, StandardCharsets.UTF_8)
+        .putChar('\n')
+        .putBytes(body)
+        .hash();
+  }
+
   private static String withoutPort(String host) {
     int colon = host.lastIndexOf(':');
     return colon < 0 ? host : host.substring(0, colon);
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/CallerModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/CallerModel.java
@@ -1,5 +1,8 @@
 package org.gatereel.proofs.replay;
 
+import com.google.common.hash.HashCode;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.gatereel.core.forward.AnswerHead;
@@ -239,5 +242,10 @@
     public Optional<String> promptPart() {
       return Optional.empty();
     }
+
+    @Override
+    public HashCode contentDigest() {
+      return Hashing.sha256().hashString(name, StandardCharsets.UTF_8);
+    }
   }
 }
