Hold back a request under which targets end again and again, at all hosts

Cause: what is known of a request's runs ended with its exchange, so that each try of its caller, at any host, ended as many engines as its route allows. Class: an end is blamed on the target alone. Ruled out: engines that end by themselves or in waves (the first ends were of engines that ran nothing else, one at a time, each as long after the sending as a prompt takes to be read); more runs in one exchange than its route allows (none had more than five). Change: core.poison. A run that breaks as it begins, or before it shows that it has begun, counts against its request if a probe shows that the target ended; the end is named by the target's run, so that it counts once. Hosts tell each other such ends with their reports of load, each once a link. An end is charged to the request with the most ends alone, to none where they are as many; three charged ends hold the request back: 503, told to come back after a minute. A run that lasts a second clears its request. From two ends on the next try waits for the probe.

--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -53,6 +53,9 @@
   EVENT_MISPLACED(
       331,
       "An event of a target's stream is not the next one of its run, or has no place; the run ends."),
+  POISON_SUSPECTED(340, "A target's run ended as it began a request; others may have caused it."),
+  POISON_HELD(341, "Targets ended under a request again and again; no target gets it any more."),
+  POISON_CLEARED(342, "A request under which a target had ended has run as it should."),
   EDIT_ACCEPTED(400, "An edit of the table was committed."),
   EDIT_REFUSED(401, "An edit of the table was refused."),
   EDIT_UNKNOWN(402, "The answer to an edit was lost; its edit id is read back."),
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
@@ -20,6 +20,7 @@
   private OptionalLong headAt = OptionalLong.empty();
   private AnswerEnd end;
   private long endedAt;
+  private boolean probed;
   private boolean sent;
   private boolean closed;
   private long eventCount;
@@ -82,6 +83,15 @@
     endedAt = now;
   }
 
+  /** Notes that the target was probed for whether the end of its connection was its own. */
+  void noteProbed() {
+    probed = true;
+  }
+
+  boolean wasProbed() {
+    return probed;
+  }
+
   /** Returns how the transport knew that the answer was at its end. */
   AnswerEnd end() {
     return end;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/EndCheck.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/EndCheck.java
@@ -60,6 +60,7 @@
     if (from.isClosed()) {
       return;
     }
+    from.noteProbed();
     long nextAt = forwarder.context().now() + patienceMillis(number);
     forwarder
         .port()
@@ -80,7 +81,10 @@
     }
     switch (result) {
       case ALIVE -> decide(from, EndVerdict.TARGET_ALIVE);
-      case GONE -> decide(from, EndVerdict.TARGET_GONE);
+      case GONE -> {
+        exchange.poison().targetGone(from);
+        decide(from, EndVerdict.TARGET_GONE);
+      }
       case ANSWERED, UNKNOWN -> unanswered(from, number, nextAt);
     }
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -1,7 +1,5 @@
 package org.gatereel.core.forward;
 
-import com.google.common.base.Supplier;
-import com.google.common.base.Suppliers;
 import java.util.Optional;
 import org.gatereel.core.choice.TargetChoice;
 import org.gatereel.core.event.EventCode;
@@ -40,8 +38,9 @@
   private final EndCheck ends;
   private final StreamRelay relay;
   private final VersionWitness witness;
-  private final TryCount tries = new TryCount();
-  private final Supplier<Fingerprint> fingerprint;
+  private final Retries retries;
+  private final TryCount tries;
+  private final PoisonWatch poison;
   private Attempt attempt;
   private boolean mayHaveRun;
   private boolean over;
@@ -57,7 +56,8 @@
     this.reply = new Reply(caller);
     this.route = allowed.route();
     this.account = allowed.account();
-    this.fingerprint = Suppliers.memoize(() -> Fingerprint.of(account, request.contentDigest()));
+    this.poison =
+        new PoisonWatch(forwarder, () -> Fingerprint.of(account, request.contentDigest()));
     this.service = route.chooseService(context.random().nextDouble());
     this.search =
         new TargetSearch(
@@ -73,6 +73,8 @@
     this.relay = new StreamRelay(this, context, request, reply, route);
     this.witness = new VersionWitness(forwarder.rollouts(), service, route);
     this.log = new ExchangeLog(forwarder, this, request);
+    this.retries = new Retries(forwarder, this, log, route, service, reply, relay, deadline);
+    this.tries = retries.tries();
     this.ends = new EndCheck(forwarder, this, relay, log);
     this.copies = search.copies();
     this.deadlineTimer = context.timers().add(deadline, this::deadlinePassed);
@@ -87,6 +89,10 @@
 
   /** Begins to look for a target. */
   void start() {
+    if (poison.isHeld()) {
+      refuse(Refusal.HELD_BACK, forwarder.policy().retryAfterMillis(), poison.reason());
+      return;
+    }
     forwarder.budgets().earn(service);
     turn.begin(relay.lastEventId().isPresent());
   }
@@ -140,13 +146,22 @@
     return attempt == null || attempt.isClosed() ? Optional.empty() : Optional.of(attempt.target());
   }
 
+  boolean isOver() {
+    return over;
+  }
+
+  /** Returns the refusal that is true of a request that no target can be tried for any more. */
+  Refusal unserved(Refusal ifNotRun) {
+    return mayHaveRun ? Refusal.TARGET_FAILED : ifNotRun;
+  }
+
   Attempt attempt() {
     return attempt;
   }
 
-  /** Returns what makes this request the same one when it comes again. */
-  Fingerprint fingerprint() {
-    return fingerprint.get();
+  /** Returns what watches whether targets end under this request. */
+  PoisonWatch poison() {
+    return poison;
   }
 
   /** Returns whether the target may be left for another one without breaking a promise. */
@@ -162,18 +177,30 @@
     }
   }
 
-  private void tryNext() {
+  /** The request is held back from now on. */
+  void held() {
+    boolean runs = attempt != null && !attempt.isClosed() && attempt.hasEvents();
+    if (!over && !runs) {
+      giveUp(mayHaveRun || isRunning() ? Refusal.TARGET_FAILED : Refusal.HELD_BACK);
+    }
+  }
+
+  void tryNext() {
+    if (poison.isHeld()) {
+      giveUp(unserved(Refusal.HELD_BACK));
+      return;
+    }
     if (tries.isUsedUp()) {
-      giveUp(mayHaveRun ? Refusal.TARGET_FAILED : Refusal.OVERLOADED);
+      giveUp(unserved(Refusal.OVERLOADED));
       return;
     }
     Optional<MemoryCopy> copy = copies.take();
     Optional<TargetChoice> chosen =
         copy.isPresent()
             ? copy.map(MemoryCopy::holder).map(TargetChoice::only)
-            : search.choose(isResumableStream());
+            : search.choose(retries.isResumableStream());
     if (chosen.isEmpty()) {
-      giveUp(mayHaveRun ? Refusal.TARGET_FAILED : Refusal.NO_TARGET);
+      giveUp(unserved(Refusal.NO_TARGET));
       return;
     }
     dispatch(chosen.get(), copy.map(MemoryCopy::name));
@@ -223,6 +250,7 @@
     if (from.answersWithStream()) {
       if (relay.pass(from, bytes)) {
         witness.event(from, context.now());
+        poison.goesOn(from);
       } else {
         failed(from, TargetFailure.ERROR);
       }
@@ -260,12 +288,13 @@
     Answer answer = from.takeAnswer();
     search.answered(from, answer);
     witness.whole(from, answer);
-    if (answer.isError() && !reply.hasBegun() && mayTryAgain()) {
+    poison.ranWell();
+    if (answer.isError() && !reply.hasBegun() && retries.mayRunAgain()) {
       reply.keepBack(answer);
       log.note(
           EventCode.CALL_RETRIED,
           "target=" + from.target().description().id() + " status=" + answer.head().status());
-      repeat();
+      retries.repeat();
       return;
     }
     answer(answer);
@@ -294,51 +323,9 @@
       tries.ran();
     }
     search.failed(from, failure);
+    poison.broke(from, failure, ran);
     witness.failed(from, failure, context.now());
-    if (over) {
-      return;
-    }
-    retryAfter(from, ran);
-  }
-
-  private void retryAfter(Attempt from, boolean ran) {
-    if (reply.hasBegun() && !isResumableStream()) {
-      abort("ANSWER_BROKEN");
-      return;
-    }
-    if (ran && !mayTryAgain()) {
-      giveUp(Refusal.TARGET_FAILED);
-    } else if (from.mayHaveRun()) {
-      repeat();
-    } else {
-      tryNext();
-    }
-  }
-
-  /** Tries again if the service's budget has a repeat left, which may be known only later. */
-  private void repeat() {
-    forwarder.budgets().take(service, this::repeatIfGranted);
-  }
-
-  private void repeatIfGranted(boolean granted) {
-    if (over) {
-      return;
-    }
-    if (granted) {
-      tryNext();
-      return;
-    }
-    log.note(EventCode.RETRY_BUDGET_SPENT, "service=" + service);
-    giveUp(mayHaveRun ? Refusal.TARGET_FAILED : Refusal.OVERLOADED);
-  }
-
-  private boolean isResumableStream() {
-    boolean resumable = route.kind() == RouteKind.STREAM && route.resumable();
-    return resumable && !reply.isCommitted() && relay.canGoOnElsewhere();
-  }
-
-  private boolean mayTryAgain() {
-    return route.mayRepeat() && tries.runs() < route.attempts() && context.now() < deadline;
+    poison.beforeNextTry(from, () -> retries.goOn(from, ran));
   }
 
   private void deadlinePassed() {
@@ -350,7 +337,7 @@
   }
 
   /** Ends the request by what the caller has so far, by an error kept back, or by a refusal. */
-  private void giveUp(Refusal refusal) {
+  void giveUp(Refusal refusal) {
     closeAttempt();
     if (reply.hasBegun()) {
       abort(refusal.name());
@@ -363,14 +350,14 @@
   }
 
   void refuse(Refusal refusal, long retryAfterMillis, String inputs) {
-    reply.refuse(refusal, retryAfterMillis);
+    reply.refuse(refusal, refusal.retryAfterMillis(retryAfterMillis));
     String separator = inputs.isEmpty() ? "" : " ";
     log.note(EventCode.REQUEST_REFUSED, "reason=" + refusal + separator + inputs);
     forwarder.refused(refusal);
     finish();
   }
 
-  private void abort(String reason) {
+  void abort(String reason) {
     closeAttempt();
     reply.abort();
     log.note(EventCode.GENERATION_INTERRUPTED, "reason=" + reason);
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
@@ -105,7 +105,7 @@
     String sinceHead =
         attempt.headAt().isPresent() ? Long.toString(now - attempt.headAt().getAsLong()) : "-";
     return " request="
-        + exchange.fingerprint()
+        + exchange.poison().fingerprint()
         + " sinceSentMillis="
         + (now - attempt.startedAt())
         + " sinceHeadMillis="
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -13,6 +13,8 @@
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.overload.OverloadControl;
+import org.gatereel.core.poison.Fingerprint;
+import org.gatereel.core.poison.PoisonControl;
 import org.gatereel.core.rollout.RolloutControl;
 import org.gatereel.core.target.TargetRegistry;
 import org.gatereel.core.target.TargetState;
@@ -32,6 +34,8 @@
   private final RetryBudgets budgets;
   private final StopPlan stopPlan;
   private final PromptLocator prompts;
+  private final PoisonControl poison;
+  private final TargetEnds targetEnds;
   private final Set<Exchange> open = new LinkedHashSet<>();
   private final Set<TargetId> probing = new HashSet<>();
 
@@ -42,6 +46,7 @@
    * @param repeats the way to the one that lends repeats
    * @param loads what hosts tell each other of their load at targets
    * @param rollouts which versions of targets requests may go to
+   * @param poison which requests are held back
    */
   public Forwarder(
       CoreContext context,
@@ -53,7 +58,8 @@
       HostDirectory directory,
       RepeatPort repeats,
       LoadExchange loads,
-      RolloutControl rollouts) {
+      RolloutControl rollouts,
+      PoisonControl poison) {
     this.context = context;
     this.targets = targets;
     this.configuration = configuration;
@@ -67,6 +73,9 @@
     this.budgets = new RetryBudgets(context, policy.retryLimit(), directory, repeats);
     this.stopPlan = new StopPlan(context);
     this.prompts = new PromptLocator(context, targets, port);
+    this.poison = poison;
+    this.targetEnds = new TargetEnds(context, port, poison, policy.unreachableMillis());
+    poison.onHeld(this::hold);
   }
 
   /** Takes a whole request in; it is answered through {@code caller}, perhaps at once. */
@@ -163,6 +172,13 @@
     }
   }
 
+  /** A request is held back from now on; what of it has not shown that it runs is ended. */
+  private void hold(Fingerprint request) {
+    List.copyOf(open).stream()
+        .filter(exchange -> exchange.poison().fingerprint().equals(request))
+        .forEach(Exchange::held);
+  }
+
   /** Lends repeats of a service's requests to another host; returns how many. */
   public int lendRepeats(ServiceName service, int count) {
     int lent = budgets.lend(service, count);
@@ -223,6 +239,14 @@
     return prompts;
   }
 
+  PoisonControl poison() {
+    return poison;
+  }
+
+  TargetEnds targetEnds() {
+    return targetEnds;
+  }
+
   OverloadControl overload() {
     return overload;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Refusal.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Refusal.java
@@ -26,11 +26,21 @@
   OVERLOADED(503),
   /** This host stops; the request has not run. */
   STOPPING(503),
+  /** Targets ended under this request again and again, when it came before; now it has not run. */
+  HELD_BACK(503) {
+    @Override
+    public long retryAfterMillis(long usualMillis) {
+      return Math.max(usualMillis, HELD_BACK_MILLIS);
+    }
+  },
   /** Time ran out before a target ran the request. */
   NOT_STARTED_IN_TIME(503),
   /** Time ran out, and the request may have run. */
   TIMED_OUT(504);
 
+  /** Callers that wait as told do not come back before a person has looked at it. */
+  private static final long HELD_BACK_MILLIS = 60_000;
+
   private final int status;
 
   Refusal(int status) {
@@ -42,6 +52,15 @@
     return status;
   }
 
+  /**
+   * Returns when a refused caller is told to come back, in milliseconds.
+   *
+   * @param usualMillis what callers are told where nothing else is known
+   */
+  public long retryAfterMillis(long usualMillis) {
+    return usualMillis;
+  }
+
   /** Returns whether the answer says when to come back, which also promises that nothing ran. */
   public boolean invitesRetry() {
     return status == 503;
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Retries.java
@@ -0,0 +1,91 @@
+package org.gatereel.core.forward;
+
+import org.gatereel.core.event.EventCode;
+import org.gatereel.core.model.ServiceName;
+
+/** Decides whether one request may be tried again, by its route, its answer and the budget. */
+final class Retries {
+  private final Forwarder forwarder;
+  private final Exchange exchange;
+  private final ExchangeLog log;
+  private final Route route;
+  private final ServiceName service;
+  private final Reply reply;
+  private final StreamRelay relay;
+  private final long deadline;
+  private final TryCount tries = new TryCount();
+
+  /**
+   * Makes the rule for a request.
+   *
+   * @param service the service that has it, whose budget bears its repeats
+   * @param deadline when its time is up, in milliseconds
+   */
+  Retries(
+      Forwarder forwarder,
+      Exchange exchange,
+      ExchangeLog log,
+      Route route,
+      ServiceName service,
+      Reply reply,
+      StreamRelay relay,
+      long deadline) {
+    this.forwarder = forwarder;
+    this.exchange = exchange;
+    this.log = log;
+    this.route = route;
+    this.service = service;
+    this.reply = reply;
+    this.relay = relay;
+    this.deadline = deadline;
+  }
+
+  TryCount tries() {
+    return tries;
+  }
+
+  /** Returns whether the request may run once more, so that it does not run too often. */
+  boolean mayRunAgain() {
+    boolean left = tries.runs() < route.attempts();
+    return route.mayRepeat() && left && forwarder.context().now() < deadline;
+  }
+
+  /** Returns whether another target can go on with the answer that the caller has part of. */
+  boolean isResumableStream() {
+    boolean resumable = route.kind() == RouteKind.STREAM && route.resumable();
+    return resumable && !reply.isCommitted() && relay.canGoOnElsewhere();
+  }
+
+  /** Has the exchange go on, if it may, after an attempt that failed. */
+  void goOn(Attempt failed, boolean ran) {
+    if (exchange.isOver()) {
+      return;
+    }
+    if (reply.hasBegun() && !isResumableStream()) {
+      exchange.abort("ANSWER_BROKEN");
+    } else if (ran && !mayRunAgain()) {
+      exchange.giveUp(Refusal.TARGET_FAILED);
+    } else if (failed.mayHaveRun()) {
+      repeat();
+    } else {
+      exchange.tryNext();
+    }
+  }
+
+  /** Tries again if the service's budget has a repeat left, which may be known only later. */
+  void repeat() {
+    forwarder.budgets().take(service, this::repeatIfGranted);
+  }
+
+  private void repeatIfGranted(boolean granted) {
+    if (exchange.isOver()) {
+      return;
+    }
+    if (granted) {
+      exchange.tryNext();
+      return;
+    }
+    log.note(EventCode.RETRY_BUDGET_SPENT, "service=" + service);
+    exchange.giveUp(exchange.unserved(Refusal.OVERLOADED));
+  }
+}
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
@@ -15,6 +15,7 @@
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.model.TargetKind;
+import org.gatereel.core.poison.PoisonFacts;
 import org.gatereel.core.rollout.EvidenceKey;
 import org.gatereel.core.rollout.Tally;
 import org.gatereel.core.target.TargetRegistry;
@@ -53,6 +54,7 @@
   private final Set<Address> busy = new HashSet<>();
   private Supplier<Map<DemandKey, Double>> demand = Map::of;
   private Supplier<Map<EvidenceKey, Tally>> evidence = Map::of;
+  private PoisonFacts poison = PoisonFacts.NONE;
   private long flushAt = Long.MAX_VALUE;
   private long sequence;
 
@@ -88,6 +90,11 @@
     evidence = told;
   }
 
+  /** Has reports carry what hosts have seen of requests under which targets end. */
+  public void exchange(PoisonFacts facts) {
+    poison = facts;
+  }
+
   /** Begins to report. */
   public void start() {
     beat();
@@ -120,6 +127,7 @@
   /** Takes another host's report in; returns false if that host has to send a whole one. */
   public boolean take(LoadReport report) {
     boolean taken = table.take(report);
+    poison.learn(report.poison());
     if (taken && report.scope() != LoadScope.EVERYONE_ELSE) {
       changed();
     }
@@ -206,7 +214,7 @@
       flushBy(link.nextAt());
       return;
     }
-    link.next(sumsFor(link.receiver(), own), sender, ++sequence, context.now())
+    link.next(sumsFor(link.receiver(), own), poison, sender, ++sequence, context.now())
         .ifPresent(report -> send(link, report));
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
@@ -1,12 +1,14 @@
 package org.gatereel.core.load;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.TargetId;
+import org.gatereel.core.poison.PoisonFacts;
 
 /**
  * What one receiver has been told, so that it is told only what changed.
@@ -30,6 +32,12 @@
    */
   private static final int ENTRY_BYTES = 32;
 
+  /** One fact about a request under which targets end, as counted on the wire. */
+  private static final int FACT_BYTES = 80;
+
+  /** With 64 facts a report takes a second of the link; the others follow with the next. */
+  private static final int MOST_FACTS = 64;
+
   private static final long FIRST_BACKOFF_MILLIS = 250;
   private static final long LONGEST_BACKOFF_MILLIS = 4_000;
 
@@ -40,6 +48,7 @@
   private Map<TargetId, TargetLoad> told = new HashMap<>();
   private OptionalLong lastSequence = OptionalLong.empty();
   private long badTold;
+  private long factsTold;
   private long sentAt = Long.MIN_VALUE / 2;
   private long nextAt = Long.MIN_VALUE / 2;
   private long backoffMillis = FIRST_BACKOFF_MILLIS;
@@ -68,14 +77,16 @@
   }
 
   /** Makes the next report out of the present loads; empty if there is no need of one. */
-  Optional<LoadReport> next(LoadSums sums, LoadExchange.Sender sender, long sequence, long now) {
+  Optional<LoadReport> next(
+      LoadSums sums, PoisonFacts poison, LoadExchange.Sender sender, long sequence, long now) {
     Map<TargetId, TargetLoad> loads = sums.loads();
     boolean whole = lastSequence.isEmpty();
     Map<TargetId, TargetLoad> changed = whole ? loads : changes(loads);
     boolean beat = now - sentAt >= LoadExchange.HEARTBEAT_MILLIS;
     // A version that turns bad must be known everywhere long before the next heartbeat.
     boolean alarm = sums.badAnswers() > badTold;
-    if (changed.isEmpty() && !beat && !whole && !alarm) {
+    List<PoisonFacts.Numbered> facts = poison.after(whole ? 0 : factsTold, MOST_FACTS);
+    if (changed.isEmpty() && facts.isEmpty() && !beat && !whole && !alarm) {
       return Optional.empty();
     }
     LoadReport report =
@@ -88,11 +99,14 @@
             lastSequence,
             changed,
             sums.demand(),
-            sums.evidence());
+            sums.evidence(),
+            facts.stream().map(PoisonFacts.Numbered::fact).toList());
+    facts.forEach(told -> factsTold = told.number());
     badTold = sums.badAnswers();
     told = new HashMap<>(loads);
     sentAt = now;
-    nextAt = now + pauseMillis(changed.size() + sums.demand().size() + sums.evidence().size());
+    int entries = changed.size() + sums.demand().size() + sums.evidence().size();
+    nextAt = now + pauseMillis(entries, facts.size());
     lastSequence = OptionalLong.of(sequence);
     underWay = true;
     return Optional.of(report);
@@ -112,8 +126,9 @@
     return changes;
   }
 
-  private static long pauseMillis(int entries) {
-    return (REPORT_BYTES + (long) entries * ENTRY_BYTES) * 1_000 / BYTES_PER_SECOND;
+  private static long pauseMillis(int entries, int facts) {
+    long bytes = REPORT_BYTES + (long) entries * ENTRY_BYTES + (long) facts * FACT_BYTES;
+    return bytes * 1_000 / BYTES_PER_SECOND;
   }
 
   /** Notes what became of the report that was under way. */
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadReport.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadReport.java
@@ -1,10 +1,12 @@
 package org.gatereel.core.load;
 
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.TargetId;
+import org.gatereel.core.poison.PoisonFact;
 import org.gatereel.core.rollout.EvidenceKey;
 import org.gatereel.core.rollout.Tally;
 
@@ -21,6 +23,7 @@
  * @param demand how many requests a second come, whole in each report; of single accounts only
  *     where a service is busy
  * @param evidence answers that were counted during the roll-outs that run, whole in each report
+ * @param poison what became known of requests under which targets end, since the report before
  */
 public record LoadReport(
     HostId sender,
@@ -31,8 +34,9 @@
     OptionalLong builtOn,
     Map<TargetId, TargetLoad> loads,
     Map<DemandKey, Double> demand,
-    Map<EvidenceKey, Tally> evidence) {
-  /** Makes a report of a host that has seen no answers during a roll-out. */
+    Map<EvidenceKey, Tally> evidence,
+    List<PoisonFact> poison) {
+  /** Makes a report of a host that has seen no answers during a roll-out, and no such request. */
   public LoadReport(
       HostId sender,
       Address replyTo,
@@ -42,12 +46,13 @@
       OptionalLong builtOn,
       Map<TargetId, TargetLoad> loads,
       Map<DemandKey, Double> demand) {
-    this(sender, replyTo, scope, session, sequence, builtOn, loads, demand, Map.of());
+    this(sender, replyTo, scope, session, sequence, builtOn, loads, demand, Map.of(), List.of());
   }
 
   public LoadReport {
     evidence = Map.copyOf(evidence);
     loads = Map.copyOf(loads);
     demand = Map.copyOf(demand);
+    poison = List.copyOf(poison);
   }
 }
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonControl.java
@@ -0,0 +1,141 @@
+package org.gatereel.core.poison;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.gatereel.core.event.EventCode;
+import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.model.TargetId;
+
+/**
+ * Keeps requests under which targets end, again and again, from reaching any more of them.
+ *
+ * <p>What this host sees it tells others, and counts what they tell; the verdict is each host's
+ * own. Fingerprints are asked for only while something is known of any request.
+ */
+public final class PoisonControl implements PoisonFacts {
+  private static final long EXPIRE_MILLIS = 60_000;
+
+  /** From so many ends on the next try waits until it is known whether the target ended. */
+  private static final int ENDS_IN_DOUBT = PoisonLedger.ENDS_TO_HOLD - 1;
+
+  private final CoreContext context;
+  private final PoisonLedger ledger = new PoisonLedger();
+  private final List<Consumer<PoisonFact>> newsListeners = new ArrayList<>();
+  private final List<Consumer<Fingerprint>> heldListeners = new ArrayList<>();
+  private boolean expiring;
+
+  public PoisonControl(CoreContext context) {
+    this.context = context;
+  }
+
+  /** Has {@code listener} called with each fact that was not known, after it was judged. */
+  public void onNews(Consumer<PoisonFact> listener) {
+    newsListeners.add(listener);
+  }
+
+  /** Has {@code listener} called once for each request that is held back from now on. */
+  public void onHeld(Consumer<Fingerprint> listener) {
+    heldListeners.add(listener);
+  }
+
+  /** Returns whether a request must not be sent to any target. */
+  public boolean isHeld(Supplier<Fingerprint> request) {
+    return !ledger.isEmpty() && ledger.isHeld(request.get());
+  }
+
+  /** Returns whether one end more may be enough to hold a request back. */
+  public boolean isInDoubt(Supplier<Fingerprint> request) {
+    return !ledger.isEmpty() && ledger.ends(request.get()) >= ENDS_IN_DOUBT;
+  }
+
+  /** Returns under how many ends of targets a request was. */
+  public int ends(Fingerprint request) {
+    return ledger.ends(request);
+  }
+
+  /** Returns how many requests are held back. */
+  public int held() {
+    return ledger.held();
+  }
+
+  /** Returns how many requests were under an end, and are not held back. */
+  public int suspected() {
+    return ledger.suspected();
+  }
+
+  /** Notes that a target's run ended as a request had begun, or was about to begin, there. */
+  public void ended(Fingerprint request, TargetId target) {
+    add(PoisonFact.end(request, target, context.now()), "here");
+  }
+
+  /** Notes that a request has run as it should; it matters only if targets ended under it. */
+  public void ranWell(Supplier<Fingerprint> request) {
+    if (!ledger.isEmpty() && ledger.ends(request.get()) > 0) {
+      add(PoisonFact.sound(request.get(), context.now()), "here");
+    }
+  }
+
+  @Override
+  public List<Numbered> after(long number, int most) {
+    return ledger.after(number, most);
+  }
+
+  @Override
+  public void learn(List<PoisonFact> told) {
+    told.forEach(fact -> add(fact, "elsewhere"));
+  }
+
+  private void add(PoisonFact fact, String seen) {
+    if (!ledger.add(fact)) {
+      return;
+    }
+    expireLater();
+    note(fact, seen);
+    List<Fingerprint> held = ledger.judge();
+    newsListeners.forEach(listener -> listener.accept(fact));
+    held.forEach(this::hold);
+  }
+
+  private void note(PoisonFact fact, String seen) {
+    String inputs =
+        "ends="
+            + ledger.ends(fact.request())
+            + " seen="
+            + seen
+            + " ageMillis="
+            + (context.now() - fact.at());
+    if (fact.isSound()) {
+      context.note(EventCode.POISON_CLEARED, fact.request().toString(), inputs);
+    } else {
+      context.note(
+          EventCode.POISON_SUSPECTED,
+          fact.request().toString(),
+          "target=" + fact.ended().orElseThrow() + " " + inputs);
+    }
+  }
+
+  private void hold(Fingerprint request) {
+    context.note(
+        EventCode.POISON_HELD,
+        request.toString(),
+        "ends=" + ledger.ends(request) + " held=" + held());
+    heldListeners.forEach(listener -> listener.accept(request));
+  }
+
+  private void expireLater() {
+    if (!expiring) {
+      expiring = true;
+      context.after(EXPIRE_MILLIS, this::expire);
+    }
+  }
+
+  private void expire() {
+    expiring = false;
+    ledger.expire(context.now());
+    if (!ledger.isEmpty()) {
+      expireLater();
+    }
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonFact.java
@@ -0,0 +1,30 @@
+package org.gatereel.core.poison;
+
+import java.util.Optional;
+import org.gatereel.core.model.TargetId;
+
+/**
+ * One thing that a host has seen of a request under which targets end.
+ *
+ * <p>An end is named by the target's run, so that it counts once, however many hosts tell of it and
+ * however often.
+ *
+ * @param ended the run of a target that ended as the request began there; empty if the request was
+ *     seen to run for long or to its end, which outweighs all ends
+ * @param at when it was seen, on this host's steady clock in milliseconds
+ */
+public record PoisonFact(Fingerprint request, Optional<TargetId> ended, long at) {
+  /** Makes the fact that a target's run ended under a request. */
+  public static PoisonFact end(Fingerprint request, TargetId target, long at) {
+    return new PoisonFact(request, Optional.of(target), at);
+  }
+
+  /** Makes the fact that a request has run as it should. */
+  public static PoisonFact sound(Fingerprint request, long at) {
+    return new PoisonFact(request, Optional.empty(), at);
+  }
+
+  boolean isSound() {
+    return ended.isEmpty();
+  }
+}
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
@@ -24,6 +24,7 @@
 import org.gatereel.core.model.TargetDescription;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.model.TargetKind;
+import org.gatereel.core.poison.PoisonControl;
 import org.gatereel.core.rollout.RolloutBounds;
 import org.gatereel.core.rollout.RolloutControl;
 import org.gatereel.core.table.PolicyTable;
@@ -48,6 +49,7 @@
   final List<PromptQuestion> promptQuestions = new ArrayList<>();
   final LoadExchange loads;
   final RolloutControl rollouts;
+  final PoisonControl poison;
   final Forwarder forwarder;
   Optional<String> promptPart = Optional.empty();
   OptionalLong lastEventId = OptionalLong.empty();
@@ -220,6 +222,7 @@
     Address address = new Address("10.0.1.1", 7_215);
     loads =
         new LoadExchange(context, targets, directory, address, (receiver, report, receipt) -> {});
+    poison = new PoisonControl(context);
     rollouts = new RolloutControl(context, RolloutBounds.STANDARD);
     forwarder =
         new Forwarder(
@@ -232,7 +235,8 @@
             directory,
             (lender, service, count, answer) -> borrowing.add(answer),
             loads,
-            rollouts);
+            rollouts,
+            poison);
     keeper.learn(configuration(1).build(), context.now());
     list(
         target("e1", ENGINES, "north"),
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -22,6 +22,7 @@
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.poison.PoisonControl;
 import org.gatereel.core.rollout.RolloutControl;
 import org.gatereel.core.table.PolicyTable;
 import org.gatereel.core.target.TargetRegistry;
@@ -60,6 +61,7 @@
   private final RepeatClient repeats;
   private final LoadClient loadClient;
   private final LoadExchange loads;
+  private final PoisonControl poison;
   private final RolloutControl rollouts;
   private final Forwarder forwarder;
   private final ForwardMetrics metrics = new ForwardMetrics();
@@ -102,6 +104,9 @@
     repeats = new RepeatClient(control);
     loadClient = new LoadClient(control);
     loads = new LoadExchange(context, targets, directory, peerAddress, loadClient);
+    poison = new PoisonControl(context);
+    loads.exchange(poison);
+    poison.onNews(fact -> loads.changed());
     rollouts = new RolloutControl(context, bounds.rollouts());
     rollouts.hearOthers(loads::othersEvidence);
     loads.tellEvidence(rollouts::ownEvidence);
@@ -116,7 +121,8 @@
             directory,
             repeats,
             loads,
-            rollouts);
+            rollouts,
+            poison);
     callers = new CallerServer(control, configuration, forwarder, dialect.headers());
     status = new StatusServer(loop).page(readyPath, this::readiness);
     metricsServer =
@@ -130,6 +136,8 @@
     metrics.gauge("hosts", directory::hosts);
     metrics.gauge("load_sources", loads::sources);
     metrics.gauge("load_age_millis", loads::ageMillis);
+    metrics.gauge("poison_requests_suspected", poison::suspected);
+    metrics.gauge("poison_requests_held", poison::held);
     metrics.gauge("log_lines_dropped", log::dropped);
   }
 
@@ -189,6 +197,11 @@
     return taken[0];
   }
 
+  /** Returns which requests are held back. */
+  public PoisonControl poison() {
+    return poison;
+  }
+
   /** Returns which versions of targets requests may go to. */
   public RolloutControl rollouts() {
     return rollouts;
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
@@ -22,6 +22,8 @@
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.model.TargetId;
+import org.gatereel.core.poison.Fingerprint;
+import org.gatereel.core.poison.PoisonFact;
 import org.gatereel.core.rollout.EvidenceKey;
 import org.gatereel.core.rollout.Signal;
 import org.gatereel.core.rollout.Tally;
@@ -57,9 +59,11 @@
       OptionalLong builtOn,
       List<Entry> loads,
       List<Demand> demand,
-      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Evidence> evidence) {
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Evidence> evidence,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Poison> poison) {
     Message {
       evidence = evidence == null ? List.of() : evidence;
+      poison = poison == null ? List.of() : poison;
     }
 
     boolean isComplete() {
@@ -71,6 +75,7 @@
           && demand != null
           && demand.stream().allMatch(entry -> entry != null && entry.service() != null)
           && evidence.stream().allMatch(entry -> entry != null && entry.isComplete())
+          && poison.stream().allMatch(entry -> entry != null && entry.request() != null)
           && loads.stream().allMatch(entry -> entry != null && entry.target() != null);
     }
   }
@@ -132,6 +137,27 @@
     }
   }
 
+  /**
+   * What was seen of a request under which targets end, as an array of its values; the target is
+   * null where the request was seen to run well.
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  private record Poison(String request, String target, long agoMillis) {
+    static Poison of(PoisonFact fact, long now) {
+      return new Poison(
+          fact.request().value(),
+          fact.ended().map(TargetNames::write).orElse(null),
+          Math.max(0, now - fact.at()));
+    }
+
+    PoisonFact fact(long now) {
+      return new PoisonFact(
+          new Fingerprint(request),
+          Optional.ofNullable(target).map(TargetNames::read),
+          now - Math.max(0, agoMillis));
+    }
+  }
+
   static byte[] write(LoadReport report, long now) {
     List<Entry> entries = new ArrayList<>();
     report.loads().forEach((target, load) -> entries.add(entry(target, load, now)));
@@ -150,7 +176,8 @@
             report.builtOn(),
             entries,
             demand,
-            evidence);
+            evidence,
+            report.poison().stream().map(fact -> Poison.of(fact, now)).toList());
     try {
       return MAPPER.writeValueAsBytes(message);
     } catch (JsonProcessingException e) {
@@ -197,7 +224,8 @@
         message.builtOn(),
         loads,
         demand,
-        evidence);
+        evidence,
+        message.poison().stream().map(entry -> entry.fact(now)).toList());
   }
 
   private static TargetLoad load(Entry entry, long now) {
--- a/gatereel-forward/src/test/java/org/gatereel/forward/peer/LoadMessagesTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/peer/LoadMessagesTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -20,6 +21,8 @@
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.model.TargetId;
+import org.gatereel.core.poison.Fingerprint;
+import org.gatereel.core.poison.PoisonFact;
 import org.gatereel.core.rollout.EvidenceKey;
 import org.gatereel.core.rollout.Signal;
 import org.gatereel.core.rollout.Tally;
@@ -121,13 +124,45 @@
             bare.demand(),
             Map.of(
                 new EvidenceKey(ENGINES, 7, "r", Signal.FIRST_EVENT, true),
-                new Tally(5, 1, 4, 12.25)));
+                new Tally(5, 1, 4, 12.25)),
+            List.of());
 
     assertEquals(Optional.of(sent), LoadMessages.read(LoadMessages.write(sent, SENT_AT), CAME_AT));
     String text = new String(LoadMessages.write(bare, SENT_AT), StandardCharsets.UTF_8);
     assertTrue(!text.contains("evidence"), text);
   }
 
+  @Test
+  void whatIsToldOfRequestsUnderWhichTargetsEndIsReadAsItWasWritten() {
+    Fingerprint request = new Fingerprint("00112233445566778899aabbccddeeff");
+    LoadReport bare = report(OptionalLong.of(16), Map.of());
+    LoadReport sent =
+        new LoadReport(
+            bare.sender(),
+            bare.replyTo(),
+            bare.scope(),
+            bare.session(),
+            bare.sequence(),
+            bare.builtOn(),
+            bare.loads(),
+            bare.demand(),
+            Map.of(),
+            List.of(
+                PoisonFact.end(request, new TargetId("i-9a102b0d4e", 1_790_000_000_000L), SENT_AT),
+                PoisonFact.sound(request, SENT_AT - 3_000)));
+    byte[] text = LoadMessages.write(sent, SENT_AT);
+
+    LoadReport read = LoadMessages.read(text, CAME_AT).orElseThrow();
+
+    assertEquals(
+        List.of(
+            PoisonFact.end(request, new TargetId("i-9a102b0d4e", 1_790_000_000_000L), CAME_AT),
+            PoisonFact.sound(request, CAME_AT - 3_000)),
+        read.poison());
+    int bytes = text.length - LoadMessages.write(bare, SENT_AT).length;
+    assertTrue(bytes <= 2 * 80, "bytes: " + bytes);
+  }
+
   @Test
   void runsOfTargetsKeepTheirStart() {
     Map<TargetId, TargetLoad> loads = new HashMap<>();
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
@@ -35,6 +35,7 @@
 import org.gatereel.core.model.HostList;
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.model.TargetDescription;
+import org.gatereel.core.poison.PoisonControl;
 import org.gatereel.core.rollout.RolloutBounds;
 import org.gatereel.core.rollout.RolloutControl;
 import org.gatereel.core.table.PolicyTable;
@@ -69,6 +70,9 @@
         new ConfigurationKeeper(
             context, new ConfigurationKeeper.Bounds(false, Long.MAX_VALUE, Long.MAX_VALUE));
     loads = new LoadExchange(context, targets, directory, address, this::sendReport);
+    PoisonControl poison = new PoisonControl(context);
+    loads.exchange(poison);
+    poison.onNews(fact -> loads.changed());
     forwarder =
         new Forwarder(
             context,
@@ -80,7 +84,8 @@
             directory,
             this::borrow,
             loads,
-            new RolloutControl(context, RolloutBounds.STANDARD));
+            new RolloutControl(context, RolloutBounds.STANDARD),
+            poison);
   }
 
   DataCentre dataCentre() {
