--- a/gatereel-core/src/main/java/org/gatereel/core/forward/DocumentKind.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/DocumentKind.java
@@ -9,7 +9,9 @@
   /** The entries of all hosts. */
   HOSTS(false),
   /** What hosts have agreed on of roll-outs; read only while one is undecided. */
-  ROLLOUTS(false);
+  ROLLOUTS(false),
+  /** What hosts have seen of requests under which targets end; read only while there is news. */
+  POISON(false);
 
   private final boolean urgent;
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/DocumentRefresher.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/DocumentRefresher.java
@@ -1,7 +1,9 @@
 package org.gatereel.core.forward;
 
+import java.util.EnumMap;
 import java.util.EnumSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
@@ -59,7 +61,7 @@
   private long intervalMillis;
   private int hostsReadings;
   private long hostsAskedAt = Long.MIN_VALUE / 2;
-  private BooleanSupplier rolloutsNeeded = () -> false;
+  private final Map<DocumentKind, BooleanSupplier> needed = new EnumMap<>(DocumentKind.class);
 
   /** One attempt to learn everything anew. */
   private final class Round {
@@ -68,7 +70,7 @@
     private final Set<DocumentKind> open = EnumSet.noneOf(DocumentKind.class);
     private Optional<Address> reader = Optional.empty();
     private boolean readerAnswered;
-    private boolean rolloutsAsked;
+    private final Set<DocumentKind> asked = EnumSet.noneOf(DocumentKind.class);
     private String problem = "";
 
     private Round(long askedAt, Poller.Reply reply) {
@@ -122,23 +124,25 @@
         hostsReadings++;
         open.add(DocumentKind.HOSTS);
       }
-      if (rolloutsNeeded.getAsBoolean()) {
-        rolloutsAsked = true;
-        open.add(DocumentKind.ROLLOUTS);
-      }
       for (DocumentKind kind : EnumSet.copyOf(open)) {
-        sources.askStore(kind, answer -> storeAnswered(kind, answer));
+        askStore(kind);
       }
+      askForNeeded();
     }
 
-    /** An order that has just been learnt is followed from this round on, not from the next. */
-    private void askForRollouts() {
-      if (rolloutsNeeded.getAsBoolean() && !rolloutsAsked) {
-        rolloutsAsked = true;
-        open.add(DocumentKind.ROLLOUTS);
-        sources.askStore(
-            DocumentKind.ROLLOUTS, answer -> storeAnswered(DocumentKind.ROLLOUTS, answer));
-      }
+    private void askStore(DocumentKind kind) {
+      sources.askStore(kind, answer -> storeAnswered(kind, answer));
+    }
+
+    /** What has just turned out to be needed is asked for in this round, not in the next. */
+    private void askForNeeded() {
+      needed.forEach(
+          (kind, isNeeded) -> {
+            if (isNeeded.getAsBoolean() && asked.add(kind)) {
+              open.add(kind);
+              askStore(kind);
+            }
+          });
     }
 
     private void storeAnswered(DocumentKind kind, DocumentSources.StoreAnswer answer) {
@@ -148,7 +152,7 @@
       } else if (answer instanceof DocumentSources.StoreAnswer.Failed failed && kind.isUrgent()) {
         problem = kind + ": " + failed.problem();
       }
-      askForRollouts();
+      askForNeeded();
       if (open.isEmpty()) {
         storeSettled();
       }
@@ -231,9 +235,9 @@
     this.intervalMillis = readerMillis;
   }
 
-  /** Says when what hosts have agreed on of roll-outs has to be known. */
-  public void readRolloutsWhile(BooleanSupplier needed) {
-    rolloutsNeeded = needed;
+  /** Says when a document has to be known that is not read all the time. */
+  public void readWhile(DocumentKind kind, BooleanSupplier isNeeded) {
+    needed.put(kind, isNeeded);
   }
 
   /** Learns everything anew; to be called by a {@link Poller}. */
--- a/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonControl.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.gatereel.core.event.EventCode;
@@ -22,16 +23,26 @@
 
   private final CoreContext context;
   private final PoisonLedger ledger = new PoisonLedger();
-  private final List<Consumer<PoisonFact>> newsListeners = new ArrayList<>();
+  private final List<BiConsumer<PoisonFact, Source>> newsListeners = new ArrayList<>();
   private final List<Consumer<Fingerprint>> heldListeners = new ArrayList<>();
   private boolean expiring;
 
+  /** Where a fact comes from. */
+  public enum Source {
+    /** This host has seen it. */
+    HERE,
+    /** Another host told of it. */
+    OTHER_HOST,
+    /** It stands in the platform's store. */
+    STORE
+  }
+
   public PoisonControl(CoreContext context) {
     this.context = context;
   }
 
   /** Has {@code listener} called with each fact that was not known, after it was judged. */
-  public void onNews(Consumer<PoisonFact> listener) {
+  public void onNews(BiConsumer<PoisonFact, Source> listener) {
     newsListeners.add(listener);
   }
 
@@ -67,13 +78,13 @@
 
   /** Notes that a target's run ended as a request had begun, or was about to begin, there. */
   public void ended(Fingerprint request, TargetId target) {
-    add(PoisonFact.end(request, target, context.now()), "here");
+    add(PoisonFact.end(request, target, context.now()), Source.HERE);
   }
 
   /** Notes that a request has run as it should; it matters only if targets ended under it. */
   public void ranWell(Supplier<Fingerprint> request) {
     if (!ledger.isEmpty() && ledger.ends(request.get()) > 0) {
-      add(PoisonFact.sound(request.get(), context.now()), "here");
+      add(PoisonFact.sound(request.get(), context.now()), Source.HERE);
     }
   }
 
@@ -84,26 +95,36 @@
 
   @Override
   public void learn(List<PoisonFact> told) {
-    told.forEach(fact -> add(fact, "elsewhere"));
+    learn(told, Source.OTHER_HOST);
+  }
+
+  /** Takes in facts that this host has not seen itself. */
+  void learn(List<PoisonFact> told, Source source) {
+    told.forEach(fact -> add(fact, source));
+  }
+
+  /** Returns what is known of one request. */
+  List<PoisonFact> factsOf(Fingerprint request) {
+    return ledger.factsOf(request);
   }
 
-  private void add(PoisonFact fact, String seen) {
+  private void add(PoisonFact fact, Source source) {
     if (!ledger.add(fact)) {
       return;
     }
     expireLater();
-    note(fact, seen);
+    note(fact, source);
     List<Fingerprint> held = ledger.judge();
-    newsListeners.forEach(listener -> listener.accept(fact));
+    newsListeners.forEach(listener -> listener.accept(fact, source));
     held.forEach(this::hold);
   }
 
-  private void note(PoisonFact fact, String seen) {
+  private void note(PoisonFact fact, Source source) {
     String inputs =
         "ends="
             + ledger.ends(fact.request())
-            + " seen="
-            + seen
+            + " source="
+            + source
             + " ageMillis="
             + (context.now() - fact.at());
     if (fact.isSound()) {
--- a/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonLedger.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonLedger.java
@@ -163,6 +163,10 @@
     return (int) cases.values().stream().filter(known -> !known.ends().isEmpty()).count() - held();
   }
 
+  List<PoisonFact> factsOf(Fingerprint request) {
+    return facts.values().stream().filter(fact -> fact.request().equals(request)).toList();
+  }
+
   List<PoisonFacts.Numbered> after(long known, int most) {
     return facts.tailMap(known, false).entrySet().stream()
         .limit(most)
--- /dev/null
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/PoisonForwardingTest.java
@@ -0,0 +1,319 @@
+package org.gatereel.core.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.forward.ForwardWorld.Caller;
+import org.gatereel.core.forward.ForwardWorld.SentCall;
+import org.gatereel.core.model.AccountId;
+import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.model.TargetDescription;
+import org.gatereel.core.model.TargetId;
+import org.gatereel.core.poison.Fingerprint;
+import org.gatereel.core.poison.PoisonFact;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** By which doors a request under which targets end could reach more of them. */
+class PoisonForwardingTest {
+  private static final int TARGETS = 40;
+
+  /** Three of them are longer than a run that breaks as it begins; one is no silence. */
+  private static final long SHORT_PAUSE_MILLIS = 180;
+
+  private final ForwardWorld world = new ForwardWorld();
+  private Caller caller = new Caller();
+
+  @BeforeEach
+  void listTargets() {
+    List<TargetDescription> targets = new ArrayList<>();
+    for (int number = 0; number < TARGETS; number++) {
+      targets.add(target("e" + number, ForwardWorld.ENGINES, number));
+      targets.add(target("c" + number, ForwardWorld.COUNTERS, number));
+    }
+    world.list(targets.toArray(TargetDescription[]::new));
+  }
+
+  private static TargetDescription target(String id, ServiceName service, int number) {
+    String[] dataCentres = {"north", "south", "west"};
+    return ForwardWorld.target(id, service, dataCentres[number % dataCentres.length]);
+  }
+
+  private SentCall ask(String path, String content) {
+    caller = new Caller();
+    world.content = content;
+    world.ask(path, caller);
+    return world.sent.isEmpty() ? null : world.last();
+  }
+
+  /** The connection to a target breaks, and what a probe then shows is this. */
+  private void breaks(SentCall call, ProbeResult result) {
+    int before = world.probes.size();
+    world.fail(call, TargetFailure.RESET);
+    if (world.probes.size() > before) {
+      world.lastProbe().listener().probed(result);
+    }
+  }
+
+  private void endsTarget(SentCall call) {
+    breaks(call.accepted().head(200, true), ProbeResult.GONE);
+  }
+
+  /** Has a stream end as many targets as its caller needs for the verdict. */
+  private void convict(String content) {
+    endsTarget(ask("/stream/x", content));
+    endsTarget(world.last());
+    endsTarget(world.last());
+  }
+
+  private int sentFor(String path, String content) {
+    int before = world.sent.size();
+    ask(path, content);
+    return world.sent.size() - before;
+  }
+
+  @Test
+  void afterTheThirdEndTheRequestIsTriedNoMore() {
+    convict("fatal");
+
+    assertEquals(3, world.sent.size());
+    assertEquals(Refusal.TARGET_FAILED, caller.refusal);
+  }
+
+  @Test
+  void whenItComesAgainItIsRefusedAtOnceAndTrulyNotRun() {
+    convict("fatal");
+
+    assertEquals(0, sentFor("/stream/x", "fatal"));
+    assertEquals(Refusal.HELD_BACK, caller.refusal);
+    assertTrue(Refusal.HELD_BACK.invitesRetry());
+    assertEquals(60_000, Refusal.HELD_BACK.retryAfterMillis(700));
+  }
+
+  @Test
+  void otherRequestsAreSent() {
+    convict("fatal");
+
+    assertEquals(1, sentFor("/stream/x", "sound"));
+    assertEquals(1, sentFor("/stream/y", "fatal"));
+  }
+
+  @Test
+  void endsOfSeveralTriesOfItsCallerAddUp() {
+    for (int again = 0; again < 3; again++) {
+      SentCall call = ask("/once/x", "fatal").accepted();
+      breaks(call, ProbeResult.GONE);
+      assertEquals(Refusal.TARGET_FAILED, caller.refusal);
+    }
+
+    assertEquals(0, sentFor("/once/x", "fatal"));
+    assertEquals(Refusal.HELD_BACK, caller.refusal);
+  }
+
+  @Test
+  void aRepeatablePlainCallIsHeldBackAsWell() {
+    endsPlain(ask("/safe/x", "fatal"));
+    endsPlain(world.last());
+    endsPlain(ask("/safe/x", "fatal"));
+
+    assertEquals(3, world.sent.size());
+    assertEquals(0, sentFor("/safe/x", "fatal"));
+  }
+
+  private void endsPlain(SentCall call) {
+    breaks(call.accepted(), ProbeResult.GONE);
+  }
+
+  @Test
+  void aTargetThatLivesAfterItsConnectionBrokeDoesNotCount() {
+    breaks(ask("/stream/x", "sound").accepted(), ProbeResult.ALIVE);
+    breaks(world.last().accepted(), ProbeResult.ALIVE);
+    breaks(world.last().accepted(), ProbeResult.ALIVE);
+
+    assertEquals(4, world.sent.size());
+    assertEquals(1, sentFor("/stream/x", "sound"));
+  }
+
+  @Test
+  void aConnectionThatDoesNotComeAboutDoesNotCount() {
+    ask("/stream/x", "sound");
+    for (int failure = 0; failure < 10; failure++) {
+      world.fail(world.last(), TargetFailure.NOT_CONNECTED);
+    }
+
+    assertEquals(0, world.poison.suspected());
+    assertEquals(1, sentFor("/stream/x", "sound"));
+  }
+
+  @Test
+  void aRunThatHadLastedWhenItsTargetEndedDoesNotCount() {
+    SentCall call = ask("/stream/x", "sound");
+    long last = 0;
+    for (int end = 0; end < 4; end++) {
+      call = world.last().accepted().head(200, true);
+      for (int event = 0; event < 3; event++) {
+        call.event(++last);
+        world.pass(SHORT_PAUSE_MILLIS);
+      }
+      breaks(call, ProbeResult.GONE);
+    }
+
+    assertEquals(0, world.poison.suspected());
+    assertFalse(caller.isOver());
+  }
+
+  @Test
+  void aRunThatLastsClearsItsRequest() {
+    endsTarget(ask("/stream/x", "sound"));
+    endsTarget(world.last());
+    assertEquals(1, world.poison.suspected());
+    SentCall third = world.last().accepted().head(200, true).event(1);
+    for (long id = 2; id <= 9; id++) {
+      world.pass(150);
+      third.event(id);
+    }
+
+    assertEquals(0, world.poison.suspected());
+    breaks(third, ProbeResult.GONE);
+    endsTarget(world.last());
+    assertFalse(caller.isOver());
+    assertEquals(0, world.poison.held());
+  }
+
+  @Test
+  void theThirdEndIsWaitedForBeforeAnotherTargetIsTried() {
+    endsTarget(ask("/stream/x", "fatal"));
+    endsTarget(world.last());
+    world.fail(world.last().accepted().head(200, true), TargetFailure.RESET);
+    assertEquals(3, world.sent.size());
+
+    world.lastProbe().listener().probed(ProbeResult.GONE);
+
+    assertEquals(3, world.sent.size());
+    assertEquals(Refusal.TARGET_FAILED, caller.refusal);
+  }
+
+  @Test
+  void aRequestInDoubtGoesOnWhenTheProbeShowsThatTheTargetLives() {
+    endsTarget(ask("/stream/x", "sound"));
+    endsTarget(world.last());
+    world.fail(world.last().accepted(), TargetFailure.RESET);
+    world.lastProbe().listener().probed(ProbeResult.ALIVE);
+
+    assertEquals(4, world.sent.size());
+  }
+
+  @Test
+  void aRequestInDoubtWaitsForOneProbeAlone() {
+    endsTarget(ask("/stream/x", "sound"));
+    endsTarget(world.last());
+    world.fail(world.last().accepted(), TargetFailure.RESET);
+    world.lastProbe().listener().probed(ProbeResult.UNKNOWN);
+
+    assertEquals(4, world.sent.size());
+  }
+
+  @Test
+  void aSilentTargetThatIsAnotherRunLaterHadEnded() {
+    world.fail(ask("/stream/x", "fatal").accepted(), TargetFailure.TIMEOUT);
+    world.lastProbe().listener().probed(ProbeResult.UNKNOWN);
+    int probes = world.probes.size();
+    world.pass(200);
+    assertEquals(probes + 1, world.probes.size());
+    world.lastProbe().listener().probed(ProbeResult.GONE);
+
+    assertEquals(1, world.poison.suspected());
+  }
+
+  /** Tries that have been sent, but of which nothing has come, are called back by the verdict. */
+  @Test
+  void whatWaitsAtATargetWhenTheVerdictFallsIsCalledBack() {
+    Caller other = new Caller();
+    world.content = "fatal";
+    world.ask("/stream/x", other);
+    SentCall waiting = world.last().accepted();
+
+    convict("fatal");
+
+    assertTrue(waiting.cancelled);
+    assertEquals(Refusal.TARGET_FAILED, other.refusal);
+  }
+
+  @Test
+  void whatWaitsForAConnectionIsRefusedAsNotRun() {
+    Caller other = new Caller();
+    world.content = "fatal";
+    world.ask("/stream/x", other);
+
+    convict("fatal");
+
+    assertTrue(world.sent.get(0).cancelled);
+    assertEquals(Refusal.HELD_BACK, other.refusal);
+  }
+
+  @Test
+  void aRunThatGoesOnWhenTheVerdictFallsMayClearItsRequest() {
+    Caller other = new Caller();
+    world.content = "same";
+    world.ask("/stream/x", other);
+    SentCall running = world.last().accepted().head(200, true).event(1);
+    convict("same");
+    assertFalse(other.isOver());
+    for (long id = 2; id <= 9; id++) {
+      world.pass(150);
+      running.event(id);
+    }
+
+    assertEquals(0, world.poison.held());
+    assertEquals(1, sentFor("/stream/x", "same"));
+  }
+
+  /** All streams of a target that ends move on in the same moment, the cause among them. */
+  @Test
+  void whoIsAtTheSameTargetsIsNotHeldBack() {
+    Caller fellow = new Caller();
+    endsTarget(ask("/stream/x", "fatal"));
+    SentCall fatal = world.last();
+    world.content = "sound";
+    world.ask("/stream/x", fellow);
+    SentCall sound = world.last();
+    TargetId shared = fatal.dispatch.target().id();
+    endsTarget(fatal);
+    world.poison.learn(List.of(PoisonFact.end(fingerprint("sound"), shared, world.context.now())));
+    fatal = world.last();
+    TargetId third = fatal.dispatch.target().id();
+    endsTarget(fatal);
+    world.poison.learn(List.of(PoisonFact.end(fingerprint("sound"), third, world.context.now())));
+
+    assertEquals(1, world.poison.held());
+    assertFalse(sound.cancelled);
+    assertFalse(fellow.isOver());
+  }
+
+  private Fingerprint fingerprint(String content) {
+    return Fingerprint.of(
+        Optional.of(new AccountId("a1")),
+        Hashing.sha256().hashString("/stream/x" + content, StandardCharsets.UTF_8));
+  }
+
+  /** What other hosts have seen counts here, before this host has sent the request once. */
+  @Test
+  void whatOthersSawHoldsTheRequestBackHere() {
+    long now = world.context.now();
+    world.poison.learn(
+        List.of(
+            PoisonFact.end(fingerprint("fatal"), new TargetId("a"), now),
+            PoisonFact.end(fingerprint("fatal"), new TargetId("b"), now),
+            PoisonFact.end(fingerprint("fatal"), new TargetId("c"), now)));
+
+    assertEquals(0, sentFor("/stream/x", "fatal"));
+    assertEquals(Refusal.HELD_BACK, caller.refusal);
+  }
+}
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -106,7 +106,7 @@
     loads = new LoadExchange(context, targets, directory, peerAddress, loadClient);
     poison = new PoisonControl(context);
     loads.exchange(poison);
-    poison.onNews(fact -> loads.changed());
+    poison.onNews((fact, source) -> loads.changed());
     rollouts = new RolloutControl(context, bounds.rollouts());
     rollouts.hearOthers(loads::othersEvidence);
     loads.tellEvidence(rollouts::ownEvidence);
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
@@ -72,7 +72,7 @@
     loads = new LoadExchange(context, targets, directory, address, this::sendReport);
     PoisonControl poison = new PoisonControl(context);
     loads.exchange(poison);
-    poison.onNews(fact -> loads.changed());
+    poison.onNews((fact, source) -> loads.changed());
     forwarder =
         new Forwarder(
             context,
