Count the time a host was suspended into the age of what it knows

Cause: ages were taken by the steady clock alone, which stands still while a host is suspended: after some seconds of it keys that were removed meanwhile would be taken, unknown keys called unknown, and requests sent to a version under a row that is long out of date. Ruled out: /proc/uptime (hosts need not show their own); one clock for all (a time of day that is set forward by 2 s would end requests and call running streams silent); a native library for CLOCK_BOOTTIME (memory and start time for one number; not measured). Change: the time of day against the steady clock; going ahead counts as lost time, going back as a step. CoreContext.knowledgeTime has it for proofs of documents, their ages between hosts and roll-outs; deadlines and time-outs stay with the steady clock.

--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -9,6 +9,8 @@
   PEER_REACHED(110, "A peer answered for the first time or again."),
   PEER_LOST(111, "A peer does not answer."),
   PAUSE_NOTICED(112, "This host itself was paused; its time-outs are taken anew."),
+  HOST_SUSPENDED(
+      113, "Time passed that the steady clock did not count; all that is known is older by that."),
   GENERATION_ACCEPTED(200, "A generation was accepted from a caller."),
   ATTEMPT_STARTED(201, "An engine was given the prompt and the tokens so far."),
   FIRST_TOKEN(202, "An attempt brought its first token."),
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ConfigurationKeeper.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ConfigurationKeeper.java
@@ -58,7 +58,7 @@
 
   /** Returns how long ago the configuration was proved to be in force, in milliseconds. */
   public long ageMillis() {
-    return context.now() - provenAt;
+    return context.knowledgeTime() - provenAt;
   }
 
   /** Takes in what the platform answered to a question sent at {@code askedAt}. */
@@ -75,7 +75,7 @@
       context.note(
           EventCode.CONFIGURATION_IN_FORCE,
           Long.toString(configuration.version()),
-          "ageMillis=" + (context.now() - askedAt));
+          "ageMillis=" + (context.knowledgeTime() - askedAt));
     }
     confirm(configuration.version(), askedAt);
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/DocumentRefresher.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/DocumentRefresher.java
@@ -193,7 +193,7 @@
         reply.settled(Optional.of(problem));
         return;
       }
-      long secondAskedAt = context.now();
+      long secondAskedAt = context.knowledgeTime();
       sources.askPeer(
           other.get(),
           cache,
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Poller.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Poller.java
@@ -30,7 +30,10 @@
 
   /** Puts the question. */
   public interface Question {
-    /** Asks; {@code askedAt} is the present time. The reply is called exactly once, later. */
+    /**
+     * Asks; {@code askedAt} is the present time, by which the answer's age will be taken. The reply
+     * is called exactly once, later.
+     */
     void ask(long askedAt, Reply reply);
   }
 
@@ -72,7 +75,7 @@
     long number = asked;
     context.after(
         LONGEST_QUESTION_MILLIS, () -> settle(number, askedAt, Optional.of("never settled")));
-    question.ask(askedAt, problem -> settle(number, askedAt, problem));
+    question.ask(context.knowledgeTime(), problem -> settle(number, askedAt, problem));
   }
 
   private void settle(long number, long askedAt, Optional<String> problem) {
--- a/gatereel-core/src/main/java/org/gatereel/core/internal/CoreContext.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/internal/CoreContext.java
@@ -21,6 +21,7 @@
   private final TimerQueue timers = new TimerQueue();
   private List<Action> actions = new ArrayList<>();
   private long now;
+  private long lostMillis;
   private long pauseDoubtUntil;
   private long ticket;
 
@@ -48,6 +49,23 @@
     return now;
   }
 
+  /**
+   * Returns the time by which the age of what is known is taken, in milliseconds; it never goes
+   * back.
+   *
+   * <p>Beyond {@link #now} it counts the time in which this host may have been suspended. Deadlines
+   * and time-outs go by {@link #now}: a time of day that is set forward must not end requests.
+   */
+  public long knowledgeTime() {
+    return now + lostMillis;
+  }
+
+  /** Notes that this host was suspended, so that all it knows is older by that. */
+  public void noteLost(long millis) {
+    lostMillis += millis;
+    note(EventCode.HOST_SUSPENDED, self.value(), "millis=" + millis + " all=" + lostMillis);
+  }
+
   /**
    * Returns a number that was not given out before, not even by an earlier process of this host.
    *
--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
@@ -93,7 +93,7 @@
 
   /** Takes in the list of targets that the registry takes in next. */
   public void learnTargets(HostList list) {
-    versions.learn(list, context.now());
+    versions.learn(list, context.knowledgeTime());
   }
 
   /**
@@ -121,7 +121,7 @@
       return;
     }
     abandon(known, order);
-    long notBefore = Math.max(ordersProvenAt, context.now() - order.durationMillis());
+    long notBefore = Math.max(ordersProvenAt, context.knowledgeTime() - order.durationMillis());
     rollouts.put(order.service(), new Rollout(bounds, context.random(), order, notBefore));
     book.keepOnly(order.service(), order.revision());
     context.note(
@@ -178,7 +178,7 @@
     Rollout rollout = rollouts.get(service);
     if (rollout != null && rollout.isRunning()) {
       RouteTraffic traffic = RouteTraffic.of(route, evidence(rollout));
-      double share = rollout.share(context.now(), traffic);
+      double share = rollout.share(context.knowledgeTime(), traffic);
       if (share > 0 && share < 1 && rollout.draw(route, share)) {
         return VersionRule.only(rollout.order().version());
       }
@@ -195,7 +195,7 @@
       return VersionRule.except(heldBack);
     }
     boolean alone = versions.isOnly(service, rollout.order().version());
-    return rollout.rule(context.now(), heldBack, alone);
+    return rollout.rule(context.knowledgeTime(), heldBack, alone);
   }
 
   /** Counts a request that is sent to a target of a version. */
@@ -274,7 +274,7 @@
   private void tick(Rollout rollout) {
     Verdict.Kind before = rollout.verdict().kind();
     if (rollout.isRunning()) {
-      rollout.judge(evidence(rollout), context.now());
+      rollout.judge(evidence(rollout), context.knowledgeTime());
     }
     if (rollout.verdict().kind() != before) {
       context.note(
@@ -288,7 +288,7 @@
   private Optional<RolloutRecord> due(Rollout rollout) {
     if (rollout.record().isPresent()) {
       boolean open = openBefore.test(rollout);
-      return rollout.due(context.now(), reader.getAsBoolean(), open);
+      return rollout.due(context.knowledgeTime(), reader.getAsBoolean(), open);
     }
     if (reading.isEmpty() || !reader.getAsBoolean()) {
       return Optional.empty();
@@ -301,7 +301,7 @@
   /** Writes at once if this host reads for others, else a little later if nobody has by then. */
   private void write(Rollout rollout, RolloutRecord record) {
     ServiceName service = rollout.order().service();
-    long now = context.now();
+    long now = context.knowledgeTime();
     long wait = reader.getAsBoolean() ? 0 : context.random().nextLong(SPREAD_MILLIS);
     long at = writeAt.computeIfAbsent(service, any -> now + wait);
     if (now < at) {
@@ -332,7 +332,7 @@
   private String describe(Rollout rollout) {
     RolloutOrder order = rollout.order();
     String state = rollout.record().map(row -> row.state().name()).orElse("NOT_BEGUN");
-    String stage = rollout.isRunning() ? " stage=" + rollout.stage(context.now()) : "";
+    String stage = rollout.isRunning() ? " stage=" + rollout.stage(context.knowledgeTime()) : "";
     return order.service()
         + " version="
         + order.version()
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ConfigurationKeeperTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ConfigurationKeeperTest.java
@@ -25,6 +25,36 @@
     assertEquals(Refusal.STALE_CONFIGURATION, refusal("/safe/x", Optional.of(ForwardWorld.KEY)));
   }
 
+  /** Its steady clock stood still, so that by it alone removed keys would still be taken. */
+  @Test
+  void refusesKeysAfterASuspensionUntilTheConfigurationIsProvedAnew() {
+    world.pass(100);
+    world.context.noteLost(4_800);
+    assertEquals(Refusal.STALE_CONFIGURATION, refusal("/safe/x", Optional.of(ForwardWorld.KEY)));
+
+    keeper.confirm(1, world.context.knowledgeTime());
+
+    assertEquals("allowed", refusal("/safe/x", Optional.of(ForwardWorld.KEY)));
+  }
+
+  @Test
+  void anAnswerToAQuestionFromBeforeASuspensionProvesNothingOfTheTimeAfter() {
+    long askedAt = world.context.knowledgeTime();
+    world.context.noteLost(6_000);
+    keeper.confirm(1, askedAt);
+
+    assertEquals(6_000, keeper.ageMillis());
+    assertEquals(Refusal.STALE_CONFIGURATION, refusal("/safe/x", Optional.of(ForwardWorld.KEY)));
+  }
+
+  @Test
+  void callsNoKeyUnknownAfterASuspension() {
+    world.context.noteLost(3_000);
+
+    assertEquals(Refusal.STALE_CONFIGURATION, refusal("/safe/x", Optional.of("other")));
+    assertEquals(Refusal.STALE_CONFIGURATION, refusal("/nowhere/", Optional.of(ForwardWorld.KEY)));
+  }
+
   @Test
   void countsTheProofFromWhenTheQuestionWasSent() {
     long askedAt = world.context.now();
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/RolloutForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/RolloutForwardingTest.java
@@ -56,7 +56,7 @@
   }
 
   private void order(ServiceName service, RolloutState state) {
-    long now = world.context.now();
+    long now = world.context.knowledgeTime();
     world.rollouts.learnOrders(List.of(new RolloutOrder(service, "v2", DURATION, 5)), now);
     world.rollouts.learnRecords(
         List.of(new RolloutRecord(service, "v2", 5, STORE_MILLIS, DURATION, state, 9)),
@@ -71,6 +71,21 @@
             .count();
   }
 
+  /** Meanwhile the version may have been found bad, and its targets may be leaving. */
+  @Test
+  void nothingGoesToTheNewVersionAfterASuspensionUntilTheRowIsReadAnew() {
+    list(ForwardWorld.COUNTERS, "old1", "old2");
+    order(ForwardWorld.COUNTERS, RolloutState.RUNNING);
+    list(ForwardWorld.COUNTERS, "old1", "old2", "new1", "new2", "new3");
+    world.context.noteLost(3_000);
+
+    for (int request = 0; request < REQUESTS; request++) {
+      world.ask("/safe/x", new ForwardWorld.Caller());
+    }
+
+    assertEquals(0, sentToNew(0));
+  }
+
   @Test
   void aSmallPartOfTheRequestsTriesTheNewVersion() {
     list(ForwardWorld.COUNTERS, "old1", "old2");
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ControlThread.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ControlThread.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.gatereel.core.action.Action;
 import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.internal.SuspensionWatch;
 import org.gatereel.forward.log.ForwardLog;
 
 /**
@@ -18,6 +19,7 @@
   private final EventLoop loop;
   private final CoreContext context;
   private final ForwardLog log;
+  private final SuspensionWatch suspensions = new SuspensionWatch();
   private ScheduledFuture<?> scheduled;
   private long scheduledFor = Long.MAX_VALUE;
   private boolean running;
@@ -45,7 +47,7 @@
     }
     running = true;
     try {
-      context.moveTo(nowMillis());
+      moveClocks();
       step.run();
       context.timers().runDue(context.now());
     } catch (RuntimeException e) {
@@ -58,6 +60,16 @@
     scheduleNext();
   }
 
+  /** Brings the core's clocks up to the present time, also by what this host was suspended. */
+  public void moveClocks() {
+    long steadyMillis = nowMillis();
+    long lost = suspensions.observe(steadyMillis, System.currentTimeMillis());
+    context.moveTo(steadyMillis);
+    if (lost > 0) {
+      context.noteLost(lost);
+    }
+  }
+
   private void logNotes() {
     for (Action action : context.takeActions()) {
       if (action instanceof Action.Note note) {
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -234,14 +234,14 @@
   }
 
   private StatusServer.Page describeRollouts() {
-    context.moveTo(ControlThread.nowMillis());
+    control.moveClocks();
     List<String> lines = rollouts.describe();
     String text = lines.isEmpty() ? "no roll-out is known" : String.join("\n", lines);
     return new StatusServer.Page(200, text + "\n");
   }
 
   private StatusServer.Page readiness() {
-    context.moveTo(ControlThread.nowMillis());
+    control.moveClocks();
     boolean ready = !stopping && configuration.takesKeys();
     return ready
         ? new StatusServer.Page(200, "ready\n")
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerServer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerServer.java
@@ -1,9 +1,9 @@
 package org.gatereel.forward.peer;
 
-import io.netty.channel.EventLoop;
 import java.util.function.Predicate;
 import java.util.function.ToIntBiFunction;
 import org.gatereel.core.forward.DocumentCache;
+import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.load.LoadReport;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.ServiceName;
@@ -22,7 +22,9 @@
       new StatusServer.Page(LoadMessages.WHOLE_NEEDED_STATUS, "");
   private static final StatusServer.Page MALFORMED = new StatusServer.Page(400, "malformed\n");
 
+  private final ControlThread control;
   private final DocumentCache known;
+  private final CoreContext context;
   private final ToIntBiFunction<ServiceName, Integer> lend;
   private final Predicate<LoadReport> takeLoads;
   private final StatusServer server;
@@ -30,19 +32,23 @@
   /**
    * Makes a server; nothing is bound yet.
    *
+   * @param context tells how old documents are
    * @param lend lends repeats of a service's requests, and returns how many of those asked for
    * @param takeLoads takes in a host's load, or returns false if all of it has to be told
    */
   public PeerServer(
-      EventLoop loop,
+      ControlThread control,
       DocumentCache known,
+      CoreContext context,
       ToIntBiFunction<ServiceName, Integer> lend,
       Predicate<LoadReport> takeLoads) {
+    this.control = control;
     this.known = known;
+    this.context = context;
     this.lend = lend;
     this.takeLoads = takeLoads;
     this.server =
-        new StatusServer(loop)
+        new StatusServer(control.loop())
             .query(PeerDocuments.PATH, this::documents)
             .query(RepeatLending.PATH, this::repeats)
             .receive(LoadMessages.PATH, this::loads);
@@ -53,8 +59,10 @@
   }
 
   private StatusServer.Page documents(String question) {
+    // The asker takes the age for true, so that it must count the time this host was suspended.
+    control.moveClocks();
     return new StatusServer.Page(
-        OK, PeerDocuments.answer(question, known, ControlThread.nowMillis()));
+        OK, PeerDocuments.answer(question, known, context.knowledgeTime()));
   }
 
   private StatusServer.Page repeats(String question) {
