Count ends that came together as one

Cause: found on reading. Calls that many callers make alike have one fingerprint; three targets of a data centre that loses power have such calls in that moment, which made three ends. Change: ends within 500 ms of each other count once if the later run had been sent before the earlier end; ends that follow each other count however fast. Facts carry for how long the run had been there.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/PoisonWatch.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/PoisonWatch.java
@@ -5,6 +5,7 @@
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.poison.Fingerprint;
 import org.gatereel.core.poison.PoisonControl;
+import org.gatereel.core.poison.PoisonFact;
 
 /**
  * Watches whether targets end under one request, and tells what it has shown.
@@ -74,14 +75,19 @@
    */
   void broke(Attempt attempt, TargetFailure failure, boolean ran) {
     if (ran && mayHaveEndedTarget(attempt, failure)) {
-      forwarder.targetEnds().broke(attempt.target(), fingerprint());
+      forwarder.targetEnds().broke(attempt.target(), fingerprint(), attempt.startedAt());
     }
   }
 
   /** Notes that the end of an attempt's connection was the end of its target. */
   void targetGone(Attempt attempt) {
     if (!lasted && ranMillis(attempt, attempt.endedAt()) <= BEGUN_MILLIS) {
-      poison.ended(fingerprint(), attempt.target().description().id());
+      poison.ended(
+          PoisonFact.end(
+              fingerprint(),
+              attempt.target().description().id(),
+              attempt.startedAt(),
+              attempt.endedAt()));
     }
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetEnds.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetEnds.java
@@ -2,14 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.poison.Fingerprint;
 import org.gatereel.core.poison.PoisonControl;
+import org.gatereel.core.poison.PoisonFact;
 import org.gatereel.core.target.TargetState;
 
 /**
@@ -32,7 +32,7 @@
   /** The question whether one run of a target has ended. */
   private final class Question {
     private final TargetState target;
-    private final Set<Fingerprint> requests = new LinkedHashSet<>();
+    private final Map<Fingerprint, PoisonFact> requests = new LinkedHashMap<>();
     private List<Runnable> waiting = new ArrayList<>();
     private boolean answered;
 
@@ -58,7 +58,7 @@
         open.remove(id());
       }
       if (result == ProbeResult.GONE) {
-        requests.forEach(request -> poison.ended(request, id()));
+        requests.values().forEach(poison::ended);
       }
       release();
     }
@@ -84,17 +84,18 @@
     this.patienceMillis = patienceMillis;
   }
 
-  /** Notes that a run broke at a target as it began. */
-  void broke(TargetState target, Fingerprint request) {
+  /** Notes that a run broke at a target as it began; it had been sent there at a time. */
+  void broke(TargetState target, Fingerprint request, long sentAt) {
     TargetId id = target.description().id();
+    PoisonFact end = PoisonFact.end(request, id, sentAt, context.now());
     Question question = open.get(id);
     if (question == null) {
       question = new Question(target);
       open.put(id, question);
-      question.requests.add(request);
+      question.requests.put(request, end);
       question.ask(0);
     } else {
-      question.requests.add(request);
+      question.requests.put(request, end);
     }
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
@@ -33,7 +33,7 @@
   private static final int ENTRY_BYTES = 32;
 
   /** One fact about a request under which targets end, as counted on the wire. */
-  private static final int FACT_BYTES = 80;
+  private static final int FACT_BYTES = 90;
 
   /** With 64 facts a report takes a second of the link; the others follow with the next. */
   private static final int MOST_FACTS = 64;
--- a/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonCase.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonCase.java
@@ -1,24 +1,32 @@
 package org.gatereel.core.poison;
 
+import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.gatereel.core.model.TargetId;
 
 /** What is known of one request under which targets ended. */
 final class PoisonCase {
-  private final Map<TargetId, Long> ends = new LinkedHashMap<>();
+  /**
+   * Targets of a data centre that lose power end within less; calls that many callers make alike
+   * are at several of them in that moment.
+   */
+  private static final long TOGETHER_MILLIS = 500;
+
+  private final Map<TargetId, PoisonFact> ends = new LinkedHashMap<>();
   private boolean sound;
   private boolean held;
   private long changedAt;
 
   /** Notes an end; returns whether it is news. */
-  boolean end(TargetId target, long at) {
+  boolean end(TargetId target, PoisonFact fact) {
     if (sound || ends.containsKey(target)) {
       return false;
     }
-    ends.put(target, at);
-    changedAt = Math.max(changedAt, at);
+    ends.put(target, fact);
+    changedAt = Math.max(changedAt, fact.at());
     return true;
   }
 
@@ -48,6 +56,28 @@
     return ends.keySet();
   }
 
+  /**
+   * Returns how often targets of a set ended under the request, where ends that came together count
+   * once: in the same moment, and each of a run that had been sent before the others' end.
+   */
+  int occasions(Set<TargetId> among) {
+    List<PoisonFact> inOrder =
+        ends.entrySet().stream()
+            .filter(end -> among.contains(end.getKey()))
+            .map(Map.Entry::getValue)
+            .sorted(Comparator.comparingLong(PoisonFact::at))
+            .toList();
+    int count = 0;
+    long last = 0;
+    for (PoisonFact end : inOrder) {
+      if (count == 0 || end.sentAt() >= last || end.at() - last >= TOGETHER_MILLIS) {
+        count++;
+        last = end.at();
+      }
+    }
+    return count;
+  }
+
   /** Returns when the last fact was seen. */
   long changedAt() {
     return changedAt;
--- a/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonControl.java
@@ -7,7 +7,6 @@
 import java.util.function.Supplier;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
-import org.gatereel.core.model.TargetId;
 
 /**
  * Keeps requests under which targets end, again and again, from reaching any more of them.
@@ -77,8 +76,8 @@
   }
 
   /** Notes that a target's run ended as a request had begun, or was about to begin, there. */
-  public void ended(Fingerprint request, TargetId target) {
-    learn(List.of(PoisonFact.end(request, target, context.now())), Source.HERE);
+  public void ended(PoisonFact end) {
+    learn(List.of(end), Source.HERE);
   }
 
   /** Notes that a request has run as it should; it matters only if targets ended under it. */
--- a/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonLedger.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonLedger.java
@@ -17,8 +17,9 @@
  * <p>At a target that ends, everything that it has ends with it: one request may have caused it,
  * the others were only there. So an end is charged to one request alone, the one with the most
  * ends; if several have as many, to none of them, until they part. A request with three ends
- * charged to it is held back. Facts only add up, and in any order: hosts that know the same facts
- * come to the same verdict, but for a tie that one of them had decided before it learnt of it.
+ * charged to it is held back; ends that came together count as one. Facts only add up, and in any
+ * order: hosts that know the same facts come to the same verdict, but for a tie that one of them
+ * had decided before it learnt of it.
  */
 final class PoisonLedger {
   /**
@@ -51,9 +52,7 @@
   boolean add(PoisonFact fact) {
     PoisonCase known = cases.computeIfAbsent(fact.request(), any -> new PoisonCase());
     boolean news =
-        fact.ended()
-            .map(target -> known.end(target, fact.at()))
-            .orElseGet(() -> known.sound(fact.at()));
+        fact.ended().map(target -> known.end(target, fact)).orElseGet(() -> known.sound(fact.at()));
     if (!news) {
       return false;
     }
@@ -130,16 +129,16 @@
     return Optional.of(ends);
   }
 
-  private static long charged(
+  private int charged(
       Fingerprint request, Set<TargetId> ends, Map<Fingerprint, Set<TargetId>> open) {
-    return ends.stream()
-        .filter(
-            target ->
-                open.entrySet().stream()
-                    .filter(other -> !other.getKey().equals(request))
-                    .filter(other -> other.getValue().contains(target))
-                    .allMatch(other -> other.getValue().size() < ends.size()))
-        .count();
+    Set<TargetId> charged = new HashSet<>(ends);
+    open.forEach(
+        (other, itsEnds) -> {
+          if (!other.equals(request) && itsEnds.size() >= ends.size()) {
+            charged.removeAll(itsEnds);
+          }
+        });
+    return cases.get(request).occasions(charged);
   }
 
   boolean isHeld(Fingerprint request) {
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
@@ -142,19 +142,22 @@
    * null where the request was seen to run well.
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  private record Poison(String request, String target, long agoMillis) {
+  private record Poison(String request, String target, long ranMillis, long agoMillis) {
     static Poison of(PoisonFact fact, long now) {
       return new Poison(
           fact.request().value(),
           fact.ended().map(TargetNames::write).orElse(null),
+          fact.at() - fact.sentAt(),
           Math.max(0, now - fact.at()));
     }
 
     PoisonFact fact(long now) {
+      long at = now - Math.max(0, agoMillis);
       return new PoisonFact(
           new Fingerprint(request),
           Optional.ofNullable(target).map(TargetNames::read),
-          now - Math.max(0, agoMillis));
+          at - Math.max(0, ranMillis),
+          at);
     }
   }
 
