--- a/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonRecords.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonRecords.java
@@ -20,7 +20,9 @@
   /** A transaction of the store takes 100 rows at the most, and a few are removed with it. */
   private static final int MOST_WRITTEN = 50;
 
+  /** While the store is away no more are kept for it; hosts tell each other all of them. */
   private static final int MOST_WAITING = 500;
+
   private static final long FIRST_RETRY_MILLIS = 500;
   private static final long LONGEST_RETRY_MILLIS = 8_000;
 
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/PoisonForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/PoisonForwardingTest.java
@@ -141,6 +141,18 @@
     assertEquals(1, sentFor("/stream/x", "sound"));
   }
 
+  /** Its connection closed in order, as that of a process that ends does. */
+  @Test
+  void aTargetThatIsGoneAfterItsAnswerWithoutALengthHasEnded() {
+    SentCall call = ask("/once/x", "fatal").accepted().head(200, false);
+    call.listener.ended(AnswerEnd.CONNECTION_CLOSED);
+    int probes = world.probes.size();
+    world.lastProbe().listener().probed(ProbeResult.GONE);
+
+    assertEquals(1, world.poison.suspected());
+    assertEquals(probes, world.probes.size());
+  }
+
   @Test
   void aConnectionThatDoesNotComeAboutDoesNotCount() {
     ask("/stream/x", "sound");
