Read what the store holds of such requests once after each news

Cause: found on reading. Change: once after a start and once after each news; what hosts write that reach nobody else matters where the request comes, and then its first end there is news.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/DocumentKind.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/DocumentKind.java
@@ -10,7 +10,9 @@
   HOSTS(false),
   /** What hosts have agreed on of roll-outs; read only while one is undecided. */
   ROLLOUTS(false),
-  /** What hosts have seen of requests under which targets end; read only while there is news. */
+  /**
+   * What hosts have seen of requests under which targets end; read after a start and after news.
+   */
   POISON(false);
 
   private final boolean urgent;
--- a/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonRecords.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonRecords.java
@@ -26,21 +26,15 @@
   private static final long FIRST_RETRY_MILLIS = 500;
   private static final long LONGEST_RETRY_MILLIS = 8_000;
 
-  /**
-   * While there is news, hosts that others cannot reach may write as well; a caller of such a
-   * request comes back within some seconds, its deadline at most.
-   */
-  private static final long READ_AFTER_NEWS_MILLIS = 30_000;
-
   private final CoreContext context;
   private final PoisonControl control;
   private final Writer writer;
   private final Set<PoisonFact> waiting = new LinkedHashSet<>();
   private final Set<Fingerprint> recorded = new LinkedHashSet<>();
   private long retryMillis = FIRST_RETRY_MILLIS;
-  private long newsAt = Long.MIN_VALUE / 2;
+  private long newsAt = Long.MIN_VALUE;
+  private long readAt = Long.MIN_VALUE;
   private long retryAt = Long.MIN_VALUE;
-  private boolean read;
   private boolean writing;
 
   /** Writes rows into the store. */
@@ -56,20 +50,31 @@
     control.onNews(this::learnt);
   }
 
-  /** Returns whether the rows have to be read: after a start, and while there is news. */
+  /**
+   * Returns whether the rows have to be read: after a start, and after each news.
+   *
+   * <p>What hosts have written that reach nobody else matters here once the request comes here, and
+   * then its first end is news. Rows that are read all the time would be a third more calls.
+   */
   public boolean needsReading() {
-    return !read || context.now() - newsAt < READ_AFTER_NEWS_MILLIS;
+    return readAt == Long.MIN_VALUE || newsAt >= readAt;
   }
 
-  /** Takes in all rows of the store. */
-  public void learn(List<PoisonFact> rows) {
-    read = true;
+  /**
+   * Takes in all rows of the store.
+   *
+   * @param provenAt when the question was sent that the store answered with them
+   */
+  public void learn(List<PoisonFact> rows, long provenAt) {
+    readAt = Math.max(readAt, provenAt);
     rows.forEach(row -> recorded.add(row.request()));
     control.learn(rows, PoisonControl.Source.STORE);
   }
 
   private void learnt(PoisonFact fact, PoisonControl.Source source) {
-    newsAt = context.now();
+    if (source != PoisonControl.Source.STORE) {
+      newsAt = context.knowledgeTime();
+    }
     if (source != PoisonControl.Source.HERE) {
       return;
     }
