--- a/gatereel-core/src/test/java/org/gatereel/core/load/LoadWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/load/LoadWorld.java
@@ -21,6 +21,7 @@
 import org.gatereel.core.model.TargetDescription;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.model.TargetKind;
+import org.gatereel.core.poison.PoisonControl;
 import org.gatereel.core.table.PolicyTable;
 import org.gatereel.core.target.TargetRegistry;
 import org.gatereel.core.target.TargetState;
@@ -50,6 +51,7 @@
     final TargetRegistry targets;
     final HostDirectory directory;
     final LoadExchange loads;
+    final PoisonControl poison;
     private final Set<Address> underWay = new HashSet<>();
 
     private Host(String name, String dataCentre, Address address, long seed) {
@@ -63,6 +65,9 @@
       targets.see(new HostList(1, List.of(), List.of(engine())));
       directory = new HostDirectory(context, address);
       loads = new LoadExchange(context, targets, directory, address, this::send);
+      poison = new PoisonControl(context);
+      loads.exchange(poison);
+      poison.onNews((fact, source) -> loads.changed());
     }
 
     private void send(Address receiver, LoadReport report, Consumer<LoadPort.Receipt> receipt) {
@@ -189,6 +194,11 @@
     silent.add(host.name);
   }
 
+  /** What was silent is heard again. */
+  void heal() {
+    silent.clear();
+  }
+
   /** Starts a host anew: it knows nothing, and its requests are gone. */
   Host restart(Host host) {
     silent.remove(host.name);
