--- a/gatereel-core/src/main/java/org/gatereel/core/forward/PoisonWatch.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/PoisonWatch.java
@@ -17,7 +17,7 @@
 final class PoisonWatch {
   /**
    * A run that broke by then had just begun: four times the longest that a target was seen to live
-   * on, 120 ms. Ordinary runs broke 0.43 s or more after their beginning (36 of 36 on a day on
+   * on, 120 ms. Ordinary runs broke 0.43 s or more after their beginning (30 of 30 on a day on
    * which nine in ten targets of a data centre ended each 6.5 s).
    */
   static final long BEGUN_MILLIS = 400;
