Log what targets say of the requests they take

Cause: no line told which host had heard of a limit, when and of which value, so that the three hypotheses could be told apart by their consequences alone. Change: the head of an answer tells its target's limit (a decimal number, the lowest of several; what is none is unreadable and changes nothing). A book keeps it by the target's run: a lower one at once, a higher one or none only from an answer to a request sent after it. LIMIT_ANNOUNCED and LIMIT_UNREADABLE are logged, each target at most once a second; a gauge counts limited targets. No decision goes by it yet.

--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -58,6 +58,9 @@
   POISON_SUSPECTED(340, "A target's run ended as it began a request; others may have caused it."),
   POISON_HELD(341, "Targets ended under a request again and again; no target gets it any more."),
   POISON_CLEARED(342, "A request under which a target had ended has run as it should."),
+  LIMIT_ANNOUNCED(
+      350, "A target says how many requests a second it takes, or that it takes any number again."),
+  LIMIT_UNREADABLE(351, "What a target says of the requests it takes is no number."),
   EDIT_ACCEPTED(400, "An edit of the table was committed."),
   EDIT_REFUSED(401, "An edit of the table was refused."),
   EDIT_UNKNOWN(402, "The answer to an edit was lost; its edit id is read back."),
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/AnswerHead.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/AnswerHead.java
@@ -1,5 +1,7 @@
 package org.gatereel.core.forward;
 
+import org.gatereel.core.limit.LimitStatement;
+
 /** The head of a target's answer; its headers are the transport's. */
 public interface AnswerHead {
   int status();
@@ -16,6 +18,11 @@
   /** Returns whether the body is a stream of events. */
   boolean isEventStream();
 
+  /** Returns what the answer says of how many requests its target takes. */
+  default LimitStatement limit() {
+    return LimitStatement.NONE;
+  }
+
   /**
    * Returns whether the caller may be given this answer.
    *
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -234,7 +234,7 @@
 
   void answered(Attempt from) {
     AnswerHead head = from.head();
-    from.noteHead(context.now());
+    from.noteHead(forwarder.limits(), context.now());
     from.noteSign(context.now());
     if (head.declaresNotRun()) {
       failed(from, head.status() == 421 ? TargetFailure.GOODBYE : TargetFailure.FULL);
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -9,6 +9,7 @@
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.limit.LimitBook;
 import org.gatereel.core.load.LoadExchange;
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.model.TargetId;
@@ -36,6 +37,7 @@
   private final PromptLocator prompts;
   private final PoisonControl poison;
   private final TargetEnds targetEnds;
+  private final LimitBook limits;
   private final Set<Exchange> open = new LinkedHashSet<>();
   private final Set<TargetId> probing = new HashSet<>();
 
@@ -75,6 +77,7 @@
     this.prompts = new PromptLocator(context, targets, port);
     this.poison = poison;
     this.targetEnds = new TargetEnds(context, port, poison, policy.unreachableMillis());
+    this.limits = new LimitBook(context, target -> targets.find(target).isPresent());
     poison.onHeld(this::hold);
   }
 
@@ -247,6 +250,11 @@
     return targetEnds;
   }
 
+  /** Returns the limits that targets have named. */
+  public LimitBook limits() {
+    return limits;
+  }
+
   OverloadControl overload() {
     return overload;
   }
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/limit/LimitBook.java
@@ -0,0 +1,201 @@
+package org.gatereel.core.limit;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.gatereel.core.event.EventCode;
+import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.internal.SharedFacts;
+import org.gatereel.core.model.TargetId;
+
+/**
+ * The limits that targets have named, as far as this host has heard of them from targets or hosts.
+ *
+ * <p>A limit holds for one run of a target until the target says otherwise. A lower one holds at
+ * once. A higher one, or none, holds only if it answers a request that was sent after the present
+ * one was known: answers overtake each other, and an older one must not lift it.
+ */
+public final class LimitBook implements SharedFacts<LimitFact> {
+  /** Targets that are listed no more are forgotten so often. */
+  private static final long FORGET_MILLIS = 60_000;
+
+  /** A target whose limit changes with each answer fills no log. */
+  private static final long LOG_MILLIS = 1_000;
+
+  private final CoreContext context;
+  private final Predicate<TargetId> isListed;
+  private final Map<TargetId, Entry> entries = new HashMap<>();
+  private final TreeMap<Long, LimitFact> facts = new TreeMap<>();
+  private final List<Runnable> newsListeners = new ArrayList<>();
+  private long number;
+  private long unreadableLoggedAt = Long.MIN_VALUE / 2;
+  private boolean forgetting;
+
+  /** What is known of one run of a target. */
+  private static final class Entry {
+    private AnnouncedLimit limit;
+    private long number;
+    private long loggedAt = Long.MIN_VALUE / 2;
+  }
+
+  /** Where a limit was heard. */
+  private enum Source {
+    /** The target told this host. */
+    TARGET,
+    /** Another host told of it. */
+    OTHER_HOST
+  }
+
+  /**
+   * Makes a book without any limit.
+   *
+   * @param isListed whether a run of a target is still to be known
+   */
+  public LimitBook(CoreContext context, Predicate<TargetId> isListed) {
+    this.context = context;
+    this.isListed = isListed;
+  }
+
+  /** Has {@code listener} called whenever a limit is another one than before. */
+  public void onNews(Runnable listener) {
+    newsListeners.add(listener);
+  }
+
+  /** Returns the limit of a target, if it named one and holds to it. */
+  public Optional<AnnouncedLimit> find(TargetId target) {
+    return Optional.ofNullable(entries.get(target))
+        .map(entry -> entry.limit)
+        .filter(limit -> !limit.isNone());
+  }
+
+  /** Returns how many requests a second a target takes; infinite if it has named no limit. */
+  public double perSecond(TargetId target) {
+    return entries.isEmpty()
+        ? Double.POSITIVE_INFINITY
+        : find(target).map(AnnouncedLimit::perSecond).orElse(Double.POSITIVE_INFINITY);
+  }
+
+  /** Returns how many targets have a limit now. */
+  public int size() {
+    return (int) entries.values().stream().filter(entry -> !entry.limit.isNone()).count();
+  }
+
+  /**
+   * Takes in what a target's answer says.
+   *
+   * @param sentAt when the request was sent that is answered, in milliseconds
+   */
+  public void hear(TargetId target, LimitStatement statement, long sentAt) {
+    if (statement instanceof LimitStatement.PerSecond named) {
+      hear(target, named.perSecond(), sentAt);
+    } else if (statement instanceof LimitStatement.Unreadable unreadable) {
+      noteUnreadable(target, unreadable.text());
+    } else if (entries.containsKey(target)) {
+      hear(target, Double.POSITIVE_INFINITY, sentAt);
+    }
+  }
+
+  private void noteUnreadable(TargetId target, String text) {
+    if (context.now() - unreadableLoggedAt >= LOG_MILLIS) {
+      unreadableLoggedAt = context.now();
+      context.note(EventCode.LIMIT_UNREADABLE, target.toString(), "text=" + text);
+    }
+  }
+
+  private void hear(TargetId target, double perSecond, long sentAt) {
+    Entry known = entries.get(target);
+    boolean lower = known == null || perSecond < known.limit.perSecond();
+    if (lower || sentAt > known.limit.since()) {
+      take(new LimitFact(target, new AnnouncedLimit(perSecond, context.now())), Source.TARGET);
+    }
+  }
+
+  @Override
+  public void learn(List<LimitFact> told) {
+    for (LimitFact fact : told) {
+      Entry known = entries.get(fact.target());
+      if (known == null || fact.limit().replaces(known.limit)) {
+        take(fact, Source.OTHER_HOST);
+      }
+    }
+  }
+
+  private void take(LimitFact fact, Source source) {
+    Entry entry = entries.computeIfAbsent(fact.target(), any -> new Entry());
+    AnnouncedLimit before = entry.limit;
+    if (before != null && before.perSecond() == fact.limit().perSecond()) {
+      return;
+    }
+    entry.limit = fact.limit();
+    facts.remove(entry.number);
+    entry.number = ++number;
+    facts.put(number, fact);
+    note(fact, before, entry, source);
+    newsListeners.forEach(Runnable::run);
+    forgetLater();
+  }
+
+  private void note(LimitFact fact, AnnouncedLimit before, Entry entry, Source source) {
+    if (context.now() - entry.loggedAt < LOG_MILLIS) {
+      return;
+    }
+    entry.loggedAt = context.now();
+    context.note(
+        EventCode.LIMIT_ANNOUNCED,
+        fact.target().toString(),
+        "perSecond="
+            + text(fact.limit())
+            + " before="
+            + (before == null ? "-" : text(before))
+            + " source="
+            + source
+            + " ageMillis="
+            + (context.now() - fact.limit().since())
+            + " limits="
+            + size());
+  }
+
+  private static String text(AnnouncedLimit limit) {
+    return limit.isNone() ? "-" : String.format(Locale.ROOT, "%.3f", limit.perSecond());
+  }
+
+  @Override
+  public List<Numbered<LimitFact>> after(long known, int most) {
+    return facts.tailMap(known, false).entrySet().stream()
+        .limit(most)
+        .map(entry -> new Numbered<>(entry.getKey(), entry.getValue()))
+        .toList();
+  }
+
+  private void forgetLater() {
+    if (!forgetting) {
+      forgetting = true;
+      context.after(FORGET_MILLIS, this::forget);
+    }
+  }
+
+  /** A fact may come before the list that names its target, so young ones are kept. */
+  private void forget() {
+    forgetting = false;
+    long before = context.now() - FORGET_MILLIS;
+    entries
+        .entrySet()
+        .removeIf(
+            known -> {
+              Entry entry = known.getValue();
+              boolean over = !isListed.test(known.getKey()) && entry.limit.since() < before;
+              if (over) {
+                facts.remove(entry.number);
+              }
+              return over;
+            });
+    if (!entries.isEmpty()) {
+      forgetLater();
+    }
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/limit/LimitFact.java
@@ -0,0 +1,6 @@
+package org.gatereel.core.limit;
+
+import org.gatereel.core.model.TargetId;
+
+/** What one run of a target has said of how many requests it takes. */
+public record LimitFact(TargetId target, AnnouncedLimit limit) {}
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -138,6 +138,7 @@
     metrics.gauge("load_age_millis", loads::ageMillis);
     metrics.gauge("poison_requests_suspected", poison::suspected);
     metrics.gauge("poison_requests_held", poison::held);
+    metrics.gauge("limited_targets", forwarder.limits()::size);
     metrics.gauge("log_lines_dropped", log::dropped);
   }
 
--- a/gatereel-forward/src/main/java/org/gatereel/forward/HeaderNames.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/HeaderNames.java
@@ -12,6 +12,8 @@
  * @param expectedTarget the id of the target that is meant
  * @param signature the mark of a target's own answer
  * @param notRun a target's promise that it did not run the request
+ * @param limit how many requests a second a target takes from all hosts together, as a decimal
+ *     number
  * @param tokenCounts the tokens of the prompt and the most that come out, joined by a comma
  * @param promptParts the parts of the prompt in their order, each as name:tokens, joined by commas
  * @param copyTo the address of the engine that is to hold a copy of the run
@@ -27,6 +29,7 @@
     String expectedTarget,
     String signature,
     String notRun,
+    String limit,
     String tokenCounts,
     String promptParts,
     String copyTo,
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetHead.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetHead.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Locale;
 import org.gatereel.core.forward.AnswerHead;
+import org.gatereel.core.limit.LimitStatement;
 import org.gatereel.forward.HeaderNames;
 
 /** The head of a target's answer, with the headers that the caller is given. */
@@ -14,7 +15,8 @@
     HttpHeaders headers,
     boolean declaresNotRun,
     boolean isAuthentic,
-    boolean isEventStream)
+    boolean isEventStream,
+    LimitStatement limit)
     implements AnswerHead {
   private static final String EVENT_STREAM = "text/event-stream";
 
@@ -32,7 +34,8 @@
         headers,
         headers.contains(names.notRun()) || misdirected,
         named && plain && signed,
-        type.startsWith(EVENT_STREAM));
+        type.startsWith(EVENT_STREAM),
+        LimitStatement.of(headers.getAll(names.limit())));
   }
 
   @Override
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/CallerAnswerTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/CallerAnswerTest.java
@@ -25,6 +25,7 @@
 import org.gatereel.core.forward.ConfigurationKeeper;
 import org.gatereel.core.forward.Refusal;
 import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.limit.LimitStatement;
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.HostId;
 import org.junit.jupiter.api.Test;
@@ -59,7 +60,7 @@
     for (String length : lengths) {
       headers.set("content-length", length);
     }
-    return new TargetHead(status, headers, false, true, stream);
+    return new TargetHead(status, headers, false, true, stream, LimitStatement.NONE);
   }
 
   private static byte[] bytes(String text) {
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
@@ -66,6 +66,7 @@
           "Expected",
           "Signed",
           "Not-Run",
+          "Takes",
           "Counts",
           "Parts",
           "Copy-To",
