Test that hosts together send a target no more than it takes (fails)

Cause: nobody goes by what a target says of the requests it takes. Ruled out: bursts; the replay has no repeats and no held-up connections.

--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
@@ -26,6 +26,7 @@
 import org.gatereel.core.forward.Route;
 import org.gatereel.core.forward.TargetPort;
 import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.limit.LimitStatement;
 import org.gatereel.core.load.LoadExchange;
 import org.gatereel.core.load.LoadPort;
 import org.gatereel.core.load.LoadReport;
@@ -253,7 +254,8 @@
     }
   }
 
-  private record Head(int status, boolean declaresNotRun, boolean isEventStream)
+  private record Head(
+      int status, boolean declaresNotRun, boolean isEventStream, LimitStatement limit)
       implements AnswerHead {
     @Override
     public boolean isAuthentic() {
@@ -320,6 +322,7 @@
       if (over) {
         return;
       }
+      engine.limit().ifPresent(limit -> limit.arrived(address, time.millis()));
       if (!engine.isAlive()) {
         reset();
       } else if (!engine.description().id().equals(dispatch.target().id())) {
@@ -368,7 +371,17 @@
 
     @Override
     public void head(int status, boolean notRun, boolean stream) {
-      back(() -> listener.answered(new Head(status, notRun, stream)));
+      Optional<TargetLimit> limit = engine.limit();
+      limit.ifPresent(named -> named.named(time.millis()));
+      LimitStatement said =
+          limit
+              .<LimitStatement>map(named -> new LimitStatement.PerSecond(named.perSecond()))
+              .orElse(LimitStatement.NONE);
+      back(
+          () -> {
+            limit.ifPresent(named -> named.told(address, time.millis()));
+            listener.answered(new Head(status, notRun, stream, said));
+          });
     }
 
     @Override
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayReport.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayReport.java
@@ -168,6 +168,27 @@
     return Math.max(0, read - whole * world.prompt());
   }
 
+  /** Returns by how many requests the worst window of any limited target is over what it bears. */
+  double limitExcess() {
+    return world.limits().stream().mapToDouble(TargetLimit::excess).max().orElse(0);
+  }
+
+  /** Returns the least part of its limit that any target was sent; 1 if none named one. */
+  double limitUsed() {
+    return world.limits().stream()
+        .filter(TargetLimit::isMeasured)
+        .mapToDouble(limit -> limit.used() / limit.taken())
+        .min()
+        .orElse(1);
+  }
+
+  /** Returns the part of their limits that all targets were sent together; 1 if none named one. */
+  double limitUsedByAll() {
+    double taken = world.limits().stream().mapToDouble(TargetLimit::taken).sum();
+    long used = world.limits().stream().mapToLong(TargetLimit::used).sum();
+    return taken == 0 ? 1 : used / taken;
+  }
+
   long engineErrors() {
     return world.targets().stream().mapToLong(TargetModel::errors).sum();
   }
@@ -207,6 +228,9 @@
     table.put("such requests sent too late, the most", Long.toString(fatalArrivalsTooLate()));
     table.put("other requests held back", Long.toString(innocentsHeldBack()));
     table.put("errors that engines gave", Long.toString(engineErrors()));
+    table.put("requests over a limit, the most", decimal(limitExcess()));
+    table.put(
+        "limits used, least and all", decimal(limitUsed()) + ", " + decimal(limitUsedByAll()));
     table.put("pauses beyond the aim", Integer.toString(count(EventCode.STREAM_PAUSED)));
     table.put("tries", Integer.toString(tries));
     table.put("tries that failed", failures.toString());
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayTest.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayTest.java
@@ -123,6 +123,24 @@
     }
   }
 
+  /**
+   * Where no host keeps to what targets say, the worst window is 46 to 59 requests over what is
+   * borne, and where hosts do, none.
+   */
+  @Test
+  void limitsThatTargetsNameAreKeptOverAllHostsAndUsed() throws IOException {
+    for (String script : List.of("plain-targets-ask-for-less", "engines-ask-for-less")) {
+      for (long seed = 1; seed <= 2; seed++) {
+        ReplayReport report = play(script, seed);
+        String seen = script + ", seed " + seed + ": " + report.table();
+
+        assertTrue(report.limitExcess() <= 0, seen);
+        assertTrue(report.limitUsedByAll() >= 0.85, seen);
+        assertTrue(report.limitUsed() >= 0.85, seen);
+      }
+    }
+  }
+
   /** Nobody has more than a share; what cannot be read at once waits, and none is lost. */
   @Test
   void aBurstOfAllAccountsIsServedWhole() throws IOException {
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayWorld.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayWorld.java
@@ -63,6 +63,7 @@
   private final Map<TargetId, TargetDescription> listed = new LinkedHashMap<>();
   private final List<CallerModel> callers = new ArrayList<>();
   private final List<FatalContent> fatalContents = new ArrayList<>();
+  private final List<TargetLimit> limits = new ArrayList<>();
   private final ReplayReport report;
   private final double[] accountTimes;
   private double times = 1;
@@ -312,6 +313,32 @@
     }
   }
 
+  void limitEngines(double share, double perSecond, long millis) {
+    draw(enginesOf(any -> true), share).forEach(target -> limit(target, perSecond, millis));
+  }
+
+  void limitCounters(double share, double perSecond, long millis) {
+    List<TargetModel> counters =
+        targets.values().stream().filter(target -> target instanceof CounterModel).toList();
+    draw(counters, share).forEach(target -> limit(target, perSecond, millis));
+  }
+
+  private void limit(TargetModel target, double perSecond, long millis) {
+    TargetLimit limit = new TargetLimit(perSecond);
+    limits.add(limit);
+    target.name(Optional.of(limit));
+    time.after(
+        millis * 1_000,
+        () -> {
+          limit.end(time.millis());
+          target.name(Optional.empty());
+        });
+  }
+
+  List<TargetLimit> limits() {
+    return limits;
+  }
+
   /** Has one request that ends engines come again and again, at any host. */
   void askFatally(int account, boolean headIsSent, double perSecond, long millis) {
     FatalContent content = new FatalContent("fatal-" + fatalContents.size(), headIsSent);
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/Script.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/Script.java
@@ -113,6 +113,20 @@
         world.askFatally(trouble.where(), trouble.share() > 0, trouble.times(), millis(trouble));
       }
     },
+    /** Some engines name a limit of {@code times} requests a second. */
+    ENGINE_LIMITS {
+      @Override
+      void play(ReplayWorld world, Trouble trouble) {
+        world.limitEngines(trouble.share(), trouble.times(), millis(trouble));
+      }
+    },
+    /** Some plain targets name a limit of {@code times} requests a second. */
+    COUNTER_LIMITS {
+      @Override
+      void play(ReplayWorld world, Trouble trouble) {
+        world.limitCounters(trouble.share(), trouble.times(), millis(trouble));
+      }
+    },
     /** All accounts ask for more. */
     BURST {
       @Override
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/TargetModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/TargetModel.java
@@ -21,6 +21,7 @@
   private boolean alive = true;
   private boolean failing;
   private long errors;
+  private Optional<TargetLimit> limit = Optional.empty();
 
   /** Who hears of a run. */
   interface Client {
@@ -101,6 +102,15 @@
     return runs.subList(0, Math.min(runs.size(), description.slots()));
   }
 
+  /** Names a limit in each answer, or no longer; nothing is turned away for it. */
+  final void name(Optional<TargetLimit> named) {
+    limit = named;
+  }
+
+  final Optional<TargetLimit> limit() {
+    return limit;
+  }
+
   /** Answers each request with an error at once, or no longer. */
   final void fail(boolean fails) {
     failing = fails;
@@ -110,6 +120,8 @@
   final void end() {
     alive = false;
     life++;
+    limit.ifPresent(named -> named.end(time.millis()));
+    limit = Optional.empty();
     copies.clear();
     List<Run> broken = List.copyOf(runs);
     runs.clear();
