--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -34,6 +34,7 @@
   private final SilenceWatch silence;
   private final Turn turn;
   private final CopyPlan copies;
+  private final Placement placement;
   private final ExchangeLog log;
   private final EndCheck ends;
   private final StreamRelay relay;
@@ -77,6 +78,7 @@
     this.tries = retries.tries();
     this.ends = new EndCheck(forwarder, this, relay, log);
     this.copies = search.copies();
+    this.placement = new Placement(forwarder, this, search, retries, route, log);
     this.deadlineTimer = context.timers().add(deadline, this::deadlinePassed);
     this.silence = new SilenceWatch(forwarder, this, route);
     this.turn =
@@ -99,20 +101,7 @@
 
   /** The request has its turn. */
   void admitted() {
-    if (search.mayFindPrompt()) {
-      search.findPrompt(this::located);
-    } else {
-      tryNext();
-    }
-  }
-
-  /** A caller came back for the rest of a stream; the engine that has its prompt is asked first. */
-  private void located(PromptLocator.Located found) {
-    if (over) {
-      return;
-    }
-    log.located(found);
-    tryNext();
+    placement.locatePrompt(this::tryNext);
   }
 
   /** The caller closed its connection; nothing more is sent. */
@@ -194,19 +183,26 @@
       giveUp(unserved(Refusal.OVERLOADED));
       return;
     }
-    Optional<MemoryCopy> copy = copies.take();
-    Optional<TargetChoice> chosen =
-        copy.isPresent()
-            ? copy.map(MemoryCopy::holder).map(TargetChoice::only)
-            : search.choose(retries.isResumableStream());
-    if (chosen.isEmpty()) {
-      giveUp(unserved(Refusal.NO_TARGET));
-      return;
-    }
-    dispatch(chosen.get(), copy.map(MemoryCopy::name));
+    placement.next();
+  }
+
+  /** Returns whether the caller has part of the answer. */
+  boolean isUnderWay() {
+    return relay.lastEventId().isPresent();
   }
 
-  private void dispatch(TargetChoice choice, Optional<String> from) {
+  /** All targets have as many requests as they take. */
+  void limitsSpent() {
+    long again = forwarder.overload().returnMillis(service, deadline);
+    giveUp(unserved(Refusal.OVERLOADED), again, "limits=spent");
+  }
+
+  /**
+   * Sends the request to a target.
+   *
+   * @param from the name of the copy there that the run goes on from
+   */
+  void send(TargetChoice choice, Optional<String> from) {
     TargetState target = choice.target();
     tries.begin();
     attempt = new Attempt(this, target, from.isPresent(), context.now());
@@ -234,7 +230,7 @@
 
   void answered(Attempt from) {
     AnswerHead head = from.head();
-    from.noteHead(forwarder.limits(), context.now());
+    from.noteHead(forwarder.limits().book(), context.now());
     from.noteSign(context.now());
     if (head.declaresNotRun()) {
       failed(from, head.status() == 421 ? TargetFailure.GOODBYE : TargetFailure.FULL);
@@ -338,14 +334,17 @@
 
   /** Ends the request by what the caller has so far, by an error kept back, or by a refusal. */
   void giveUp(Refusal refusal) {
+    giveUp(refusal, forwarder.policy().retryAfterMillis(), "");
+  }
+
+  private void giveUp(Refusal refusal, long retryAfterMillis, String inputs) {
     closeAttempt();
     if (reply.hasBegun()) {
       abort(refusal.name());
     } else {
       reply
           .keptBack()
-          .ifPresentOrElse(
-              this::answer, () -> refuse(refusal, forwarder.policy().retryAfterMillis(), ""));
+          .ifPresentOrElse(this::answer, () -> refuse(refusal, retryAfterMillis, inputs));
     }
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -5,11 +5,16 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.gatereel.core.choice.TargetSelector;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.internal.CoreContext;
-import org.gatereel.core.limit.LimitBook;
+import org.gatereel.core.limit.Lender;
+import org.gatereel.core.limit.Loan;
+import org.gatereel.core.limit.LoanPort;
+import org.gatereel.core.limit.LoanSubject;
+import org.gatereel.core.limit.TargetLimits;
 import org.gatereel.core.load.LoadExchange;
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.model.TargetId;
@@ -21,7 +26,7 @@
 import org.gatereel.core.target.TargetState;
 
 /** Forwards requests of callers to targets; the decisions, without any input or output. */
-public final class Forwarder {
+public final class Forwarder implements Lender {
   private final CoreContext context;
   private final TargetRegistry targets;
   private final ConfigurationKeeper configuration;
@@ -37,7 +42,7 @@
   private final PromptLocator prompts;
   private final PoisonControl poison;
   private final TargetEnds targetEnds;
-  private final LimitBook limits;
+  private final TargetLimits limits;
   private final Set<Exchange> open = new LinkedHashSet<>();
   private final Set<TargetId> probing = new HashSet<>();
 
@@ -45,7 +50,7 @@
    * Makes a forwarder.
    *
    * @param directory the hosts that share the limits of all
-   * @param repeats the way to the one that lends repeats
+   * @param loans the way to those that lend what all hosts share
    * @param loads what hosts tell each other of their load at targets
    * @param rollouts which versions of targets requests may go to
    * @param poison which requests are held back
@@ -58,7 +63,7 @@
       TargetPort port,
       ForwardObserver observer,
       HostDirectory directory,
-      RepeatPort repeats,
+      LoanPort loans,
       LoadExchange loads,
       RolloutControl rollouts,
       PoisonControl poison) {
@@ -71,13 +76,16 @@
     this.loads = loads;
     this.rollouts = rollouts;
     this.selector = new TargetSelector(context, targets, loads, directory);
-    this.overload = new OverloadControl(context, targets, loads);
-    this.budgets = new RetryBudgets(context, policy.retryLimit(), directory, repeats);
+    this.budgets = new RetryBudgets(context, policy.retryLimit(), directory, loans);
     this.stopPlan = new StopPlan(context);
     this.prompts = new PromptLocator(context, targets, port);
     this.poison = poison;
     this.targetEnds = new TargetEnds(context, port, poison, policy.unreachableMillis());
-    this.limits = new LimitBook(context, target -> targets.find(target).isPresent());
+    this.limits =
+        new TargetLimits(context, target -> targets.find(target).isPresent(), directory, loans);
+    this.overload = new OverloadControl(context, targets, loads, limits.book()::perSecond);
+    loads.exchangeLimits(limits.book());
+    limits.book().onNews(loads::changed);
     poison.onHeld(this::hold);
   }
 
@@ -182,8 +190,16 @@
         .forEach(Exchange::held);
   }
 
-  /** Lends repeats of a service's requests to another host; returns how many. */
-  public int lendRepeats(ServiceName service, int count) {
+  @Override
+  public void lend(LoanSubject subject, int count, Consumer<Optional<Loan>> answer) {
+    if (subject instanceof LoanSubject.Requests requests) {
+      limits.lend(requests, count, answer);
+    } else if (subject instanceof LoanSubject.Repeats repeats) {
+      answer.accept(Optional.of(new Loan(lendRepeats(repeats.service(), count), 0)));
+    }
+  }
+
+  private int lendRepeats(ServiceName service, int count) {
     int lent = budgets.lend(service, count);
     context.note(EventCode.REPEATS_LENT, service.value(), "asked=" + count + " lent=" + lent);
     return lent;
@@ -250,8 +266,8 @@
     return targetEnds;
   }
 
-  /** Returns the limits that targets have named. */
-  public LimitBook limits() {
+  /** Returns what keeps to the limits that targets name. */
+  public TargetLimits limits() {
     return limits;
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/HostDirectory.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/HostDirectory.java
@@ -8,10 +8,13 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.gatereel.core.choice.HostCount;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.internal.Rendezvous;
+import org.gatereel.core.limit.LenderDirectory;
 import org.gatereel.core.load.GathererDirectory;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
@@ -23,7 +26,7 @@
  * dealt out or lent, and hosts ask each other for documents. An entry is written anew once a
  * minute; one that is not is soon counted no longer, and later removed by whoever writes next.
  */
-public final class HostDirectory implements GathererDirectory, HostCount {
+public final class HostDirectory implements GathererDirectory, HostCount, LenderDirectory {
   /** Assumed until all hosts of a deployment that starts at once have had time to write. */
   private static final int LEAST_AT_START = 16;
 
@@ -54,6 +57,7 @@
   private Optional<Entry> readerOfAll = Optional.empty();
   private List<List<Address>> readersElsewhere = List.of();
   private int readings;
+  private long changes;
   private long writtenAt = Long.MIN_VALUE / 2;
 
   /**
@@ -81,13 +85,16 @@
   /** Takes in all entries; returns what is to be written, if anything is. */
   public Optional<Update> learn(List<Entry> entries, long storeMillis) {
     readings++;
-    int before = counted.size();
+    List<Entry> before = counted;
     counted =
         entries.stream().filter(entry -> isYounger(entry, storeMillis, COUNTED_MILLIS)).toList();
+    if (!places(before).equals(places(counted))) {
+      changes++;
+    }
     List<Entry> here =
         counted.stream().filter(entry -> entry.dataCentre().equals(context.dataCentre())).toList();
     List<Entry> ranked = Rendezvous.rank(READERS, here, Entry::host);
-    noteChange(before, ranked);
+    noteChange(before.size(), ranked);
     readers = ranked;
     readersElsewhere = rankElsewhere();
     readerOfAll = rankReaderOfAll();
@@ -105,6 +112,10 @@
         : Rendezvous.rank(READERS, counted, Entry::host).stream().findFirst();
   }
 
+  private static Map<String, Address> places(List<Entry> entries) {
+    return entries.stream().collect(Collectors.toMap(Entry::host, Entry::address, (a, b) -> b));
+  }
+
   private List<List<Address>> rankElsewhere() {
     Map<DataCentre, List<Entry>> elsewhere = new TreeMap<>(Comparator.comparing(DataCentre::value));
     for (Entry entry : counted) {
@@ -151,6 +162,7 @@
   }
 
   /** Returns how many hosts there probably are, this one included; at least one. */
+  @Override
   public int hosts() {
     int least = readings < SETTLED_READINGS ? LEAST_AT_START : 1;
     return Math.max(least, counted.size());
@@ -210,6 +222,30 @@
     return readersElsewhere;
   }
 
+  @Override
+  public List<Address> lenders(DataCentre dataCentre, String key) {
+    List<Entry> all = new ArrayList<>(counted);
+    if (all.stream().noneMatch(entry -> entry.address().equals(address))) {
+      all.add(new Entry(self, context.dataCentre(), address, 0));
+    }
+    Map<Boolean, List<Entry>> byPlace =
+        Rendezvous.rank(key, all, Entry::host).stream()
+            .collect(Collectors.partitioningBy(entry -> entry.dataCentre().equals(dataCentre)));
+    return Stream.concat(byPlace.get(true).stream(), byPlace.get(false).stream())
+        .map(Entry::address)
+        .toList();
+  }
+
+  @Override
+  public long changes() {
+    return changes;
+  }
+
+  @Override
+  public Address self() {
+    return address;
+  }
+
   /** Passes a host over as a reader until a time. */
   public void avoid(Address host, long until) {
     avoidedUntil.values().removeIf(time -> time <= context.now());
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RetryBudgets.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RetryBudgets.java
@@ -6,6 +6,9 @@
 import java.util.Queue;
 import java.util.function.Consumer;
 import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.limit.Loan;
+import org.gatereel.core.limit.LoanPort;
+import org.gatereel.core.limit.LoanSubject;
 import org.gatereel.core.model.ServiceName;
 
 /**
@@ -29,7 +32,7 @@
   private final CoreContext context;
   private final ForwardPolicy.RetryLimit limit;
   private final HostDirectory directory;
-  private final RepeatPort port;
+  private final LoanPort port;
   private final Map<ServiceName, Budget> budgets = new HashMap<>();
 
   /** What this host knows of one service's budget. */
@@ -76,7 +79,12 @@
       directory
           .lender(context.now())
           .ifPresentOrElse(
-              lender -> port.borrow(lender, service, count, given -> borrowed(count, given)),
+              lender ->
+                  port.borrow(
+                      lender,
+                      new LoanSubject.Repeats(service),
+                      count,
+                      loan -> borrowed(count, loan.orElse(Loan.NONE).granted())),
               () -> borrowed(count, lend(count)));
     }
 
@@ -90,10 +98,7 @@
   }
 
   RetryBudgets(
-      CoreContext context,
-      ForwardPolicy.RetryLimit limit,
-      HostDirectory directory,
-      RepeatPort port) {
+      CoreContext context, ForwardPolicy.RetryLimit limit, HostDirectory directory, LoanPort port) {
     this.context = context;
     this.limit = limit;
     this.directory = directory;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
@@ -1,5 +1,6 @@
 package org.gatereel.core.forward;
 
+import com.google.common.collect.Sets;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -24,6 +25,7 @@
   private final CopyPlan copies;
   private final Set<TargetId> tried = new HashSet<>();
   private TargetQuery query;
+  private boolean passesOverLimited;
 
   /** Makes a search among the targets of a service that has the route's requests. */
   TargetSearch(
@@ -77,19 +79,53 @@
    * Chooses a target that was not tried.
    *
    * @param again whether one that was tried will do if there is no other
+   * @param urgent whether the caller has part of the answer
    */
-  Optional<TargetChoice> choose(boolean again) {
+  Optional<TargetChoice> choose(boolean again, boolean urgent) {
+    Set<TargetId> spent = spent(urgent);
     RolloutControl rollouts = forwarder.rollouts();
     VersionRule rule = rollouts.rule(service);
     if (isNew()) {
       VersionRule drawn = rollouts.ruleForNew(service, route.name());
-      Optional<TargetChoice> chosen = choose(query.among(drawn), false);
+      Optional<TargetChoice> chosen = choose(query.among(drawn), spent, false);
       if (chosen.isPresent()) {
         return chosen;
       }
     }
     query = query.among(rule);
-    return choose(query, again);
+    return choose(query, spent, again);
+  }
+
+  /** Has targets with limits passed over from now on: this request has waited enough for them. */
+  void passOverLimited() {
+    passesOverLimited = true;
+  }
+
+  /** A new try looks among all targets again. */
+  void endPassingOver() {
+    passesOverLimited = false;
+  }
+
+  private Set<TargetId> spent(boolean urgent) {
+    return passesOverLimited
+        ? forwarder.limits().book().limited()
+        : forwarder.limits().spent(urgent);
+  }
+
+  /** Returns whether targets would do that take no more for now. */
+  boolean isAnySpent(boolean urgent) {
+    Set<TargetId> spent = spent(urgent);
+    return !spent.isEmpty()
+        && query.versions().among(forwarder.targets().listed(service)).stream()
+            .anyMatch(target -> spent.contains(target.description().id()));
+  }
+
+  /**
+   * Returns whether a target that was chosen a moment ago may still be sent this request: it may
+   * have begun to leave, and its version may have been rolled back.
+   */
+  boolean mayHave(TargetState target) {
+    return !target.isLeaving() && forwarder.rollouts().mayHave(service, target, isNew());
   }
 
   /** Only a request that ran nowhere yet may try out a new version; a repeat must not fail. */
@@ -97,9 +133,10 @@
     return tried.isEmpty() && request.lastEventId().isEmpty();
   }
 
-  private Optional<TargetChoice> choose(TargetQuery wanted, boolean again) {
-    Optional<TargetChoice> fresh = forwarder.selector().choose(wanted, tried);
-    return fresh.isEmpty() && again ? forwarder.selector().choose(wanted, Set.of()) : fresh;
+  private Optional<TargetChoice> choose(TargetQuery wanted, Set<TargetId> spent, boolean again) {
+    Set<TargetId> without = spent.isEmpty() ? tried : Sets.union(tried, spent);
+    Optional<TargetChoice> fresh = forwarder.selector().choose(wanted, without);
+    return fresh.isEmpty() && again ? forwarder.selector().choose(wanted, spent) : fresh;
   }
 
   /** Notes that a target is tried; returns where it is to copy the run, if anywhere. */
--- a/gatereel-core/src/main/java/org/gatereel/core/limit/LimitBook.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/limit/LimitBook.java
@@ -6,8 +6,10 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.internal.SharedFacts;
@@ -80,6 +82,14 @@
         : find(target).map(AnnouncedLimit::perSecond).orElse(Double.POSITIVE_INFINITY);
   }
 
+  /** Returns the targets that have a limit now. */
+  public Set<TargetId> limited() {
+    return entries.entrySet().stream()
+        .filter(known -> !known.getValue().limit.isNone())
+        .map(Map.Entry::getKey)
+        .collect(Collectors.toSet());
+  }
+
   /** Returns how many targets have a limit now. */
   public int size() {
     return (int) entries.values().stream().filter(entry -> !entry.limit.isNone()).count();
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/limit/LoanSubject.java
@@ -0,0 +1,25 @@
+package org.gatereel.core.limit;
+
+import org.gatereel.core.model.DataCentre;
+import org.gatereel.core.model.ServiceName;
+
+/** What hosts lend each other. */
+public sealed interface LoanSubject {
+  /** Repeats of a service's requests, out of the data centre's part of the retry budget. */
+  record Repeats(ServiceName service) implements LoanSubject {}
+
+  /**
+   * Requests to a target, out of its limit.
+   *
+   * @param limit the target and what it takes, as the asker knows it
+   * @param dataCentre where the target is
+   * @param urgent whether they are for streams that have begun
+   * @param passedOn whether a host asks for another one, so that it must not be asked in turn
+   */
+  record Requests(LimitFact limit, DataCentre dataCentre, boolean urgent, boolean passedOn)
+      implements LoanSubject {
+    Requests passOn() {
+      return new Requests(limit, dataCentre, urgent, true);
+    }
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/limit/TargetLimits.java
@@ -0,0 +1,78 @@
+package org.gatereel.core.limit;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.model.DataCentre;
+import org.gatereel.core.model.TargetId;
+
+/** Keeps to the limits that targets name, together with all other hosts. */
+public final class TargetLimits {
+  private final LimitBook book;
+  private final TokenLender lender;
+  private final RequestTokens tokens;
+
+  /**
+   * Makes it; no limit is known yet.
+   *
+   * @param isListed whether a run of a target is still to be known
+   * @param directory the hosts that share limits
+   * @param port the way to those that lend
+   */
+  public TargetLimits(
+      CoreContext context, Predicate<TargetId> isListed, LenderDirectory directory, LoanPort port) {
+    LenderRanking ranking = new LenderRanking(context, directory);
+    this.book = new LimitBook(context, isListed);
+    this.lender = new TokenLender(context, book, ranking, port);
+    this.tokens = new RequestTokens(context, book, ranking, port, lender);
+  }
+
+  /** Returns what targets have said. */
+  public LimitBook book() {
+    return book;
+  }
+
+  /** Returns whether a target takes only so many requests. */
+  public boolean isLimited(TargetId target) {
+    return book.find(target).isPresent();
+  }
+
+  /**
+   * Takes a token for one request to a target.
+   *
+   * @param dataCentre where the target is
+   * @param urgent whether it goes on with a stream that its caller has part of
+   * @param answer is told once, at once or later, whether the request may be sent
+   */
+  public void take(
+      TargetId target, DataCentre dataCentre, boolean urgent, Consumer<Boolean> answer) {
+    tokens.take(target, dataCentre, urgent, answer);
+  }
+
+  /** Takes a token back that a request has not used. */
+  public void giveBack(TargetId target) {
+    tokens.giveBack(target);
+  }
+
+  /** Returns the targets for which no token is to be had just now. */
+  public Set<TargetId> spent(boolean urgent) {
+    return tokens.spent(urgent);
+  }
+
+  /** Lends another host requests to a target; empty if another host is to lend them. */
+  public void lend(LoanSubject.Requests asked, int count, Consumer<Optional<Loan>> answer) {
+    lender.lend(asked, count, answer);
+  }
+
+  /** Returns how many tokens this host's requests had. */
+  public long granted() {
+    return tokens.granted();
+  }
+
+  /** Returns how often there was none for a request, which then looked elsewhere or waited. */
+  public long denied() {
+    return tokens.denied();
+  }
+}
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
@@ -11,11 +11,13 @@
 import java.util.function.Supplier;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.internal.SharedFacts;
+import org.gatereel.core.limit.LimitFact;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.model.TargetKind;
-import org.gatereel.core.poison.PoisonFacts;
+import org.gatereel.core.poison.PoisonFact;
 import org.gatereel.core.rollout.EvidenceKey;
 import org.gatereel.core.rollout.Tally;
 import org.gatereel.core.target.TargetRegistry;
@@ -54,7 +56,7 @@
   private final Set<Address> busy = new HashSet<>();
   private Supplier<Map<DemandKey, Double>> demand = Map::of;
   private Supplier<Map<EvidenceKey, Tally>> evidence = Map::of;
-  private PoisonFacts poison = PoisonFacts.NONE;
+  private FactSources facts = FactSources.NONE;
   private long flushAt = Long.MAX_VALUE;
   private long sequence;
 
@@ -91,8 +93,13 @@
   }
 
   /** Has reports carry what hosts have seen of requests under which targets end. */
-  public void exchange(PoisonFacts facts) {
-    poison = facts;
+  public void exchangePoison(SharedFacts<PoisonFact> told) {
+    facts = new FactSources(told, facts.limits());
+  }
+
+  /** Has reports carry what targets have said of how many requests they take. */
+  public void exchangeLimits(SharedFacts<LimitFact> told) {
+    facts = new FactSources(facts.poison(), told);
   }
 
   /** Begins to report. */
@@ -127,7 +134,7 @@
   /** Takes another host's report in; returns false if that host has to send a whole one. */
   public boolean take(LoadReport report) {
     boolean taken = table.take(report);
-    poison.learn(report.poison());
+    facts.learn(report);
     if (taken && report.scope() != LoadScope.EVERYONE_ELSE) {
       changed();
     }
@@ -214,7 +221,7 @@
       flushBy(link.nextAt());
       return;
     }
-    link.next(sumsFor(link.receiver(), own), poison, sender, ++sequence, context.now())
+    link.next(sumsFor(link.receiver(), own), facts, sender, ++sequence, context.now())
         .ifPresent(report -> send(link, report));
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
@@ -5,10 +5,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.gatereel.core.limit.LimitFact;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.TargetId;
-import org.gatereel.core.poison.PoisonFacts;
+import org.gatereel.core.poison.PoisonFact;
 
 /**
  * What one receiver has been told, so that it is told only what changed.
@@ -35,6 +36,9 @@
   /** One fact about a request under which targets end, as counted on the wire. */
   private static final int FACT_BYTES = 90;
 
+  /** One target's limit: the longest name and start that targets have, and two numbers. */
+  private static final int LIMIT_BYTES = 50;
+
   /** With 64 facts a report takes a second of the link; the others follow with the next. */
   private static final int MOST_FACTS = 64;
 
@@ -48,7 +52,8 @@
   private Map<TargetId, TargetLoad> told = new HashMap<>();
   private OptionalLong lastSequence = OptionalLong.empty();
   private long badTold;
-  private long factsTold;
+  private final ToldFacts<PoisonFact> poisonTold = new ToldFacts<>();
+  private final ToldFacts<LimitFact> limitsTold = new ToldFacts<>();
   private long sentAt = Long.MIN_VALUE / 2;
   private long nextAt = Long.MIN_VALUE / 2;
   private long backoffMillis = FIRST_BACKOFF_MILLIS;
@@ -78,15 +83,17 @@
 
   /** Makes the next report out of the present loads; empty if there is no need of one. */
   Optional<LoadReport> next(
-      LoadSums sums, PoisonFacts poison, LoadExchange.Sender sender, long sequence, long now) {
+      LoadSums sums, FactSources facts, LoadExchange.Sender sender, long sequence, long now) {
     Map<TargetId, TargetLoad> loads = sums.loads();
     boolean whole = lastSequence.isEmpty();
     Map<TargetId, TargetLoad> changed = whole ? loads : changes(loads);
     boolean beat = now - sentAt >= LoadExchange.HEARTBEAT_MILLIS;
     // A version that turns bad must be known everywhere long before the next heartbeat.
     boolean alarm = sums.badAnswers() > badTold;
-    List<PoisonFacts.Numbered> facts = poison.after(whole ? 0 : factsTold, MOST_FACTS);
-    if (changed.isEmpty() && facts.isEmpty() && !beat && !whole && !alarm) {
+    List<PoisonFact> poison = poisonTold.next(facts.poison(), whole, MOST_FACTS);
+    List<LimitFact> limits = limitsTold.next(facts.limits(), whole, MOST_FACTS);
+    boolean news = !poison.isEmpty() || !limits.isEmpty();
+    if (changed.isEmpty() && !news && !beat && !whole && !alarm) {
       return Optional.empty();
     }
     LoadReport report =
@@ -100,13 +107,13 @@
             changed,
             sums.demand(),
             sums.evidence(),
-            facts.stream().map(PoisonFacts.Numbered::fact).toList());
-    facts.forEach(told -> factsTold = told.number());
+            poison,
+            limits);
     badTold = sums.badAnswers();
     told = new HashMap<>(loads);
     sentAt = now;
     int entries = changed.size() + sums.demand().size() + sums.evidence().size();
-    nextAt = now + pauseMillis(entries, facts.size());
+    nextAt = now + pauseMillis(entries, poison.size(), limits.size());
     lastSequence = OptionalLong.of(sequence);
     underWay = true;
     return Optional.of(report);
@@ -126,8 +133,9 @@
     return changes;
   }
 
-  private static long pauseMillis(int entries, int facts) {
-    long bytes = REPORT_BYTES + (long) entries * ENTRY_BYTES + (long) facts * FACT_BYTES;
+  private static long pauseMillis(int entries, int poison, int limits) {
+    long facts = (long) poison * FACT_BYTES + (long) limits * LIMIT_BYTES;
+    long bytes = REPORT_BYTES + (long) entries * ENTRY_BYTES + facts;
     return bytes * 1_000 / BYTES_PER_SECOND;
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadReport.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadReport.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import org.gatereel.core.limit.LimitFact;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.TargetId;
@@ -24,6 +25,7 @@
  *     where a service is busy
  * @param evidence answers that were counted during the roll-outs that run, whole in each report
  * @param poison what became known of requests under which targets end, since the report before
+ * @param limits what targets have said of how many requests they take, since the report before
  */
 public record LoadReport(
     HostId sender,
@@ -35,8 +37,9 @@
     Map<TargetId, TargetLoad> loads,
     Map<DemandKey, Double> demand,
     Map<EvidenceKey, Tally> evidence,
-    List<PoisonFact> poison) {
-  /** Makes a report of a host that has seen no answers during a roll-out, and no such request. */
+    List<PoisonFact> poison,
+    List<LimitFact> limits) {
+  /** Makes a report of a host that has seen no answers during a roll-out, and heard of no facts. */
   public LoadReport(
       HostId sender,
       Address replyTo,
@@ -46,7 +49,9 @@
       OptionalLong builtOn,
       Map<TargetId, TargetLoad> loads,
       Map<DemandKey, Double> demand) {
-    this(sender, replyTo, scope, session, sequence, builtOn, loads, demand, Map.of(), List.of());
+    this(
+        sender, replyTo, scope, session, sequence, builtOn, loads, demand, Map.of(), List.of(),
+        List.of());
   }
 
   public LoadReport {
@@ -54,5 +59,6 @@
     loads = Map.copyOf(loads);
     demand = Map.copyOf(demand);
     poison = List.copyOf(poison);
+    limits = List.copyOf(limits);
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/Capacity.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/Capacity.java
@@ -1,13 +1,7 @@
 package org.gatereel.core.overload;
 
-/**
- * What the targets of a service can do.
- *
- * @param engines whether they are model engines, which read one prompt after another
- * @param places how many requests they begin at the same time
- * @param workMillis how long a place is taken by one; 0 as long as that is not known
- */
-record Capacity(boolean engines, int places, double workMillis) {
+/** What the targets of a service can do: each what it has time for, or what it says it takes. */
+final class Capacity {
   private static final double SECOND_MILLIS = 1_000;
 
   /**
@@ -18,9 +12,63 @@
    */
   private static final double DRAINING_PART = 0.85;
 
+  /**
+   * What is shared out of limits: more than they are, since tokens hold what is sent to them, and
+   * what is shared out too little is lost to callers.
+   */
+  private static final double LIMITED_PART = 1.15;
+
+  private final boolean engines;
+  private final double workMillis;
+  private int places;
+  private double perSecond;
+  private boolean unlimited;
+
+  /**
+   * Makes the capacity of no target.
+   *
+   * @param engines whether targets are model engines, which read one prompt after another
+   * @param workMillis how long a place is taken by one request; 0 as long as that is not known
+   */
+  Capacity(boolean engines, double workMillis) {
+    this.engines = engines;
+    this.workMillis = workMillis;
+  }
+
+  /**
+   * Adds a target.
+   *
+   * @param more how many requests it begins at the same time
+   * @param limit how many requests a second it takes by its own word; infinite if it names none
+   */
+  void add(int more, double limit) {
+    double possible = workMillis > 0 ? more * SECOND_MILLIS / workMillis : Double.POSITIVE_INFINITY;
+    places += more;
+    perSecond += Math.min(possible, limit);
+    unlimited |= limit >= possible;
+  }
+
+  boolean engines() {
+    return engines;
+  }
+
+  /** Returns how many requests targets begin at the same time. */
+  int places() {
+    return places;
+  }
+
+  double workMillis() {
+    return workMillis;
+  }
+
+  /** Returns whether all targets take less, by their own word, than they have time for. */
+  boolean isLimited() {
+    return places > 0 && !unlimited;
+  }
+
   /** Returns how many requests a second can be done; infinite as long as it is not known. */
   double perSecond() {
-    return workMillis > 0 ? places * SECOND_MILLIS / workMillis : Double.POSITIVE_INFINITY;
+    return places == 0 && workMillis == 0 ? Double.POSITIVE_INFINITY : perSecond;
   }
 
   /**
@@ -30,6 +78,9 @@
    * full rate they stay so: all that is served is late.
    */
   double sharedPerSecond() {
+    if (isLimited()) {
+      return LIMITED_PART * perSecond;
+    }
     return engines ? perSecond() : DRAINING_PART * perSecond();
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
@@ -1,12 +1,16 @@
 package org.gatereel.core.overload;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.ToDoubleFunction;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.load.DemandKey;
 import org.gatereel.core.load.LoadExchange;
 import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.model.TargetId;
 import org.gatereel.core.model.TargetKind;
 import org.gatereel.core.target.TargetRegistry;
 import org.gatereel.core.target.TargetState;
@@ -57,16 +61,26 @@
   private final CoreContext context;
   private final TargetRegistry targets;
   private final LoadExchange loads;
+  private final ToDoubleFunction<TargetId> limits;
   private final Demand demand = new Demand();
   private final Turns turns = new Turns();
   private final ReturnTimes returnTimes;
   private final Map<ServiceName, UsualWork> work = new HashMap<>();
 
-  /** Makes a control that has reports tell what this host is asked for. */
-  public OverloadControl(CoreContext context, TargetRegistry targets, LoadExchange loads) {
+  /**
+   * Makes a control that has reports tell what this host is asked for.
+   *
+   * @param limits tells how many requests a second a target takes; infinite where it names no limit
+   */
+  public OverloadControl(
+      CoreContext context,
+      TargetRegistry targets,
+      LoadExchange loads,
+      ToDoubleFunction<TargetId> limits) {
     this.context = context;
     this.targets = targets;
     this.loads = loads;
+    this.limits = limits;
     this.returnTimes = new ReturnTimes(context.random());
     loads.tellDemand(this::told);
   }
@@ -92,9 +106,18 @@
       turns.beginWaiting(key);
       return new Verdict.Wait(retryMillis(), inputs);
     }
-    double excess = perSecond(DemandKey.allOf(arrival.service())) / capacity.perSecond();
-    long left = arrival.deadline() - context.now();
-    return new Verdict.Refuse(returnTimes.millis(excess, left), inputs);
+    long again = returnMillis(arrival.service(), arrival.deadline());
+    return new Verdict.Refuse(again, inputs);
+  }
+
+  /**
+   * Draws when a request that is refused is to come back, in milliseconds from now.
+   *
+   * @param deadline when its caller waits no longer, in milliseconds
+   */
+  public long returnMillis(ServiceName service, long deadline) {
+    double excess = perSecond(DemandKey.allOf(service)) / capacity(service).perSecond();
+    return returnTimes.millis(excess, deadline - context.now());
   }
 
   /** Decides again on a request that waits. */
@@ -156,17 +179,22 @@
   }
 
   private Capacity capacity(ServiceName service) {
-    int places = 0;
+    List<TargetState> sound = new ArrayList<>();
     boolean engines = false;
     for (TargetState target : targets.listed(service)) {
       engines |= target.description().kind() == TargetKind.ENGINE;
       if (!target.isFailing(context.now())) {
-        places += engines ? 1 : target.description().slots();
+        sound.add(target);
       }
     }
     UsualWork known = work.get(service);
     double assumed = engines ? ASSUMED_PROMPT_MILLIS : 0;
-    return new Capacity(engines, places, known == null ? assumed : known.millis());
+    Capacity capacity = new Capacity(engines, known == null ? assumed : known.millis());
+    for (TargetState target : sound) {
+      int places = engines ? 1 : target.description().slots();
+      capacity.add(places, limits.applyAsDouble(target.description().id()));
+    }
+    return capacity;
   }
 
   private boolean isBusy(ServiceName service) {
@@ -182,6 +210,10 @@
     if (capacity.places() == 0 || asked <= capacity.perSecond()) {
       return false;
     }
+    if (capacity.isLimited()) {
+      // Limited targets show no queue that grows, since what is over their limit is not sent there.
+      return true;
+    }
     return capacity.engines()
         ? capacity.millisFor(reading(arrival.service())) > QUEUED_PART * arrival.aimMillis()
         : wasFull(arrival.service());
--- a/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonControl.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.internal.SharedFacts;
 
 /**
  * Keeps requests under which targets end, again and again, from reaching any more of them.
@@ -14,7 +15,7 @@
  * <p>What this host sees it tells others, and counts what they tell; the verdict is each host's
  * own. Fingerprints are asked for only while something is known of any request.
  */
-public final class PoisonControl implements PoisonFacts {
+public final class PoisonControl implements SharedFacts<PoisonFact> {
   private static final long EXPIRE_MILLIS = 60_000;
 
   /** From so many ends on the next try waits until it is known whether the target ended. */
@@ -88,7 +89,7 @@
   }
 
   @Override
-  public List<Numbered> after(long number, int most) {
+  public List<Numbered<PoisonFact>> after(long number, int most) {
     return ledger.after(number, most);
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/Rollout.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/Rollout.java
@@ -110,17 +110,28 @@
     return isRunning() && now - provenAt <= TRUSTED_MILLIS;
   }
 
+  /** Returns whether some requests, or all, go to a version because it is tried out now. */
+  boolean triesOut(String version, long now) {
+    return order.version().equals(version) && triesOut(now);
+  }
+
+  private boolean triesOut(long now) {
+    if (!isTrusted(now) || verdict.kind() == Verdict.Kind.BAD) {
+      return false;
+    }
+    return bearsAll(now) || storeMillis(now) < schedule().deadline();
+  }
+
   /** Returns the part of a route's requests that goes to the new version now. */
   double share(long now, RouteTraffic traffic) {
-    if (!isTrusted(now) || verdict.kind() == Verdict.Kind.BAD) {
+    if (!triesOut(now)) {
       return 0;
     }
     if (bearsAll(now)) {
       return 1;
     }
     double base = CANARY_PART * bounds.exposureShare();
-    boolean over = storeMillis(now) >= schedule().deadline();
-    return over ? 0 : Math.min(MOST_OF_ROUTE, base * traffic.boost());
+    return Math.min(MOST_OF_ROUTE, base * traffic.boost());
   }
 
   /**
--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
@@ -17,6 +17,7 @@
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.HostList;
 import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.target.TargetState;
 
 /** The roll-outs of all services, as this host knows and carries them. */
 public final class RolloutControl {
@@ -198,6 +199,19 @@
     return rollout.rule(context.knowledgeTime(), heldBack, alone);
   }
 
+  /**
+   * Returns whether a target may be sent a request.
+   *
+   * @param fresh whether the request ran nowhere yet, so that it may try out a new version
+   */
+  public boolean mayHave(ServiceName service, TargetState target, boolean fresh) {
+    Rollout rollout = rollouts.get(service);
+    String version = target.description().version();
+    boolean triedOut =
+        fresh && rollout != null && rollout.triesOut(version, context.knowledgeTime());
+    return triedOut || rule(service).admits(target);
+  }
+
   /** Counts a request that is sent to a target of a version. */
   public void sent(ServiceName service, String route, String version) {
     counted(service, route, version, Signal.SENT).ifPresent(book::sent);
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
@@ -13,6 +13,9 @@
 import java.util.function.IntConsumer;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.limit.LimitStatement;
+import org.gatereel.core.limit.Loan;
+import org.gatereel.core.limit.LoanSubject;
 import org.gatereel.core.load.LoadExchange;
 import org.gatereel.core.model.AccountId;
 import org.gatereel.core.model.Address;
@@ -42,6 +45,7 @@
   final CoreContext context;
   final HostDirectory directory;
   final List<IntConsumer> borrowing = new ArrayList<>();
+  final List<TokenQuestion> tokenQuestions = new ArrayList<>();
   final ConfigurationKeeper keeper;
   final TargetRegistry targets;
   final List<SentCall> sent = new ArrayList<>();
@@ -114,8 +118,21 @@
   /** A question to an engine which parts of prompts it keeps. */
   record PromptQuestion(String target, Consumer<Optional<Set<String>>> answer) {}
 
-  record Head(int status, boolean declaresNotRun, boolean isAuthentic, boolean isEventStream)
-      implements AnswerHead {}
+  /** A question to another host for requests to a target that takes only so many. */
+  record TokenQuestion(
+      Address lender, LoanSubject.Requests asked, int count, Consumer<Optional<Loan>> answer) {}
+
+  record Head(
+      int status,
+      boolean declaresNotRun,
+      boolean isAuthentic,
+      boolean isEventStream,
+      LimitStatement limit)
+      implements AnswerHead {
+    Head(int status, boolean declaresNotRun, boolean isAuthentic, boolean isEventStream) {
+      this(status, declaresNotRun, isAuthentic, isEventStream, LimitStatement.NONE);
+    }
+  }
 
   record Request(
       String id,
@@ -233,7 +250,7 @@
             port,
             new IgnoringObserver(),
             directory,
-            (lender, service, count, answer) -> borrowing.add(answer),
+            this::borrow,
             loads,
             rollouts,
             poison);
@@ -247,6 +264,15 @@
         target("c3", COUNTERS, "west"));
   }
 
+  private void borrow(
+      Address lender, LoanSubject subject, int count, Consumer<Optional<Loan>> answer) {
+    if (subject instanceof LoanSubject.Requests requests) {
+      tokenQuestions.add(new TokenQuestion(lender, requests, count, answer));
+    } else {
+      borrowing.add(given -> answer.accept(Optional.of(new Loan(given, 0))));
+    }
+  }
+
   private static final class IgnoringObserver implements ForwardObserver {
     @Override
     public void answered(Route route, long millis) {}
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/RetryBudgetsTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/RetryBudgetsTest.java
@@ -8,10 +8,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import org.gatereel.core.forward.HostDirectory.Entry;
 import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.limit.Loan;
+import org.gatereel.core.limit.LoanSubject;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.HostId;
@@ -43,11 +47,14 @@
       budgets = new RetryBudgets(context, LIMIT, directory, this::borrow);
     }
 
-    private void borrow(Address lender, ServiceName service, int count, IntConsumer answer) {
+    private void borrow(
+        Address lender, LoanSubject subject, int count, Consumer<Optional<Loan>> answer) {
+      ServiceName service = ((LoanSubject.Repeats) subject).service();
+      IntConsumer given = lent -> answer.accept(Optional.of(new Loan(lent, 0)));
       if (lendersAnswer) {
-        answer.accept(hosts.get(lender).budgets.lend(service, count));
+        given.accept(hosts.get(lender).budgets.lend(service, count));
       } else {
-        unanswered.add(answer);
+        unanswered.add(given);
       }
     }
 
--- a/gatereel-core/src/test/java/org/gatereel/core/load/LoadWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/load/LoadWorld.java
@@ -66,7 +66,7 @@
       directory = new HostDirectory(context, address);
       loads = new LoadExchange(context, targets, directory, address, this::send);
       poison = new PoisonControl(context);
-      loads.exchange(poison);
+      loads.exchangePoison(poison);
       poison.onNews((fact, source) -> loads.changed());
     }
 
--- a/gatereel-core/src/test/java/org/gatereel/core/overload/OverloadControlTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/overload/OverloadControlTest.java
@@ -54,9 +54,21 @@
           new HostDirectory(context, ELSEWHERE),
           ELSEWHERE,
           (to, report, receipt) -> {});
-  private final OverloadControl overload = new OverloadControl(context, targets, loads);
+  private final OverloadControl overload =
+      new OverloadControl(context, targets, loads, this::limit);
+  private final Map<TargetId, Double> limits = new HashMap<>();
   private long sequence;
 
+  private double limit(TargetId target) {
+    return limits.getOrDefault(target, Double.POSITIVE_INFINITY);
+  }
+
+  private void limitCounters(int count, double perSecond) {
+    for (int index = 0; index < count; index++) {
+      limits.put(new TargetId("c" + index), perSecond);
+    }
+  }
+
   @BeforeEach
   void listTargets() {
     context.moveTo(1_000_000);
@@ -123,6 +135,34 @@
     }
   }
 
+  /** Their queues show nothing, since what is over a limit is not sent there. */
+  @Test
+  void whereAllTargetsNameLimitsWhatIsOverTheirSumIsRefusedAtOnce() {
+    learnCalls();
+    limitCounters(TARGETS, 2);
+    othersTell(0, asked(COUNTERS, 180, 2));
+
+    int refused = 0;
+    for (int index = 0; index < 100; index++) {
+      refused += overload.arrive(call(HOT)) instanceof Verdict.Refuse ? 1 : 0;
+    }
+    Verdict small = overload.arrive(call(SMALL));
+
+    assertTrue(refused >= 80, "refused " + refused);
+    assertTrue(small instanceof Verdict.Send, "the small account has its share");
+  }
+
+  @Test
+  void whereSomeTargetsNameLimitsTheOthersTakeTheRest() {
+    learnCalls();
+    limitCounters(TARGETS - 1, 0.2);
+    othersTell(0, asked(COUNTERS, 90, 2));
+
+    for (int index = 0; index < 20; index++) {
+      assertTrue(overload.arrive(call(HOT)) instanceof Verdict.Send);
+    }
+  }
+
   @Test
   void aServiceWithRoomFeelsNothingHoweverMuchOneAccountAsksFor() {
     othersTell(1, asked(ENGINES, 9, 0.5));
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -16,12 +16,12 @@
 import org.gatereel.core.forward.HostDirectory;
 import org.gatereel.core.forward.TargetListKeeper;
 import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.limit.Lender;
 import org.gatereel.core.load.LoadExchange;
 import org.gatereel.core.load.LoadReport;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.HostId;
-import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.poison.PoisonControl;
 import org.gatereel.core.rollout.RolloutControl;
 import org.gatereel.core.table.PolicyTable;
@@ -31,7 +31,7 @@
 import org.gatereel.forward.http.TargetConnector;
 import org.gatereel.forward.log.ForwardLog;
 import org.gatereel.forward.peer.LoadClient;
-import org.gatereel.forward.peer.RepeatClient;
+import org.gatereel.forward.peer.LoanClient;
 import org.gatereel.forward.settings.ForwardSettings;
 
 /** One forwarding process: its thread, its core, its listeners, and how it starts and stops. */
@@ -58,7 +58,7 @@
   private final TargetListKeeper targetList;
   private final HostDirectory directory;
   private final DocumentCache documents = new DocumentCache();
-  private final RepeatClient repeats;
+  private final LoanClient loans;
   private final LoadClient loadClient;
   private final LoadExchange loads;
   private final PoisonControl poison;
@@ -101,11 +101,11 @@
     targetList = new TargetListKeeper(targets, bounds.knownWithinMillis());
     Address peerAddress = ForwardSettings.address(settings.peers());
     directory = new HostDirectory(context, peerAddress);
-    repeats = new RepeatClient(control);
+    loans = new LoanClient(control);
     loadClient = new LoadClient(control);
     loads = new LoadExchange(context, targets, directory, peerAddress, loadClient);
     poison = new PoisonControl(context);
-    loads.exchange(poison);
+    loads.exchangePoison(poison);
     poison.onNews((fact, source) -> loads.changed());
     rollouts = new RolloutControl(context, bounds.rollouts());
     rollouts.hearOthers(loads::othersEvidence);
@@ -119,7 +119,7 @@
             new TargetConnector(control, dialect),
             metrics,
             directory,
-            repeats,
+            loans,
             loads,
             rollouts,
             poison);
@@ -138,7 +138,9 @@
     metrics.gauge("load_age_millis", loads::ageMillis);
     metrics.gauge("poison_requests_suspected", poison::suspected);
     metrics.gauge("poison_requests_held", poison::held);
-    metrics.gauge("limited_targets", forwarder.limits()::size);
+    metrics.gauge("limited_targets", forwarder.limits().book()::size);
+    metrics.gauge("limit_tokens_granted", forwarder.limits()::granted);
+    metrics.gauge("limit_tokens_denied", forwarder.limits()::denied);
     metrics.gauge("log_lines_dropped", log::dropped);
   }
 
@@ -179,11 +181,9 @@
     return documents;
   }
 
-  /** Lends repeats of a service's requests to another host; returns how many of those asked for. */
-  public int lendRepeats(ServiceName service, int count) {
-    int[] lent = new int[1];
-    control.run(() -> lent[0] = forwarder.lendRepeats(service, count));
-    return lent[0];
+  /** Returns what lends other hosts what all share. */
+  public Lender lender() {
+    return (subject, count, answer) -> control.run(() -> forwarder.lend(subject, count, answer));
   }
 
   /** Returns what hosts have told each other of their load. */
@@ -302,7 +302,7 @@
   @Override
   public void close() {
     callers.close();
-    repeats.close();
+    loans.close();
     loadClient.close();
     status.close();
     metricsServer.close();
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/StatusServer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/StatusServer.java
@@ -24,6 +24,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.gatereel.core.model.Address;
@@ -36,13 +37,18 @@
   private static final Page NO_PAGE = new Page(404, "no such page\n");
 
   private final EventLoop loop;
-  private final Map<String, Function<String, Page>> pages = new LinkedHashMap<>();
+  private final Map<String, Answerer> pages = new LinkedHashMap<>();
   private final Map<String, Function<byte[], Page>> receivers = new HashMap<>();
   private Channel listener;
 
   /** A page with its status. */
   public record Page(int status, String text) {}
 
+  /** Makes a page out of a request's target, at once or later; it is told once. */
+  public interface Answerer {
+    void answer(String target, Consumer<Page> page);
+  }
+
   public StatusServer(EventLoop loop) {
     this.loop = loop;
   }
@@ -54,7 +60,12 @@
 
   /** Adds a page that is made from the whole request target, the query included. */
   public StatusServer query(String path, Function<String, Page> page) {
-    pages.put(path, page);
+    return ask(path, (target, answer) -> answer.accept(page.apply(target)));
+  }
+
+  /** Adds a page that may be made later, out of the whole request target. */
+  public StatusServer ask(String path, Answerer answerer) {
+    pages.put(path, answerer);
     return this;
   }
 
@@ -97,7 +108,11 @@
   private final class PageHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-      Page page = answer(request);
+      boolean keepAlive = HttpUtil.isKeepAlive(request);
+      answer(request, page -> write(context, page, keepAlive));
+    }
+
+    private void write(ChannelHandlerContext context, Page page, boolean keepAlive) {
       DefaultFullHttpResponse response =
           new DefaultFullHttpResponse(
               HttpVersion.HTTP_1_1,
@@ -106,17 +121,24 @@
       response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
       response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
       ChannelFuture written = context.writeAndFlush(response);
-      if (!HttpUtil.isKeepAlive(request)) {
+      if (!keepAlive) {
         written.addListener(ChannelFutureListener.CLOSE);
       }
     }
 
-    private Page answer(FullHttpRequest request) {
+    private void answer(FullHttpRequest request, Consumer<Page> answer) {
       String path = request.uri().split("\\?", 2)[0];
       Function<byte[], Page> receiver = receivers.get(path);
-      return receiver == null
-          ? pages.getOrDefault(path, target -> NO_PAGE).apply(request.uri())
-          : receiver.apply(ByteBufUtil.getBytes(request.content()));
+      if (receiver != null) {
+        answer.accept(receiver.apply(ByteBufUtil.getBytes(request.content())));
+        return;
+      }
+      Answerer answerer = pages.get(path);
+      if (answerer == null) {
+        answer.accept(NO_PAGE);
+      } else {
+        answerer.answer(request.uri(), answer);
+      }
     }
 
     @Override
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
@@ -13,6 +13,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.gatereel.core.limit.AnnouncedLimit;
+import org.gatereel.core.limit.LimitFact;
 import org.gatereel.core.load.DemandKey;
 import org.gatereel.core.load.LoadReport;
 import org.gatereel.core.load.LoadScope;
@@ -60,10 +62,12 @@
       List<Entry> loads,
       List<Demand> demand,
       @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Evidence> evidence,
-      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Poison> poison) {
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Poison> poison,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Limit> limits) {
     Message {
       evidence = evidence == null ? List.of() : evidence;
       poison = poison == null ? List.of() : poison;
+      limits = limits == null ? List.of() : limits;
     }
 
     boolean isComplete() {
@@ -75,6 +79,7 @@
           && demand != null
           && demand.stream().allMatch(entry -> entry != null && entry.service() != null)
           && evidence.stream().allMatch(entry -> entry != null && entry.isComplete())
+          && limits.stream().allMatch(entry -> entry != null && entry.isComplete())
           && poison.stream().allMatch(entry -> entry != null && entry.request() != null)
           && loads.stream().allMatch(entry -> entry != null && entry.target() != null);
     }
@@ -161,6 +166,27 @@
     }
   }
 
+  /** What a target takes, as an array of its values; the number is null where it names none. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  private record Limit(String target, Double perSecond, long agoMillis) {
+    static Limit of(LimitFact fact, long now) {
+      return new Limit(
+          TargetNames.write(fact.target()),
+          fact.limit().isNone() ? null : fact.limit().perSecond(),
+          Math.max(0, now - fact.limit().since()));
+    }
+
+    boolean isComplete() {
+      return target != null && (perSecond == null || perSecond >= 0);
+    }
+
+    LimitFact fact(long now) {
+      double rate = perSecond == null ? Double.POSITIVE_INFINITY : perSecond;
+      return new LimitFact(
+          TargetNames.read(target), new AnnouncedLimit(rate, now - Math.max(0, agoMillis)));
+    }
+  }
+
   static byte[] write(LoadReport report, long now) {
     List<Entry> entries = new ArrayList<>();
     report.loads().forEach((target, load) -> entries.add(entry(target, load, now)));
@@ -180,7 +206,8 @@
             entries,
             demand,
             evidence,
-            report.poison().stream().map(fact -> Poison.of(fact, now)).toList());
+            report.poison().stream().map(fact -> Poison.of(fact, now)).toList(),
+            report.limits().stream().map(fact -> Limit.of(fact, now)).toList());
     try {
       return MAPPER.writeValueAsBytes(message);
     } catch (JsonProcessingException e) {
@@ -228,7 +255,8 @@
         loads,
         demand,
         evidence,
-        message.poison().stream().map(entry -> entry.fact(now)).toList());
+        message.poison().stream().map(entry -> entry.fact(now)).toList(),
+        message.limits().stream().map(entry -> entry.fact(now)).toList());
   }
 
   private static TargetLoad load(Entry entry, long now) {
--- a/gatereel-forward/src/test/java/org/gatereel/forward/peer/LoadMessagesTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/peer/LoadMessagesTest.java
@@ -12,6 +12,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.gatereel.core.limit.AnnouncedLimit;
+import org.gatereel.core.limit.LimitFact;
 import org.gatereel.core.load.DemandKey;
 import org.gatereel.core.load.LoadReport;
 import org.gatereel.core.load.LoadScope;
@@ -125,6 +127,7 @@
             Map.of(
                 new EvidenceKey(ENGINES, 7, "r", Signal.FIRST_EVENT, true),
                 new Tally(5, 1, 4, 12.25)),
+            List.of(),
             List.of());
 
     assertEquals(Optional.of(sent), LoadMessages.read(LoadMessages.write(sent, SENT_AT), CAME_AT));
@@ -153,7 +156,8 @@
                     new TargetId("i-9a102b0d4e", 1_790_000_000_000L),
                     SENT_AT - 1_080,
                     SENT_AT),
-                PoisonFact.sound(request, SENT_AT - 3_000)));
+                PoisonFact.sound(request, SENT_AT - 3_000)),
+            List.of());
     byte[] text = LoadMessages.write(sent, SENT_AT);
 
     LoadReport read = LoadMessages.read(text, CAME_AT).orElseThrow();
@@ -171,6 +175,39 @@
     assertTrue(bytes <= 2 * 90, "bytes: " + bytes);
   }
 
+  @Test
+  void whatTargetsTakeIsReadAsItWasWritten() {
+    TargetId one = new TargetId("i-9a102b0d4e", 1_790_000_000_000L);
+    TargetId other = new TargetId("i-7f3a91c2aa");
+    LoadReport bare = report(OptionalLong.of(16), Map.of());
+    LoadReport sent =
+        new LoadReport(
+            bare.sender(),
+            bare.replyTo(),
+            bare.scope(),
+            bare.session(),
+            bare.sequence(),
+            bare.builtOn(),
+            bare.loads(),
+            bare.demand(),
+            Map.of(),
+            List.of(),
+            List.of(
+                new LimitFact(one, new AnnouncedLimit(5.4, SENT_AT - 900)),
+                new LimitFact(other, new AnnouncedLimit(Double.POSITIVE_INFINITY, SENT_AT - 40))));
+    byte[] text = LoadMessages.write(sent, SENT_AT);
+
+    LoadReport read = LoadMessages.read(text, CAME_AT).orElseThrow();
+
+    assertEquals(
+        List.of(
+            new LimitFact(one, new AnnouncedLimit(5.4, CAME_AT - 900)),
+            new LimitFact(other, new AnnouncedLimit(Double.POSITIVE_INFINITY, CAME_AT - 40))),
+        read.limits());
+    int bytes = text.length - LoadMessages.write(bare, SENT_AT).length;
+    assertTrue(bytes <= 2 * 50, "bytes: " + bytes);
+  }
+
   @Test
   void runsOfTargetsKeepTheirStart() {
     Map<TargetId, TargetLoad> loads = new HashMap<>();
--- a/gatereel-forward/src/test/java/org/gatereel/forward/peer/RepeatClientTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/peer/LoanClientTest.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.limit.Loan;
+import org.gatereel.core.limit.LoanSubject;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.HostId;
@@ -23,19 +25,20 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * The answer of a host that lends repeats is a number, of which a part is a number too. One without
- * a length, whose connection ended after its first digit, was taken for the whole.
+ * The answer of a host that lends is numbers, of which a part are numbers too. One without a
+ * length, whose connection ended after a first digit, was taken for the whole.
  */
-class RepeatClientTest {
+class LoanClientTest {
   private static final int PATIENCE_SECONDS = 20;
 
   @ParameterizedTest
   @CsvSource({
-    "Content-Length: 2||12, 12",
-    "Transfer-Encoding: chunked||2|12|0||, 12",
-    "Content-Length: 2||1, 0",
-    "Transfer-Encoding: chunked||2|1, 0",
-    "X: y||1, 0",
+    "Content-Length: 5||12 34, 12",
+    "Transfer-Encoding: chunked||2|12|3| 34|0||, 12",
+    "Content-Length: 5||12 3, 0",
+    "Transfer-Encoding: chunked||5|12 3, 0",
+    "X: y||12 3, 0",
+    "Content-Length: 2||12, 0",
   })
   void takesNoPartOfANumberForTheNumber(String answer, int expected) throws Exception {
     MultiThreadIoEventLoopGroup group =
@@ -44,10 +47,19 @@
         new CoreContext(new HostId("test"), new DataCentre("north"), new SplittableRandom(1));
     try (ServerSocket lender = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         ForwardLog log = new ForwardLog("test");
-        RepeatClient client = new RepeatClient(new ControlThread(group.next(), context, log))) {
+        LoanClient client = new LoanClient(new ControlThread(group.next(), context, log))) {
       Address address = new Address("127.0.0.1", lender.getLocalPort());
       CompletableFuture<Integer> lent = new CompletableFuture<>();
-      group.next().execute(() -> client.borrow(address, new ServiceName("s"), 12, lent::complete));
+      LoanSubject repeats = new LoanSubject.Repeats(new ServiceName("s"));
+      group
+          .next()
+          .execute(
+              () ->
+                  client.borrow(
+                      address,
+                      repeats,
+                      12,
+                      loan -> lent.complete(loan.map(Loan::granted).orElse(0))));
       try (Socket socket = lender.accept()) {
         readQuestion(socket);
         String bytes = ("HTTP/1.1 200 OK|" + answer).replace("|", "\r\n");
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
-import java.util.function.IntConsumer;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.AnswerEnd;
 import org.gatereel.core.forward.AnswerHead;
@@ -27,6 +26,8 @@
 import org.gatereel.core.forward.TargetPort;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.limit.LimitStatement;
+import org.gatereel.core.limit.Loan;
+import org.gatereel.core.limit.LoanSubject;
 import org.gatereel.core.load.LoadExchange;
 import org.gatereel.core.load.LoadPort;
 import org.gatereel.core.load.LoadReport;
@@ -34,7 +35,6 @@
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.HostList;
-import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.model.TargetDescription;
 import org.gatereel.core.poison.PoisonControl;
 import org.gatereel.core.rollout.RolloutBounds;
@@ -46,6 +46,7 @@
 final class HostModel {
   private static final long CONNECT_MICROS = 250_000;
   private static final long REPORT_TIMEOUT_MICROS = 250_000;
+  private static final long LOAN_TIMEOUT_MICROS = 150_000;
 
   private final ReplayWorld world;
   private final VirtualTime time;
@@ -72,7 +73,7 @@
             context, new ConfigurationKeeper.Bounds(false, Long.MAX_VALUE, Long.MAX_VALUE));
     loads = new LoadExchange(context, targets, directory, address, this::sendReport);
     PoisonControl poison = new PoisonControl(context);
-    loads.exchange(poison);
+    loads.exchangePoison(poison);
     poison.onNews((fact, source) -> loads.changed());
     forwarder =
         new Forwarder(
@@ -182,10 +183,12 @@
                 }));
   }
 
-  private void borrow(Address lender, ServiceName service, int count, IntConsumer answer) {
+  private void borrow(
+      Address lender, LoanSubject subject, int count, Consumer<Optional<Loan>> answer) {
+    world.report().borrowed();
     Optional<HostModel> to = world.host(lender);
     if (to.isEmpty() || !world.network().reaches(dataCentre(), to.get().dataCentre())) {
-      time.after(REPORT_TIMEOUT_MICROS, () -> step(() -> answer.accept(0)));
+      time.after(LOAN_TIMEOUT_MICROS, () -> step(() -> answer.accept(Optional.empty())));
       return;
     }
     HostModel host = to.get();
@@ -194,10 +197,11 @@
         delay,
         () ->
             host.step(
-                () -> {
-                  int lent = host.forwarder.lendRepeats(service, count);
-                  time.after(delay, () -> step(() -> answer.accept(lent)));
-                }));
+                () ->
+                    host.forwarder.lend(
+                        subject,
+                        count,
+                        loan -> time.after(delay, () -> step(() -> answer.accept(loan))))));
   }
 
   private static final class Observer implements ForwardObserver {
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayReport.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayReport.java
@@ -29,6 +29,7 @@
   private int fromCopy;
   private int movedCold;
   private long reports;
+  private long borrowed;
   private long reportedTargets;
 
   ReplayReport(ReplayWorld world) {
@@ -64,6 +65,11 @@
     reportedTargets += targets;
   }
 
+  /** Counts a question of a host to one that lends. */
+  void borrowed() {
+    borrowed++;
+  }
+
   int failures(String kind) {
     return failures.getOrDefault(kind, 0);
   }
@@ -240,6 +246,7 @@
     table.put("repeats without budget", Integer.toString(count(EventCode.RETRY_BUDGET_SPENT)));
     table.put("prompt tokens read for nothing", Long.toString(readForNothing()));
     table.put("load reports, targets in them", reports + ", " + reportedTargets);
+    table.put("questions for loans", Long.toString(borrowed));
     return table;
   }
 
