--- a/gatereel-core/src/main/java/org/gatereel/core/limit/TokenBucket.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/limit/TokenBucket.java
@@ -16,6 +16,13 @@
   /** At low rates requests come at any time, and what was not saved until then is lost. */
   private static final double SAVED_TOKENS = 2;
 
+  /**
+   * Where nobody has asked for so long, another host may have lent meanwhile, and nothing is saved
+   * at the rate: a lender that pauses 0.7 s in every 2 s, and the one that follows it, gave out 77
+   * tokens in 4 s at 10 a second otherwise, where 65 are borne.
+   */
+  private static final long UNASKED_MILLIS = 500;
+
   /** What is given out in advance to streams that have begun, whose callers cannot wait. */
   private static final double ADVANCE = 2;
 
@@ -48,7 +55,8 @@
   }
 
   private void fill(long now, double perSecond) {
-    double most = SAVED_SECONDS * perSecond + SAVED_TOKENS;
+    boolean unasked = now - filledAt > UNASKED_MILLIS;
+    double most = SAVED_TOKENS + (unasked ? 0 : SAVED_SECONDS * perSecond);
     tokens = Math.min(most, tokens + (now - filledAt) * perSecond / 1_000);
     filledAt = now;
   }
