--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
@@ -159,7 +159,9 @@
       exchange.limitsSpent();
       return;
     }
-    long wait = Math.min(RETRY_MILLIS, Math.max(1, patienceMillis() / LEAST_RETRIES));
+    long left = waitUntil - forwarder.context().now();
+    long wait =
+        Math.min(left, Math.min(RETRY_MILLIS, Math.max(1, patienceMillis() / LEAST_RETRIES)));
     forwarder.context().after(wait, this::chooseIfOpen);
   }
 
