Test that a token which comes after a version was rolled back sends nothing there

Cause: a request may wait for a token of a target of the new version while the verdict on that version falls. Test: RolloutForwardingTest, passes; the roll-out is asked again when the token comes (RolloutControl.mayHave). No change of logic.

--- a/gatereel-core/src/test/java/org/gatereel/core/forward/RolloutForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/RolloutForwardingTest.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.limit.LimitStatement;
+import org.gatereel.core.limit.Loan;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.HostList;
@@ -86,6 +88,41 @@
     assertEquals(0, sentToNew(0));
   }
 
+  /** A token for a target of the new version comes after the verdict on it has fallen. */
+  @Test
+  void nothingGoesToAVersionThatWasRolledBackWhileARequestWaitedForAToken() {
+    list(ForwardWorld.COUNTERS, "old1");
+    order(ForwardWorld.COUNTERS, RolloutState.RUNNING);
+    list(ForwardWorld.COUNTERS, "old1", "new1", "new2", "new3");
+    knowAnotherHost();
+    for (String target : new String[] {"new1", "new2", "new3"}) {
+      world
+          .forwarder
+          .limits()
+          .book()
+          .hear(new TargetId(target), new LimitStatement.PerSecond(5), 0);
+    }
+    while (world.tokenQuestions.isEmpty()) {
+      world.ask("/safe/x", new ForwardWorld.Caller());
+    }
+    int before = world.sent.size();
+    world.pass(5);
+    order(ForwardWorld.COUNTERS, RolloutState.ROLLED_BACK);
+
+    world.tokenQuestions.get(0).answer().accept(Optional.of(new Loan(1, 0)));
+
+    assertEquals(before + 1, world.sent.size());
+    assertEquals("old1", world.last().target());
+  }
+
+  private void knowAnotherHost() {
+    Address address = new Address("10.0.2.1", 7);
+    for (int reading = 0; reading < 3; reading++) {
+      world.directory.learn(
+          List.of(new HostDirectory.Entry("peer", new DataCentre("north"), address, 0)), 0);
+    }
+  }
+
   @Test
   void aSmallPartOfTheRequestsTriesTheNewVersion() {
     list(ForwardWorld.COUNTERS, "old1", "old2");
