--- a/gatereel-control/src/main/java/org/gatereel/control/log/LogSummary.java
+++ b/gatereel-control/src/main/java/org/gatereel/control/log/LogSummary.java
@@ -9,6 +9,7 @@
 
 /** What the lines of a log say of all requests together; lines are given in the order of time. */
 public final class LogSummary {
+  private final LimitSummary limits = new LimitSummary();
   private final KindSummary streams = new KindSummary();
   private final KindSummary calls = new KindSummary();
   private final Map<String, HostSummary> hosts = new TreeMap<>();
@@ -36,6 +37,7 @@
       requests.computeIfAbsent(line.subject(), any -> new ArrayList<>()).add(line);
     }
     requests.values().forEach(summary::addRequest);
+    lines.forEach(summary.limits::add);
     return summary;
   }
 
@@ -69,6 +71,7 @@
         (host, known) ->
             lines.add(
                 "  " + host + ": open there " + known.open + "; age of loads, ms " + known.age));
+    limits.print(lines);
     return lines;
   }
 
--- a/gatereel-control/src/test/java/org/gatereel/control/log/LogSummaryTest.java
+++ b/gatereel-control/src/test/java/org/gatereel/control/log/LogSummaryTest.java
@@ -48,6 +48,29 @@
     assertTrue(text.indexOf("1 answered") > text.indexOf("plain calls"), text);
   }
 
+  @Test
+  void tellsWhoSentALimitedTargetRequestsAndWhoPassedItOver() {
+    String text =
+        summary(
+            line("LIMIT_ANNOUNCED", "t1", "perSecond=5.400 before=- source=TARGET ageMillis=0"),
+            line("LIMIT_ANNOUNCED", "t1", "perSecond=5.400 before=- source=OTHER_HOST"),
+            line("REQUEST_FORWARDED", "r1", "target=t1 copyAt=- fromCopy=false millis=0"),
+            line("REQUEST_FORWARDED", "r2", "target=t2 copyAt=- fromCopy=false millis=0"),
+            line("LIMIT_REACHED", "t1", "perSecond=5.4 passedOver=3 againMillis=90"),
+            line("LIMIT_REACHED", "t1", "perSecond=5.4 passedOver=4 againMillis=90"),
+            line("LIMIT_LENDER_SILENT", "t1", "host=1:1"));
+
+    assertTrue(text.contains("t1, said [T to h1: 5.400]"), text);
+    assertTrue(text.contains("sent by all lines, by host: {h1=1}"), text);
+    assertTrue(text.contains("passed over by host: {h1=7}"), text);
+    assertTrue(text.contains("lenders that did not answer: 1"), text);
+  }
+
+  @Test
+  void namesNoLimitsWhereThereAreNone() {
+    assertTrue(!summary(line("REQUEST_FORWARDED", "r1", "target=t1")).contains("named how many"));
+  }
+
   @Test
   void passesOverWhatIsNoEvent() {
     assertEquals(Optional.empty(), LogLine.parse("# a report of the runtime"));
