--- a/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
@@ -1,6 +1,5 @@
 package org.gatereel.core.overload;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -179,20 +178,17 @@
   }
 
   private Capacity capacity(ServiceName service) {
-    List<TargetState> sound = new ArrayList<>();
-    boolean engines = false;
-    for (TargetState target : targets.listed(service)) {
-      engines |= target.description().kind() == TargetKind.ENGINE;
-      if (!target.isFailing(context.now())) {
-        sound.add(target);
-      }
-    }
+    List<TargetState> listed = targets.listed(service);
+    boolean engines =
+        listed.stream().anyMatch(target -> target.description().kind() == TargetKind.ENGINE);
     UsualWork known = work.get(service);
     double assumed = engines ? ASSUMED_PROMPT_MILLIS : 0;
     Capacity capacity = new Capacity(engines, known == null ? assumed : known.millis());
-    for (TargetState target : sound) {
-      int places = engines ? 1 : target.description().slots();
-      capacity.add(places, limits.applyAsDouble(target.description().id()));
+    for (TargetState target : listed) {
+      if (!target.isFailing(context.now())) {
+        int places = engines ? 1 : target.description().slots();
+        capacity.add(places, limits.applyAsDouble(target.description().id()));
+      }
     }
     return capacity;
   }
