Let what waits together be settled together, and find a lender where a data centre's hosts are gone

Causes: (1) those that wait for a loan were told one by one out of the queue that the next question counts: one that asked again at once made that question count others twice, and the answer ended in NoSuchElementException. The same stood in RetryBudgets. (2) Where all hosts beside a target are gone, a host asked the same two again and again, since they were passed over for as long as the target. Change: one WaitingGroup for repeats and tokens, which takes those that are told out first; urgent ones no longer wait behind a question for others. Two hosts beside the target rank first, then those elsewhere; a request asks three at most. Tests: RetryBudgetsTest and SharedLimitTest (an answer that asks again takes nobody's place) fail before with NoSuchElementException and pass now; allHostsOfTheTargetsDataCentreMayEndAtOnce used 0.64 of the limit once the groups were apart, 0.7 is wanted; passes now at 9 and at 95 hosts.

--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -63,7 +63,8 @@
   LIMIT_UNREADABLE(351, "What a target says of the requests it takes is no number."),
   LIMIT_REACHED(352, "A target takes no more for now; requests pass it over."),
   LIMIT_LENDER_SILENT(
-      353, "The host that lends requests to a target does not answer; the next one is asked."),
+      353,
+      "The host that lends requests to a target does not answer, or leaves it to another one."),
   EDIT_ACCEPTED(400, "An edit of the table was committed."),
   EDIT_REFUSED(401, "An edit of the table was refused."),
   EDIT_UNKNOWN(402, "The answer to an edit was lost; its edit id is read back."),
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/HostDirectory.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/HostDirectory.java
@@ -9,7 +9,6 @@
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.gatereel.core.choice.HostCount;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
@@ -231,7 +230,7 @@
     Map<Boolean, List<Entry>> byPlace =
         Rendezvous.rank(key, all, Entry::host).stream()
             .collect(Collectors.partitioningBy(entry -> entry.dataCentre().equals(dataCentre)));
-    return Stream.concat(byPlace.get(true).stream(), byPlace.get(false).stream())
+    return LenderDirectory.order(byPlace.get(true), byPlace.get(false)).stream()
         .map(Entry::address)
         .toList();
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RetryBudgets.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RetryBudgets.java
@@ -1,14 +1,13 @@
 package org.gatereel.core.forward;
 
-import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Queue;
 import java.util.function.Consumer;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.limit.Loan;
 import org.gatereel.core.limit.LoanPort;
 import org.gatereel.core.limit.LoanSubject;
+import org.gatereel.core.limit.WaitingGroup;
 import org.gatereel.core.model.ServiceName;
 
 /**
@@ -40,8 +39,7 @@
     private final ServiceName service;
     private final RetryWindow own;
     private final RetryWindow lent;
-    private final Queue<Consumer<Boolean>> waiting = new ArrayDeque<>();
-    private boolean asking;
+    private final WaitingGroup waiting = new WaitingGroup();
 
     private Budget(ServiceName service) {
       this.service = service;
@@ -71,11 +69,10 @@
 
     /** Asks for as many repeats as are waited for, unless an answer is still to come. */
     private void borrow() {
-      if (asking || waiting.isEmpty()) {
+      int count = waiting.begin();
+      if (count == 0) {
         return;
       }
-      asking = true;
-      int count = waiting.size();
       directory
           .lender(context.now())
           .ifPresentOrElse(
@@ -89,10 +86,7 @@
     }
 
     private void borrowed(int asked, int given) {
-      asking = false;
-      for (int index = 0; index < asked; index++) {
-        waiting.remove().accept(index < given);
-      }
+      waiting.settle(asked, given);
       borrow();
     }
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/limit/RequestTokens.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/limit/RequestTokens.java
@@ -1,6 +1,7 @@
 package org.gatereel.core.limit;
 
 import java.util.ArrayDeque;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -23,13 +24,13 @@
  */
 public final class RequestTokens {
   /**
-   * How long a target is passed over for which two lenders did not answer: they are where it is, so
-   * that it is out of reach too. As long they are not asked by others either.
+   * How long a target is passed over for which no lender answered: most of them are where it is, so
+   * that it is probably out of reach too. As long they are not asked for other targets either.
    */
   private static final long UNANSWERED_MILLIS = 1_000;
 
-  /** Beside the first lender one more is asked: the request waits meanwhile. */
-  private static final int MOST_LENDERS = 2;
+  /** Those beside the target, and the first elsewhere; more would let the request wait too long. */
+  private static final int MOST_LENDERS = LenderDirectory.FIRST_HERE + 1;
 
   /** A token that a request did not use serves the next one for so long, and then is let go. */
   private static final long SPARE_MILLIS = 500;
@@ -46,8 +47,8 @@
   private long granted;
   private long denied;
 
-  /** Whose tokens are asked for. */
-  private enum Class {
+  /** How soon tokens are needed. */
+  private enum Urgency {
     /** Streams whose callers have part of the answer, and cannot wait. */
     URGENT,
     /** All others. */
@@ -57,18 +58,17 @@
   /** What this host has of one target's tokens, and who waits for some. */
   private final class Purse {
     private final TargetId target;
-    private final Map<Class, Queue<Consumer<Boolean>>> waiting = new HashMap<>();
-    private final Map<Class, Long> spentUntil = new HashMap<>();
+    private final Map<Urgency, WaitingGroup> waiting = new EnumMap<>(Urgency.class);
+    private final Map<Urgency, Long> spentUntil = new EnumMap<>(Urgency.class);
     private final Queue<Long> spares = new ArrayDeque<>();
     private DataCentre dataCentre;
-    private boolean asking;
     private long deniedSinceLog;
     private long loggedAt = Long.MIN_VALUE / 2;
 
     private Purse(TargetId target) {
       this.target = target;
-      for (Class each : Class.values()) {
-        waiting.put(each, new ArrayDeque<>());
+      for (Urgency each : Urgency.values()) {
+        waiting.put(each, new WaitingGroup());
       }
     }
 
@@ -79,31 +79,29 @@
       return spares.poll() != null;
     }
 
-    private void take(Class whose, Consumer<Boolean> answer) {
+    private void take(Urgency urgency, Consumer<Boolean> answer) {
       if (takeSpare()) {
         answer.accept(true);
         return;
       }
-      waiting.get(whose).add(answer);
-      ask();
+      waiting.get(urgency).add(answer);
+      ask(urgency);
     }
 
-    private void ask() {
-      Class whose = waiting.get(Class.URGENT).isEmpty() ? Class.USUAL : Class.URGENT;
-      int count = waiting.get(whose).size();
-      if (asking || count == 0) {
+    private void ask(Urgency urgency) {
+      int count = waiting.get(urgency).begin();
+      if (count == 0) {
         return;
       }
-      asking = true;
       Optional<AnnouncedLimit> limit = book.find(target);
       if (limit.isEmpty()) {
-        lent(whose, count, new Loan(count, 0));
+        lent(urgency, count, new Loan(count, 0));
         return;
       }
       LoanSubject.Requests asked =
           new LoanSubject.Requests(
-              new LimitFact(target, limit.get()), dataCentre, whose == Class.URGENT, false);
-      ask(asked, count, 1, loan -> lent(whose, count, loan));
+              new LimitFact(target, limit.get()), dataCentre, urgency == Urgency.URGENT, false);
+      ask(asked, count, 1, loan -> lent(urgency, count, loan));
     }
 
     private void ask(LoanSubject.Requests asked, int count, int number, Consumer<Loan> answer) {
@@ -130,20 +128,17 @@
           });
     }
 
-    private void lent(Class whose, int count, Loan loan) {
-      asking = false;
+    private void lent(Urgency urgency, int count, Loan loan) {
       int served = Math.min(count, loan.granted());
       if (served < count) {
         long again = loan.againMillis() > 0 ? loan.againMillis() : UNANSWERED_MILLIS;
-        spentUntil.put(whose, context.now() + again);
+        spentUntil.put(urgency, context.now() + again);
         noteDenied(count - served, again);
       }
       granted += served;
       denied += count - served;
-      for (int index = 0; index < count; index++) {
-        waiting.get(whose).remove().accept(index < served);
-      }
-      ask();
+      waiting.get(urgency).settle(count, served);
+      ask(urgency);
     }
 
     private void noteDenied(int count, long again) {
@@ -164,8 +159,8 @@
       deniedSinceLog = 0;
     }
 
-    private boolean isSpent(Class whose) {
-      return spentUntil.getOrDefault(whose, Long.MIN_VALUE) > context.now();
+    private boolean isSpent(Urgency urgency) {
+      return spentUntil.getOrDefault(urgency, Long.MIN_VALUE) > context.now();
     }
   }
 
@@ -195,7 +190,7 @@
     }
     Purse purse = purses.computeIfAbsent(target, Purse::new);
     purse.dataCentre = dataCentre;
-    purse.take(urgent ? Class.URGENT : Class.USUAL, answer);
+    purse.take(urgent ? Urgency.URGENT : Urgency.USUAL, answer);
   }
 
   /** Takes a token back that a request has not used; the next one at this host has it. */
@@ -215,7 +210,8 @@
     Set<TargetId> spent = new HashSet<>();
     purses.forEach(
         (target, purse) -> {
-          if (purse.isSpent(urgent ? Class.URGENT : Class.USUAL) && book.find(target).isPresent()) {
+          if (purse.isSpent(urgent ? Urgency.URGENT : Urgency.USUAL)
+              && book.find(target).isPresent()) {
             spent.add(target);
           }
         });
@@ -224,7 +220,7 @@
 
   private boolean isIdle(TargetId target) {
     Purse purse = purses.get(target);
-    return !purse.asking && purse.waiting.values().stream().allMatch(Queue::isEmpty);
+    return purse.waiting.values().stream().allMatch(WaitingGroup::isEmpty);
   }
 
   long granted() {
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/LimitForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/LimitForwardingTest.java
@@ -276,6 +276,9 @@
     assertFalse(first.equals(second));
     assertEquals(before, world.sent.size());
     question().answer().accept(Optional.empty());
+    Address elsewhere = question().lender();
+    assertFalse(second.equals(elsewhere));
+    question().answer().accept(Optional.empty());
 
     assertEquals(before + 1, world.sent.size());
     assertFalse(world.last().target().equals("c1"));
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/RetryBudgetsTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/RetryBudgetsTest.java
@@ -147,6 +147,29 @@
     assertFalse(unanswered.size() > 2);
   }
 
+  /** Whoever is answered may need a repeat again at once, while others still wait for theirs. */
+  @Test
+  void anAnswerThatAsksAgainTakesNobodysPlace() {
+    lendersAnswer = false;
+    Host host = borrower();
+    assertEquals(1, host.take(1), "its own part");
+    List<Boolean> answers = new ArrayList<>();
+    host.budgets.take(SERVICE, answers::add);
+    host.budgets.take(
+        SERVICE,
+        granted -> {
+          answers.add(granted);
+          host.budgets.take(SERVICE, answers::add);
+        });
+    host.budgets.take(SERVICE, answers::add);
+
+    for (int asked = 0; asked < unanswered.size(); asked++) {
+      unanswered.get(asked).accept(1);
+    }
+
+    assertEquals(4, answers.size());
+  }
+
   /** Returns a host that does not lend itself. */
   private Host borrower() {
     return hosts.values().stream()
--- a/gatereel-core/src/test/java/org/gatereel/core/limit/LimitWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/limit/LimitWorld.java
@@ -9,6 +9,7 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.internal.Rendezvous;
 import org.gatereel.core.model.Address;
@@ -59,8 +60,10 @@
 
     @Override
     public List<Address> lenders(DataCentre place, String key) {
-      return Rendezvous.rank(key, known, host -> host.context.self().value()).stream()
-          .sorted(Comparator.comparing(host -> !host.dataCentre.equals(place)))
+      Map<Boolean, List<Host>> byPlace =
+          Rendezvous.rank(key, known, host -> host.context.self().value()).stream()
+              .collect(Collectors.partitioningBy(host -> host.dataCentre.equals(place)));
+      return LenderDirectory.order(byPlace.get(true), byPlace.get(false)).stream()
           .map(host -> host.address)
           .toList();
     }
@@ -142,6 +145,11 @@
           });
     }
 
+    /** Takes a token without a request. */
+    void take(Consumer<Boolean> answer) {
+      step(() -> limits.take(TARGET, targetsPlace, false, answer));
+    }
+
     private void answered(boolean granted) {
       if (granted && !cutOff) {
         sent.add(now);
--- a/gatereel-core/src/test/java/org/gatereel/core/limit/SharedLimitTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/limit/SharedLimitTest.java
@@ -1,5 +1,6 @@
 package org.gatereel.core.limit;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -71,9 +72,11 @@
     assertUsed(world, 0.5);
   }
 
-  @Test
-  void allHostsOfTheTargetsDataCentreMayEndAtOnce() {
-    LimitWorld world = new LimitWorld(9, 3, 5.4, 4);
+  /** Also where they are many: the next lender is found elsewhere, and not after all of them. */
+  @ParameterizedTest
+  @CsvSource({"9", "95"})
+  void allHostsOfTheTargetsDataCentreMayEndAtOnce(int hosts) {
+    LimitWorld world = new LimitWorld(hosts, 3, 5.4, 4);
     world.ask(20, 40_000);
     world.in(
         10_000,
@@ -153,6 +156,26 @@
     assertWithin(world);
   }
 
+  /** Whoever is answered asks again at once, while others who asked with it wait for theirs. */
+  @Test
+  void anAnswerThatAsksAgainTakesNobodysPlace() {
+    LimitWorld world = new LimitWorld(2, 1, 5, 9);
+    List<Boolean> answers = new ArrayList<>();
+    LimitWorld.Host borrower =
+        world.all().stream().filter(host -> host != world.lender()).findFirst().orElseThrow();
+
+    borrower.take(answers::add);
+    borrower.take(
+        granted -> {
+          answers.add(granted);
+          borrower.take(answers::add);
+        });
+    borrower.take(answers::add);
+    world.run(1_000);
+
+    assertEquals(4, answers.size());
+  }
+
   /** Each request asks once at the most, and few where nothing is to be had. */
   @Test
   void questionsAreFew() {
