--- a/gatereel-core/src/main/java/org/gatereel/core/limit/LimitBook.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/limit/LimitBook.java
@@ -40,7 +40,9 @@
 
   /** What is known of one run of a target. */
   private static final class Entry {
+    /** With its time on the clock that counts suspensions. */
     private AnnouncedLimit limit;
+
     private long number;
     private long loggedAt = Long.MIN_VALUE / 2;
   }
@@ -71,7 +73,7 @@
   /** Returns the limit of a target, if it named one and holds to it. */
   public Optional<AnnouncedLimit> find(TargetId target) {
     return Optional.ofNullable(entries.get(target))
-        .map(entry -> entry.limit)
+        .map(entry -> outward(entry.limit))
         .filter(limit -> !limit.isNone());
   }
 
@@ -120,8 +122,8 @@
   private void hear(TargetId target, double perSecond, long sentAt) {
     Entry known = entries.get(target);
     boolean lower = known == null || perSecond < known.limit.perSecond();
-    if (lower || sentAt > known.limit.since()) {
-      take(new LimitFact(target, new AnnouncedLimit(perSecond, context.now())), Source.TARGET);
+    if (lower || sentAt > outward(known.limit).since()) {
+      take(target, new AnnouncedLimit(perSecond, context.knowledgeTime()), Source.TARGET);
     }
   }
 
@@ -129,43 +131,59 @@
   public void learn(List<LimitFact> told) {
     for (LimitFact fact : told) {
       Entry known = entries.get(fact.target());
-      if (known == null || fact.limit().replaces(known.limit)) {
-        take(fact, Source.OTHER_HOST);
+      AnnouncedLimit limit = inward(fact.limit());
+      if (known == null || limit.replaces(known.limit)) {
+        take(fact.target(), limit, Source.OTHER_HOST);
       }
     }
   }
 
-  private void take(LimitFact fact, Source source) {
-    Entry entry = entries.computeIfAbsent(fact.target(), any -> new Entry());
+  /**
+   * Puts a time of the steady clock on the one that counts suspensions: a word that a host heard
+   * before it was suspended must not seem younger than what others heard meanwhile.
+   */
+  private AnnouncedLimit inward(AnnouncedLimit limit) {
+    long lost = context.knowledgeTime() - context.now();
+    return new AnnouncedLimit(limit.perSecond(), limit.since() + lost);
+  }
+
+  /** Puts a time back on the steady clock, so that its age by that is the true one. */
+  private AnnouncedLimit outward(AnnouncedLimit limit) {
+    long lost = context.knowledgeTime() - context.now();
+    return new AnnouncedLimit(limit.perSecond(), limit.since() - lost);
+  }
+
+  private void take(TargetId target, AnnouncedLimit limit, Source source) {
+    Entry entry = entries.computeIfAbsent(target, any -> new Entry());
     AnnouncedLimit before = entry.limit;
-    if (before != null && before.perSecond() == fact.limit().perSecond()) {
+    if (before != null && before.perSecond() == limit.perSecond()) {
       return;
     }
-    entry.limit = fact.limit();
+    entry.limit = limit;
     facts.remove(entry.number);
     entry.number = ++number;
-    facts.put(number, fact);
-    note(fact, before, entry, source);
+    facts.put(number, new LimitFact(target, limit));
+    note(target, before, entry, source);
     newsListeners.forEach(Runnable::run);
     forgetLater();
   }
 
-  private void note(LimitFact fact, AnnouncedLimit before, Entry entry, Source source) {
+  private void note(TargetId target, AnnouncedLimit before, Entry entry, Source source) {
     if (context.now() - entry.loggedAt < LOG_MILLIS) {
       return;
     }
     entry.loggedAt = context.now();
     context.note(
         EventCode.LIMIT_ANNOUNCED,
-        fact.target().toString(),
+        target.toString(),
         "perSecond="
-            + text(fact.limit())
+            + text(entry.limit)
             + " before="
             + (before == null ? "-" : text(before))
             + " source="
             + source
             + " ageMillis="
-            + (context.now() - fact.limit().since())
+            + (context.knowledgeTime() - entry.limit.since())
             + " limits="
             + size());
   }
@@ -178,10 +196,14 @@
   public List<Numbered<LimitFact>> after(long known, int most) {
     return facts.tailMap(known, false).entrySet().stream()
         .limit(most)
-        .map(entry -> new Numbered<>(entry.getKey(), entry.getValue()))
+        .map(entry -> new Numbered<>(entry.getKey(), outward(entry.getValue())))
         .toList();
   }
 
+  private LimitFact outward(LimitFact fact) {
+    return new LimitFact(fact.target(), outward(fact.limit()));
+  }
+
   private void forgetLater() {
     if (!forgetting) {
       forgetting = true;
@@ -192,7 +214,7 @@
   /** A fact may come before the list that names its target, so young ones are kept. */
   private void forget() {
     forgetting = false;
-    long before = context.now() - FORGET_MILLIS;
+    long before = context.knowledgeTime() - FORGET_MILLIS;
     entries
         .entrySet()
         .removeIf(
--- a/gatereel-core/src/main/java/org/gatereel/core/limit/TargetLimits.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/limit/TargetLimits.java
@@ -34,11 +34,6 @@
     return book;
   }
 
-  /** Returns whether a target takes only so many requests. */
-  public boolean isLimited(TargetId target) {
-    return book.find(target).isPresent();
-  }
-
   /**
    * Takes a token for one request to a target.
    *
--- a/gatereel-core/src/test/java/org/gatereel/core/limit/LimitBookTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/limit/LimitBookTest.java
@@ -143,6 +143,25 @@
     assertEquals(3.6, book.perSecond(TARGET));
   }
 
+  /** Its steady clock stood still meanwhile, so that all it knows seems younger than it is. */
+  @Test
+  void whatAHostHeardBeforeItWasSuspendedIsNoYoungerForIt() {
+    hear(8, 0);
+    pass(100);
+    context.noteLost(5_000);
+
+    long told = book.after(0, 1).get(0).fact().limit().since();
+    assertEquals(5_100, context.now() - told);
+
+    told(2, 3_000);
+    assertEquals(2, book.perSecond(TARGET), "said while this host was suspended");
+    told(8, 4_000);
+    assertEquals(2, book.perSecond(TARGET));
+    pass(10);
+    hear(8, 5);
+    assertEquals(8, book.perSecond(TARGET));
+  }
+
   /** Each report makes the time a little later; it must not go round for ever. */
   @Test
   void whatComesBackUnchangedIsNoNews() {
