Ask targets that all name 0 again now and then, instead of refusing for ever

Cause: the least rate of one request in ten seconds was the lender's alone. Admission counted such targets as 0: where all targets of a service name 0 it refused all on arrival, so that no request asked them whether they take more. Found by reading the change again. Change: the least rate stands in the book, for the lender and for admission.

--- a/gatereel-core/src/main/java/org/gatereel/core/limit/LimitBook.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/limit/LimitBook.java
@@ -23,6 +23,12 @@
  * one was known: answers overtake each other, and an older one must not lift it.
  */
 public final class LimitBook implements SharedFacts<LimitFact> {
+  /**
+   * A target that takes nothing for now is asked again each ten seconds, since only its answers
+   * tell when it takes more; less than one in a second harms none.
+   */
+  private static final double LEAST_PER_SECOND = 0.1;
+
   /** Targets that are listed no more are forgotten so often. */
   private static final long FORGET_MILLIS = 60_000;
 
@@ -77,11 +83,16 @@
         .filter(limit -> !limit.isNone());
   }
 
-  /** Returns how many requests a second a target takes; infinite if it has named no limit. */
+  /**
+   * Returns how many requests a second a target is sent at the most; infinite if it has named no
+   * limit, and never 0, so that admission too lets the request through that asks it again.
+   */
   public double perSecond(TargetId target) {
     return entries.isEmpty()
         ? Double.POSITIVE_INFINITY
-        : find(target).map(AnnouncedLimit::perSecond).orElse(Double.POSITIVE_INFINITY);
+        : find(target)
+            .map(limit -> Math.max(LEAST_PER_SECOND, limit.perSecond()))
+            .orElse(Double.POSITIVE_INFINITY);
   }
 
   /** Returns the targets that have a limit now. */
--- a/gatereel-core/src/main/java/org/gatereel/core/limit/TokenLender.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/limit/TokenLender.java
@@ -29,12 +29,6 @@
    */
   private static final double YOUNG_PART = 0.6;
 
-  /**
-   * A target that takes nothing for now is asked again each ten seconds, since only its answers
-   * tell when it takes more; less than one in a second harms none.
-   */
-  private static final double LEAST_PER_SECOND = 0.1;
-
   /** Sooner than this hosts that found nothing need not ask again. */
   private static final long SOONEST_MILLIS = 20;
 
@@ -120,7 +114,7 @@
       return new Loan(count, 0);
     }
     double part = isYoung() ? YOUNG_PART / ranking.unknownHosts() : 1;
-    double perSecond = part * Math.max(LEAST_PER_SECOND, limit);
+    double perSecond = part * limit;
     Bucket bucket = buckets.computeIfAbsent(target, any -> new Bucket(context.now()));
     bucket.usedAt = context.now();
     int granted = bucket.tokens.take(context.now(), perSecond, count, asked.urgent());
--- a/gatereel-core/src/test/java/org/gatereel/core/limit/LimitBookTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/limit/LimitBookTest.java
@@ -62,6 +62,15 @@
     assertEquals(Optional.empty(), book.find(TARGET));
   }
 
+  /** Were it 0, admission would refuse all, and nobody would hear that it takes more again. */
+  @Test
+  void aTargetThatTakesNothingIsAskedAgainNowAndThen() {
+    hear(0, 10);
+
+    assertEquals(0.1, book.perSecond(TARGET));
+    assertEquals(0, book.find(TARGET).orElseThrow().perSecond(), "others are told its own word");
+  }
+
   @Test
   void aLimitHoldsForOneRunOfATarget() {
     hear(5.4, 10);
