Log headers of targets' answers that nothing reads, once for each name and service

With it the logs tell (a) nobody reads it from (b) it is read and lost again. The types of limits move there; no decision changes.

--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -82,6 +82,8 @@
   TARGETS_CHANGED(
       507,
       "The platform's list names other targets than before: those that came, leave, are gone."),
+  TARGET_HEADER_UNKNOWN(
+      508, "A target's answer has a header that nothing reads; once for each name and service."),
   ROLLOUT_ORDERED(520, "The operators want a service's requests moved to another version."),
   ROLLOUT_STATE(521, "What all hosts agree on of a roll-out is another state."),
   ROLLOUT_JUDGED(522, "What hosts have seen of a new version lets this one judge it otherwise."),
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/AnswerHead.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/AnswerHead.java
@@ -1,6 +1,6 @@
 package org.gatereel.core.forward;
 
-import org.gatereel.core.limit.LimitStatement;
+import org.gatereel.core.statement.Statements;
 
 /** The head of a target's answer; its headers are the transport's. */
 public interface AnswerHead {
@@ -18,9 +18,9 @@
   /** Returns whether the body is a stream of events. */
   boolean isEventStream();
 
-  /** Returns what the answer says of how many requests its target takes. */
-  default LimitStatement limit() {
-    return LimitStatement.NONE;
+  /** Returns what the answer says of its target. */
+  default Statements statements() {
+    return Statements.NONE;
   }
 
   /**
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
@@ -3,8 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.util.OptionalLong;
 import org.gatereel.core.event.TargetFailure;
-import org.gatereel.core.limit.LimitBook;
-import org.gatereel.core.limit.LimitStatement;
 import org.gatereel.core.target.TargetState;
 
 /** One try of an exchange at one target, as far as it has come. */
@@ -69,13 +67,9 @@
     return head;
   }
 
-  /** Notes that the answer's head is here, and what it says of the target's limit. */
-  void noteHead(LimitBook limits, long now) {
+  /** Notes that the answer's head is here. */
+  void noteHead(long now) {
     headAt = OptionalLong.of(now);
-    // Only an answer of the target's own may lift a limit by not naming it.
-    if (head.isAuthentic() || !head.limit().equals(LimitStatement.NONE)) {
-      limits.hear(target.description().id(), head.limit(), startedAt);
-    }
   }
 
   /** Returns when the answer's head came, by which a run had begun. */
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -230,8 +230,9 @@
 
   void answered(Attempt from) {
     AnswerHead head = from.head();
-    from.noteHead(forwarder.limits().book(), context.now());
+    from.noteHead(context.now());
     from.noteSign(context.now());
+    forwarder.statements().heard(from);
     if (head.declaresNotRun()) {
       failed(from, head.status() == 421 ? TargetFailure.GOODBYE : TargetFailure.FULL);
       return;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -22,6 +22,7 @@
 import org.gatereel.core.poison.Fingerprint;
 import org.gatereel.core.poison.PoisonControl;
 import org.gatereel.core.rollout.RolloutControl;
+import org.gatereel.core.statement.UnknownHeaders;
 import org.gatereel.core.target.TargetRegistry;
 import org.gatereel.core.target.TargetState;
 
@@ -43,6 +44,7 @@
   private final PoisonControl poison;
   private final TargetEnds targetEnds;
   private final TargetLimits limits;
+  private final StatementIntake statements;
   private final Set<Exchange> open = new LinkedHashSet<>();
   private final Set<TargetId> probing = new HashSet<>();
 
@@ -84,6 +86,7 @@
     this.limits =
         new TargetLimits(context, target -> targets.find(target).isPresent(), directory, loans);
     this.overload = new OverloadControl(context, targets, loads, limits.book()::perSecond);
+    this.statements = new StatementIntake(limits.book(), new UnknownHeaders(context));
     loads.exchangeLimits(limits.book());
     limits.book().onNews(loads::changed);
     poison.onHeld(this::hold);
@@ -271,6 +274,11 @@
     return limits;
   }
 
+  /** Returns what takes in what targets say of themselves. */
+  StatementIntake statements() {
+    return statements;
+  }
+
   OverloadControl overload() {
     return overload;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/limit/LimitBook.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/limit/LimitBook.java
@@ -14,6 +14,9 @@
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.internal.SharedFacts;
 import org.gatereel.core.model.TargetId;
+import org.gatereel.core.statement.AnnouncedLimit;
+import org.gatereel.core.statement.LimitFact;
+import org.gatereel.core.statement.LimitStatement;
 
 /**
  * The limits that targets have named, as far as this host has heard of them from targets or hosts.
--- a/gatereel-core/src/main/java/org/gatereel/core/limit/LoanSubject.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/limit/LoanSubject.java
@@ -2,6 +2,7 @@
 
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.statement.LimitFact;
 
 /** What hosts lend each other. */
 public sealed interface LoanSubject {
--- a/gatereel-core/src/main/java/org/gatereel/core/limit/RequestTokens.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/limit/RequestTokens.java
@@ -14,6 +14,8 @@
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.TargetId;
+import org.gatereel.core.statement.AnnouncedLimit;
+import org.gatereel.core.statement.LimitFact;
 
 /**
  * Gets tokens for this host's requests to targets that take only so many, one for each request that
--- a/gatereel-core/src/main/java/org/gatereel/core/load/FactSources.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/FactSources.java
@@ -1,8 +1,8 @@
 package org.gatereel.core.load;
 
 import org.gatereel.core.internal.SharedFacts;
-import org.gatereel.core.limit.LimitFact;
 import org.gatereel.core.poison.PoisonFact;
+import org.gatereel.core.statement.LimitFact;
 
 /**
  * The facts that reports carry beside loads.
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
@@ -12,7 +12,6 @@
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.internal.SharedFacts;
-import org.gatereel.core.limit.LimitFact;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.TargetId;
@@ -20,6 +19,7 @@
 import org.gatereel.core.poison.PoisonFact;
 import org.gatereel.core.rollout.EvidenceKey;
 import org.gatereel.core.rollout.Tally;
+import org.gatereel.core.statement.LimitFact;
 import org.gatereel.core.target.TargetRegistry;
 import org.gatereel.core.target.TargetState;
 
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
@@ -5,11 +5,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.gatereel.core.limit.LimitFact;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.poison.PoisonFact;
+import org.gatereel.core.statement.LimitFact;
 
 /**
  * What one receiver has been told, so that it is told only what changed.
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadReport.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadReport.java
@@ -3,13 +3,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
-import org.gatereel.core.limit.LimitFact;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.poison.PoisonFact;
 import org.gatereel.core.rollout.EvidenceKey;
 import org.gatereel.core.rollout.Tally;
+import org.gatereel.core.statement.LimitFact;
 
 /**
  * One message of a host about targets.
--- a/gatereel-core/src/main/java/org/gatereel/core/limit/LimitFact.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/statement/LimitFact.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.limit;
+package org.gatereel.core.statement;
 
 import org.gatereel.core.model.TargetId;
 
--- a/gatereel-core/src/main/java/org/gatereel/core/limit/LimitStatement.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/statement/LimitStatement.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.limit;
+package org.gatereel.core.statement;
 
 import java.util.List;
 import java.util.Optional;
@@ -29,16 +29,12 @@
   /** A plain decimal number; signs and exponents are none that a target would write. */
   Pattern DECIMAL = Pattern.compile("[0-9]{1,9}(\\.[0-9]{0,9})?|\\.[0-9]{1,9}");
 
-  /** Enough to recognise what a target wrote, too little to fill a log. */
-  int MOST_TEXT = 40;
-
   /** Reads the values that an answer gives; of several limits the lowest one holds. */
   static LimitStatement of(List<String> values) {
     Optional<String> unreadable =
         values.stream().map(String::strip).filter(text -> !isDecimal(text)).findFirst();
     if (unreadable.isPresent()) {
-      String text = unreadable.get();
-      return new Unreadable(text.substring(0, Math.min(MOST_TEXT, text.length())));
+      return new Unreadable(StatementText.shortened(unreadable.get()));
     }
     return values.stream()
         .map(text -> Double.parseDouble(text.strip()))
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
@@ -13,7 +13,6 @@
 import java.util.function.IntConsumer;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.internal.CoreContext;
-import org.gatereel.core.limit.LimitStatement;
 import org.gatereel.core.limit.Loan;
 import org.gatereel.core.limit.LoanSubject;
 import org.gatereel.core.load.LoadExchange;
@@ -30,6 +29,7 @@
 import org.gatereel.core.poison.PoisonControl;
 import org.gatereel.core.rollout.RolloutBounds;
 import org.gatereel.core.rollout.RolloutControl;
+import org.gatereel.core.statement.Statements;
 import org.gatereel.core.table.PolicyTable;
 import org.gatereel.core.target.TargetRegistry;
 import org.gatereel.core.target.TargetState;
@@ -127,10 +127,10 @@
       boolean declaresNotRun,
       boolean isAuthentic,
       boolean isEventStream,
-      LimitStatement limit)
+      Statements statements)
       implements AnswerHead {
     Head(int status, boolean declaresNotRun, boolean isAuthentic, boolean isEventStream) {
-      this(status, declaresNotRun, isAuthentic, isEventStream, LimitStatement.NONE);
+      this(status, declaresNotRun, isAuthentic, isEventStream, Statements.NONE);
     }
   }
 
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/LimitForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/LimitForwardingTest.java
@@ -13,11 +13,12 @@
 import org.gatereel.core.forward.ForwardWorld.Caller;
 import org.gatereel.core.forward.ForwardWorld.SentCall;
 import org.gatereel.core.forward.ForwardWorld.TokenQuestion;
-import org.gatereel.core.limit.LimitStatement;
 import org.gatereel.core.limit.Loan;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.TargetId;
+import org.gatereel.core.statement.LimitStatement;
+import org.gatereel.core.statement.Statements;
 import org.junit.jupiter.api.Test;
 
 /** Requests for targets that take only so many: what a host does until it has a token, and then. */
@@ -99,7 +100,8 @@
     String target = world.last().target();
     SentCall call = world.last().accepted();
     call.listener.answered(
-        new ForwardWorld.Head(200, false, true, false, new LimitStatement.PerSecond(0.5)));
+        new ForwardWorld.Head(
+            200, false, true, false, Statements.of(new LimitStatement.PerSecond(0.5))));
     call.listener.ended(AnswerEnd.LAST_CHUNK);
     assertEquals(0.5, world.forwarder.limits().book().perSecond(new TargetId(target)));
 
@@ -115,7 +117,8 @@
     SentCall call = world.last().accepted();
 
     call.listener.answered(
-        new ForwardWorld.Head(503, true, false, false, new LimitStatement.PerSecond(0.5)));
+        new ForwardWorld.Head(
+            503, true, false, false, Statements.of(new LimitStatement.PerSecond(0.5))));
 
     assertEquals(0.5, world.forwarder.limits().book().perSecond(new TargetId(call.target())));
   }
@@ -133,7 +136,7 @@
         .last()
         .accepted()
         .listener
-        .answered(new ForwardWorld.Head(500, false, false, false, LimitStatement.NONE));
+        .answered(new ForwardWorld.Head(500, false, false, false, Statements.NONE));
 
     assertEquals(5, world.forwarder.limits().book().perSecond(new TargetId(target)));
   }
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/RolloutForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/RolloutForwardingTest.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.gatereel.core.event.TargetFailure;
-import org.gatereel.core.limit.LimitStatement;
 import org.gatereel.core.limit.Loan;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
@@ -25,6 +24,7 @@
 import org.gatereel.core.rollout.RolloutState;
 import org.gatereel.core.rollout.Signal;
 import org.gatereel.core.rollout.Tally;
+import org.gatereel.core.statement.LimitStatement;
 import org.junit.jupiter.api.Test;
 
 /** Where requests, repeats and continuations go while a service moves to another version. */
--- a/gatereel-core/src/test/java/org/gatereel/core/limit/LimitBookTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/limit/LimitBookTest.java
@@ -14,6 +14,9 @@
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.TargetId;
+import org.gatereel.core.statement.AnnouncedLimit;
+import org.gatereel.core.statement.LimitFact;
+import org.gatereel.core.statement.LimitStatement;
 import org.junit.jupiter.api.Test;
 
 class LimitBookTest {
--- a/gatereel-core/src/test/java/org/gatereel/core/limit/LimitWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/limit/LimitWorld.java
@@ -16,6 +16,8 @@
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.TargetId;
+import org.gatereel.core.statement.AnnouncedLimit;
+import org.gatereel.core.statement.LimitFact;
 
 /** Hosts that share the limit of one target, over messages that take time; time is virtual. */
 final class LimitWorld {
--- a/gatereel-core/src/test/java/org/gatereel/core/limit/LimitStatementTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/statement/LimitStatementTest.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.limit;
+package org.gatereel.core.statement;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
--- a/gatereel-forward/src/main/java/org/gatereel/forward/HeaderNames.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/HeaderNames.java
@@ -20,6 +20,8 @@
  * @param continueFrom the copy that a run goes on from
  * @param urgency 0 for the most urgent
  * @param reserved names, in small letters, that only this host may set towards targets
+ * @param answers names, in small letters, of the headers of targets' answers that are read or need
+ *     no reading
  */
 public record HeaderNames(
     String requestId,
@@ -35,11 +37,13 @@
     String copyTo,
     String continueFrom,
     String urgency,
-    Set<String> reserved) {
+    Set<String> reserved,
+    Set<String> answers) {
   /** The name that the standard for server-sent events gives. */
   public static final String LAST_EVENT_ID = "Last-Event-Id";
 
   public HeaderNames {
     reserved = Set.copyOf(reserved);
+    answers = Set.copyOf(answers);
   }
 }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
@@ -13,8 +13,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.gatereel.core.limit.AnnouncedLimit;
-import org.gatereel.core.limit.LimitFact;
 import org.gatereel.core.load.DemandKey;
 import org.gatereel.core.load.LoadReport;
 import org.gatereel.core.load.LoadScope;
@@ -29,6 +27,8 @@
 import org.gatereel.core.rollout.EvidenceKey;
 import org.gatereel.core.rollout.Signal;
 import org.gatereel.core.rollout.Tally;
+import org.gatereel.core.statement.AnnouncedLimit;
+import org.gatereel.core.statement.LimitFact;
 
 /**
  * Reports of load as JSON.
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoanMessages.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoanMessages.java
@@ -9,12 +9,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.gatereel.core.limit.AnnouncedLimit;
-import org.gatereel.core.limit.LimitFact;
 import org.gatereel.core.limit.Loan;
 import org.gatereel.core.limit.LoanSubject;
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.statement.AnnouncedLimit;
+import org.gatereel.core.statement.LimitFact;
 
 /**
  * The question of a host that needs something that another one lends: its target, and its answer.
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
@@ -72,6 +72,7 @@
           "Copy-To",
           "Copy-From",
           "Urgency",
+          Set.of(),
           Set.of());
 
   private final ForwardLog log = new ForwardLog("test");
--- a/gatereel-forward/src/test/java/org/gatereel/forward/peer/LoadMessagesTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/peer/LoadMessagesTest.java
@@ -12,8 +12,6 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
-import org.gatereel.core.limit.AnnouncedLimit;
-import org.gatereel.core.limit.LimitFact;
 import org.gatereel.core.load.DemandKey;
 import org.gatereel.core.load.LoadReport;
 import org.gatereel.core.load.LoadScope;
@@ -28,6 +26,8 @@
 import org.gatereel.core.rollout.EvidenceKey;
 import org.gatereel.core.rollout.Signal;
 import org.gatereel.core.rollout.Tally;
+import org.gatereel.core.statement.AnnouncedLimit;
+import org.gatereel.core.statement.LimitFact;
 import org.junit.jupiter.api.Test;
 
 class LoadMessagesTest {
--- a/gatereel-forward/src/test/java/org/gatereel/forward/peer/LoanMessagesTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/peer/LoanMessagesTest.java
@@ -4,13 +4,13 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
-import org.gatereel.core.limit.AnnouncedLimit;
-import org.gatereel.core.limit.LimitFact;
 import org.gatereel.core.limit.Loan;
 import org.gatereel.core.limit.LoanSubject;
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.model.TargetId;
+import org.gatereel.core.statement.AnnouncedLimit;
+import org.gatereel.core.statement.LimitFact;
 import org.junit.jupiter.api.Test;
 
 class LoanMessagesTest {
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
@@ -25,7 +25,6 @@
 import org.gatereel.core.forward.Route;
 import org.gatereel.core.forward.TargetPort;
 import org.gatereel.core.internal.CoreContext;
-import org.gatereel.core.limit.LimitStatement;
 import org.gatereel.core.limit.Loan;
 import org.gatereel.core.limit.LoanSubject;
 import org.gatereel.core.load.LoadExchange;
@@ -39,6 +38,8 @@
 import org.gatereel.core.poison.PoisonControl;
 import org.gatereel.core.rollout.RolloutBounds;
 import org.gatereel.core.rollout.RolloutControl;
+import org.gatereel.core.statement.LimitStatement;
+import org.gatereel.core.statement.Statements;
 import org.gatereel.core.table.PolicyTable;
 import org.gatereel.core.target.TargetRegistry;
 
@@ -259,7 +260,7 @@
   }
 
   private record Head(
-      int status, boolean declaresNotRun, boolean isEventStream, LimitStatement limit)
+      int status, boolean declaresNotRun, boolean isEventStream, Statements statements)
       implements AnswerHead {
     @Override
     public boolean isAuthentic() {
@@ -384,7 +385,7 @@
       back(
           () -> {
             limit.ifPresent(named -> named.told(address, time.millis()));
-            listener.answered(new Head(status, notRun, stream, said));
+            listener.answered(new Head(status, notRun, stream, Statements.of(said)));
           });
     }
 
