--- a/gatereel-control/src/main/java/org/gatereel/control/log/LogSummary.java
+++ b/gatereel-control/src/main/java/org/gatereel/control/log/LogSummary.java
@@ -10,6 +10,7 @@
 /** What the lines of a log say of all requests together; lines are given in the order of time. */
 public final class LogSummary {
   private final LimitSummary limits = new LimitSummary();
+  private final StatementSummary statements = new StatementSummary();
   private final KindSummary streams = new KindSummary();
   private final KindSummary calls = new KindSummary();
   private final Map<String, HostSummary> hosts = new TreeMap<>();
@@ -38,6 +39,7 @@
     }
     requests.values().forEach(summary::addRequest);
     lines.forEach(summary.limits::add);
+    lines.forEach(summary.statements::add);
     return summary;
   }
 
@@ -72,6 +74,7 @@
             lines.add(
                 "  " + host + ": open there " + known.open + "; age of loads, ms " + known.age));
     limits.print(lines);
+    statements.print(lines);
     return lines;
   }
 
--- a/gatereel-control/src/test/java/org/gatereel/control/log/LogSummaryTest.java
+++ b/gatereel-control/src/test/java/org/gatereel/control/log/LogSummaryTest.java
@@ -66,6 +66,20 @@
     assertTrue(text.contains("lenders that did not answer: 1"), text);
   }
 
+  @Test
+  void tellsWhoSentATargetRequestsThatHadSaidItLeavesOrRests() {
+    String text =
+        summary(
+            line("REQUEST_FORWARDED", "r1", "target=t1 copyAt=- fromCopy=false millis=0"),
+            line("LEAVING_ANNOUNCED", "t1", "leaving=true before=- source=TARGET ageMillis=0"),
+            line("REST_ANNOUNCED", "t2", "restMillis=3000 before=- source=OTHER_HOST"),
+            line("REQUEST_FORWARDED", "r2", "target=t1 copyAt=- fromCopy=false millis=0"));
+
+    assertTrue(text.contains("t1, said [T to h1: leaving]"), text);
+    assertTrue(text.contains("sent by hosts that knew: {h1=1}"), text);
+    assertTrue(text.contains("t2, said []"), text);
+  }
+
   @Test
   void namesNoLimitsWhereThereAreNone() {
     assertTrue(!summary(line("REQUEST_FORWARDED", "r1", "target=t1")).contains("named how many"));
--- a/gatereel-core/src/main/java/org/gatereel/core/choice/Candidate.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/Candidate.java
@@ -9,8 +9,10 @@
  * A target that may be chosen, and what is known of it.
  *
  * @param others what all other hosts have there, as far as they have told
+ * @param restsElsewhere whether it asked another host for rest
  */
-record Candidate(TargetState target, TargetLoad others, Situation situation) {
+record Candidate(
+    TargetState target, TargetLoad others, boolean restsElsewhere, Situation situation) {
   /** Returns by how many errors the target stands out among those of its service. */
   double excessErrors() {
     return situation.errors().excess(target.errorsHere(situation.now()) + others.errors());
--- a/gatereel-core/src/main/java/org/gatereel/core/choice/Consideration.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/Consideration.java
@@ -56,6 +56,13 @@
       return candidate.failedElsewhere() ? DOUBTED_LOAD : 0;
     }
   },
+  /** It asked another host for rest: what all send is too much for it. */
+  RESTS_ELSEWHERE {
+    @Override
+    double cost(Candidate candidate) {
+      return candidate.restsElsewhere() ? DOUBTED_LOAD : 0;
+    }
+  },
   /** It answers with errors more often than others of its service. */
   ERRORS {
     @Override
@@ -141,6 +148,7 @@
   static boolean isSound(Candidate candidate) {
     return !candidate.isFailing()
         && !candidate.failedElsewhere()
+        && !candidate.restsElsewhere()
         && candidate.excessErrors() == 0
         && candidate.doubts() == 0;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/choice/TargetSelector.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/TargetSelector.java
@@ -32,19 +32,26 @@
 
   private final LoadExchange loads;
   private final HostCount hosts;
+  private final Predicate<TargetId> restsElsewhere;
 
   /**
    * Makes a selector.
    *
    * @param loads tells what other hosts have at targets
    * @param hosts tells how many hosts choose among the same targets
+   * @param restsElsewhere tells whether a target asked another host for rest
    */
   public TargetSelector(
-      CoreContext context, TargetRegistry targets, LoadExchange loads, HostCount hosts) {
+      CoreContext context,
+      TargetRegistry targets,
+      LoadExchange loads,
+      HostCount hosts,
+      Predicate<TargetId> restsElsewhere) {
     this.context = context;
     this.targets = targets;
     this.loads = loads;
     this.hosts = hosts;
+    this.restsElsewhere = restsElsewhere;
   }
 
   /** Chooses a target for a run; one that fails just now only if there is no other. */
@@ -108,7 +115,8 @@
   }
 
   private Candidate candidate(TargetState target, Situation situation) {
-    return new Candidate(target, loads.othersAt(target.description().id()), situation);
+    TargetId id = target.description().id();
+    return new Candidate(target, loads.othersAt(id), restsElsewhere.test(id), situation);
   }
 
   /**
--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -60,11 +60,12 @@
   POISON_CLEARED(342, "A request under which a target had ended has run as it should."),
   LIMIT_ANNOUNCED(
       350, "A target says how many requests a second it takes, or that it takes any number again."),
-  LIMIT_UNREADABLE(351, "What a target says of the requests it takes is no number."),
   LIMIT_REACHED(352, "A target takes no more for now; requests pass it over."),
   LIMIT_LENDER_SILENT(
       353,
       "The host that lends requests to a target does not answer, or leaves it to another one."),
+  REST_ANNOUNCED(354, "A target says for how long it wants nothing from a host."),
+  STATEMENT_UNREADABLE(355, "What a target says of itself cannot be read; nothing is kept of it."),
   EDIT_ACCEPTED(400, "An edit of the table was committed."),
   EDIT_REFUSED(401, "An edit of the table was refused."),
   EDIT_UNKNOWN(402, "The answer to an edit was lost; its edit id is read back."),
@@ -84,6 +85,9 @@
       "The platform's list names other targets than before: those that came, leave, are gone."),
   TARGET_HEADER_UNKNOWN(
       508, "A target's answer has a header that nothing reads; once for each name and service."),
+  LEAVING_ANNOUNCED(509, "A target says that it is about to end; it gets nothing new."),
+  LEAVING_CONTRADICTED(
+      510, "A target that said it leaves does not say so any more; it gets nothing all the same."),
   ROLLOUT_ORDERED(520, "The operators want a service's requests moved to another version."),
   ROLLOUT_STATE(521, "What all hosts agree on of a roll-out is another state."),
   ROLLOUT_JUDGED(522, "What hosts have seen of a new version lets this one judge it otherwise."),
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/AnswerHead.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/AnswerHead.java
@@ -1,9 +1,13 @@
 package org.gatereel.core.forward;
 
+import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.statement.Statements;
 
 /** The head of a target's answer; its headers are the transport's. */
 public interface AnswerHead {
+  /** The status by which a target says that it is not the one that was meant. */
+  int MISDIRECTED = 421;
+
   int status();
 
   /** Returns whether the target declares that it did not run the request and never will. */
@@ -18,6 +22,14 @@
   /** Returns whether the body is a stream of events. */
   boolean isEventStream();
 
+  /** Returns how a request ended that the target declares not to have run. */
+  default TargetFailure refusal() {
+    if (status() == MISDIRECTED) {
+      return TargetFailure.GOODBYE;
+    }
+    return statements().rest() > 0 ? TargetFailure.RESTING : TargetFailure.FULL;
+  }
+
   /** Returns what the answer says of its target. */
   default Statements statements() {
     return Statements.NONE;
@@ -31,7 +43,7 @@
   default boolean mayReachCaller() {
     boolean promise =
         switch (status()) {
-          case 408, 421, 429, 503 -> true;
+          case 408, MISDIRECTED, 429, 503 -> true;
           default -> false;
         };
     return isAuthentic() && !promise;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
@@ -208,6 +208,11 @@
     return !closed && end == null;
   }
 
+  @Override
+  public boolean mayBeSent() {
+    return isHeard() && exchange.mayStillHave(target);
+  }
+
   @Override
   public void sent() {
     if (isHeard()) {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/CopyPlan.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/CopyPlan.java
@@ -45,6 +45,7 @@
         left.flatMap(address -> forwarder.targets().at(service, address))
             .filter(state -> state.seenAt() <= leftAt)
             .filter(forwarder.rollouts().rule(service)::admits)
+            .filter(state -> forwarder.rests().millisTo(state.description().id()) == 0)
             .map(state -> new MemoryCopy(state, request.id()));
     left = Optional.empty();
     return taken;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -33,7 +33,6 @@
   private final TargetSearch search;
   private final SilenceWatch silence;
   private final Turn turn;
-  private final CopyPlan copies;
   private final Placement placement;
   private final ExchangeLog log;
   private final EndCheck ends;
@@ -77,8 +76,7 @@
     this.retries = new Retries(forwarder, this, log, route, service, reply, relay, deadline);
     this.tries = retries.tries();
     this.ends = new EndCheck(forwarder, this, relay, log);
-    this.copies = search.copies();
-    this.placement = new Placement(forwarder, this, search, retries, route, log);
+    this.placement = new Placement(forwarder, this, search, retries, route, log, deadline);
     this.deadlineTimer = context.timers().add(deadline, this::deadlinePassed);
     this.silence = new SilenceWatch(forwarder, this, route);
     this.turn =
@@ -191,10 +189,9 @@
     return relay.lastEventId().isPresent();
   }
 
-  /** All targets have as many requests as they take. */
-  void limitsSpent() {
-    long again = forwarder.overload().returnMillis(service, deadline);
-    giveUp(unserved(Refusal.OVERLOADED), again, "limits=spent");
+  /** Returns whether the target of the present attempt may still be sent the request. */
+  boolean mayStillHave(TargetState target) {
+    return search.mayStillHave(target);
   }
 
   /**
@@ -234,7 +231,7 @@
     from.noteSign(context.now());
     forwarder.statements().heard(from);
     if (head.declaresNotRun()) {
-      failed(from, head.status() == 421 ? TargetFailure.GOODBYE : TargetFailure.FULL);
+      failed(from, head.refusal());
       return;
     }
     if (!head.mayReachCaller() || !reply.canGoOnWith(from)) {
@@ -307,12 +304,12 @@
   void failed(Attempt from, TargetFailure failure) {
     boolean ran = from.mayHaveRun() && !failure.provesNotRun();
     if (ran) {
-      copies.attemptBroke(from);
+      search.copies().attemptBroke(from);
     }
     settle(from);
     from.cancel();
     log.failed(from, failure, ran);
-    if (failure == TargetFailure.NOT_CONNECTED) {
+    if (failure.isUnsent()) {
       tries.unreached();
     }
     if (ran) {
@@ -338,7 +335,7 @@
     giveUp(refusal, forwarder.policy().retryAfterMillis(), "");
   }
 
-  private void giveUp(Refusal refusal, long retryAfterMillis, String inputs) {
+  void giveUp(Refusal refusal, long retryAfterMillis, String inputs) {
     closeAttempt();
     if (reply.hasBegun()) {
       abort(refusal.name());
@@ -379,7 +376,7 @@
       return;
     }
     silence.stop();
-    copies.stop();
+    search.copies().stop();
     forwarder.targets().closed(ended.target());
     forwarder.loads().changed();
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -21,8 +21,11 @@
 import org.gatereel.core.overload.OverloadControl;
 import org.gatereel.core.poison.Fingerprint;
 import org.gatereel.core.poison.PoisonControl;
+import org.gatereel.core.rest.Rests;
 import org.gatereel.core.rollout.RolloutControl;
-import org.gatereel.core.statement.UnknownHeaders;
+import org.gatereel.core.statement.FactKind;
+import org.gatereel.core.statement.TargetFact;
+import org.gatereel.core.statement.TargetFacts;
 import org.gatereel.core.target.TargetRegistry;
 import org.gatereel.core.target.TargetState;
 
@@ -44,6 +47,7 @@
   private final PoisonControl poison;
   private final TargetEnds targetEnds;
   private final TargetLimits limits;
+  private final Rests rests;
   private final StatementIntake statements;
   private final Set<Exchange> open = new LinkedHashSet<>();
   private final Set<TargetId> probing = new HashSet<>();
@@ -73,25 +77,35 @@
     this.targets = targets;
     this.configuration = configuration;
     this.policy = policy;
-    this.port = port;
     this.observer = observer;
     this.loads = loads;
     this.rollouts = rollouts;
-    this.selector = new TargetSelector(context, targets, loads, directory);
+    TargetFacts facts = new TargetFacts(context, target -> targets.find(target).isPresent());
+    this.limits = new TargetLimits(context, facts, directory, loans);
+    this.rests = new Rests(context, facts);
+    this.statements = new StatementIntake(context, facts, limits.book(), rests);
+    this.port = new ListeningPort(context, port, statements);
+    this.selector = new TargetSelector(context, targets, loads, directory, rests::restsElsewhere);
     this.budgets = new RetryBudgets(context, policy.retryLimit(), directory, loans);
     this.stopPlan = new StopPlan(context);
-    this.prompts = new PromptLocator(context, targets, port);
+    this.prompts = new PromptLocator(context, targets, this.port, rests::isResting);
     this.poison = poison;
-    this.targetEnds = new TargetEnds(context, port, poison, policy.unreachableMillis());
-    this.limits =
-        new TargetLimits(context, target -> targets.find(target).isPresent(), directory, loans);
-    this.overload = new OverloadControl(context, targets, loads, limits.book()::perSecond);
-    this.statements = new StatementIntake(limits.book(), new UnknownHeaders(context));
-    loads.exchangeLimits(limits.book());
-    limits.book().onNews(loads::changed);
+    this.targetEnds = new TargetEnds(context, this.port, poison, policy.unreachableMillis());
+    this.overload =
+        new OverloadControl(context, targets, loads, limits.book()::perSecond, rests::isResting);
+    loads.exchangeTargetFacts(facts);
+    facts.onNews(this::hear);
     poison.onHeld(this::hold);
   }
 
+  /** A target has said something, here or to another host. */
+  private void hear(TargetFact fact) {
+    if (fact.kind() == FactKind.LEAVING) {
+      targets.leaving(fact.target());
+    }
+    loads.changed();
+  }
+
   /** Takes a whole request in; it is answered through {@code caller}, perhaps at once. */
   public Optional<Exchange> accept(ForwardRequest request, CallerPort caller) {
     ConfigurationKeeper.Lookup found =
@@ -274,6 +288,11 @@
     return limits;
   }
 
+  /** Returns the targets that want nothing from this host for now. */
+  public Rests rests() {
+    return rests;
+  }
+
   /** Returns what takes in what targets say of themselves. */
   StatementIntake statements() {
     return statements;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
@@ -1,6 +1,7 @@
 package org.gatereel.core.forward;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.gatereel.core.choice.TargetChoice;
 import org.gatereel.core.target.TargetState;
 
@@ -10,8 +11,8 @@
  *
  * <p>A token may have to be borrowed, which takes some milliseconds: the caller may have left by
  * then, and the target may not be one to send to any more. A target that has none left is passed
- * over. Where all have none, the request waits for a short while and is then refused; it never
- * waits until its time is up.
+ * over, and so is one that rests. Where all are passed over, the request waits for a short while
+ * and is then refused; it never waits until its time is up.
  */
 final class Placement {
   /**
@@ -40,6 +41,7 @@
   private final Retries retries;
   private final Route route;
   private final ExchangeLog log;
+  private final long deadline;
   private long waitUntil = Long.MIN_VALUE;
   private int denials;
 
@@ -58,13 +60,15 @@
       TargetSearch search,
       Retries retries,
       Route route,
-      ExchangeLog log) {
+      ExchangeLog log,
+      long deadline) {
     this.forwarder = forwarder;
     this.exchange = exchange;
     this.search = search;
     this.retries = retries;
     this.route = route;
     this.log = log;
+    this.deadline = deadline;
   }
 
   /**
@@ -146,17 +150,30 @@
   }
 
   private void nothingFound() {
+    OptionalLong restMillis = search.millisToEndOfRest();
     if (search.isAnySpent(exchange.isUnderWay())) {
       waitForTokens();
+    } else if (restMillis.isPresent()) {
+      waitForRest(restMillis.getAsLong());
     } else {
       exchange.giveUp(exchange.unserved(Refusal.NO_TARGET));
     }
   }
 
+  /** A request that would wait for longer than it may is refused at once. */
+  private void waitForRest(long millis) {
+    if (forwarder.context().now() + millis > waitUntil) {
+      long again = forwarder.overload().returnMillisAfter(millis);
+      refuse(again, "restMillis=" + millis);
+    } else {
+      forwarder.context().after(millis, this::chooseIfOpen);
+    }
+  }
+
   private void waitForTokens() {
     denials = 0;
     if (hasWaitedEnough()) {
-      exchange.limitsSpent();
+      refuse(forwarder.overload().returnMillis(search.service(), deadline), "limits=spent");
       return;
     }
     long left = waitUntil - forwarder.context().now();
@@ -165,6 +182,11 @@
     forwarder.context().after(wait, this::chooseIfOpen);
   }
 
+  /** No target takes the request for now. */
+  private void refuse(long againMillis, String inputs) {
+    exchange.giveUp(exchange.unserved(Refusal.OVERLOADED), againMillis, inputs);
+  }
+
   private void chooseIfOpen() {
     if (!exchange.isOver()) {
       choose();
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/PromptLocator.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/PromptLocator.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.internal.Rendezvous;
 import org.gatereel.core.model.ServiceName;
@@ -35,6 +36,7 @@
   private final CoreContext context;
   private final TargetRegistry targets;
   private final TargetPort port;
+  private final Predicate<TargetId> isResting;
   private final Map<ServiceName, Survey> surveys = new HashMap<>();
 
   /**
@@ -103,10 +105,17 @@
     }
   }
 
-  PromptLocator(CoreContext context, TargetRegistry targets, TargetPort port) {
+  /**
+   * Makes a locator.
+   *
+   * @param isResting tells whether a target wants nothing from this host for now
+   */
+  PromptLocator(
+      CoreContext context, TargetRegistry targets, TargetPort port, Predicate<TargetId> isResting) {
     this.context = context;
     this.targets = targets;
     this.port = port;
+    this.isResting = isResting;
   }
 
   /** Finds an engine that keeps a part of a prompt; {@code answer} is told, at once or later. */
@@ -124,6 +133,7 @@
     List<TargetState> sound =
         targets.listed(service).stream()
             .filter(target -> !target.isFailing(context.now()))
+            .filter(target -> !isResting.test(target.description().id()))
             .toList();
     return Rendezvous.rank(part, sound, target -> target.description().id().value()).stream()
         .limit(MOST_ASKED)
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetPort.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetPort.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.model.TargetDescription;
+import org.gatereel.core.statement.Statements;
 
 /** The way to targets. */
 public interface TargetPort {
@@ -29,6 +30,11 @@
 
   /** Hears how a request fares; after {@code ended} or {@code failed} nothing more comes. */
   interface Listener {
+    /**
+     * Returns whether the request is still to be sent; asked just before its first byte goes out.
+     */
+    boolean mayBeSent();
+
     /** The connection stands and the request is on its way: from now on it may run. */
     void sent();
 
@@ -47,6 +53,9 @@
 
   /** Hears what came of a probe. */
   interface ProbeListener {
+    /** The answer says something of the target; told before the result or after it, or never. */
+    default void heard(Statements said) {}
+
     void probed(ProbeResult result);
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.Sets;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.gatereel.core.choice.TargetChoice;
@@ -26,6 +27,7 @@
   private final Set<TargetId> tried = new HashSet<>();
   private TargetQuery query;
   private boolean passesOverLimited;
+  private boolean triesOut;
 
   /** Makes a search among the targets of a service that has the route's requests. */
   TargetSearch(
@@ -47,6 +49,11 @@
     this.query = new TargetQuery(service, Optional.empty(), fitting);
   }
 
+  /** Returns the service whose targets are searched. */
+  ServiceName service() {
+    return service;
+  }
+
   /** Returns what becomes of the copies of this request's runs. */
   CopyPlan copies() {
     return copies;
@@ -106,26 +113,53 @@
     passesOverLimited = false;
   }
 
+  /** Returns the targets that would do and are sent nothing just now. */
   private Set<TargetId> spent(boolean urgent) {
+    Set<TargetId> spent = withoutTokens(urgent);
+    Set<TargetId> resting = forwarder.rests().barred();
+    return resting.isEmpty() ? spent : Sets.union(spent, resting);
+  }
+
+  private Set<TargetId> withoutTokens(boolean urgent) {
     return passesOverLimited
         ? forwarder.limits().book().limited()
         : forwarder.limits().spent(urgent);
   }
 
-  /** Returns whether targets would do that take no more for now. */
+  /** Returns whether targets would do that have no token for now. */
   boolean isAnySpent(boolean urgent) {
-    Set<TargetId> spent = spent(urgent);
+    Set<TargetId> spent = withoutTokens(urgent);
     return !spent.isEmpty()
         && query.versions().among(forwarder.targets().listed(service)).stream()
             .anyMatch(target -> spent.contains(target.description().id()));
   }
 
+  /**
+   * Returns in how many milliseconds the first of the targets that would do, and rest, takes
+   * requests again; empty if none of them rests.
+   */
+  OptionalLong millisToEndOfRest() {
+    return query.versions().among(forwarder.targets().listed(service)).stream()
+        .mapToLong(target -> forwarder.rests().millisTo(target.description().id()))
+        .filter(millis -> millis > 0)
+        .min();
+  }
+
   /**
    * Returns whether a target that was chosen a moment ago may still be sent this request: it may
-   * have begun to leave, and its version may have been rolled back.
+   * have begun to leave, or to rest, and its version may have been rolled back.
    */
   boolean mayHave(TargetState target) {
-    return !target.isLeaving() && forwarder.rollouts().mayHave(service, target, isNew());
+    return forwarder.rests().millisTo(target.description().id()) == 0 && mayHave(target, isNew());
+  }
+
+  /** Returns whether the target of the present try may be sent it now that it is connected. */
+  boolean mayStillHave(TargetState target) {
+    return !forwarder.rests().isResting(target.description().id()) && mayHave(target, triesOut);
+  }
+
+  private boolean mayHave(TargetState target, boolean fresh) {
+    return !target.isLeaving() && forwarder.rollouts().mayHave(service, target, fresh);
   }
 
   /** Only a request that ran nowhere yet may try out a new version; a repeat must not fail. */
@@ -141,7 +175,9 @@
 
   /** Notes that a target is tried; returns where it is to copy the run, if anywhere. */
   Optional<Address> begin(TargetState target) {
+    triesOut = isNew();
     tried.add(target.description().id());
+    forwarder.rests().sent(target.description().id());
     return copiesRuns
         ? copies.begin(target, query.among(forwarder.rollouts().rule(service)))
         : Optional.empty();
@@ -161,6 +197,8 @@
     if (from.isContinuation() && failure == TargetFailure.FULL) {
       // The copy is not there; that says nothing of the target's load.
       tried.remove(from.target().description().id());
+    } else if (failure == TargetFailure.WITHDRAWN) {
+      forwarder.limits().giveBack(from.target().description().id());
     } else {
       forwarder.targets().failed(from.target(), failure);
     }
--- a/gatereel-core/src/main/java/org/gatereel/core/limit/TargetLimits.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/limit/TargetLimits.java
@@ -3,10 +3,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.TargetId;
+import org.gatereel.core.statement.TargetFacts;
 
 /** Keeps to the limits that targets name, together with all other hosts. */
 public final class TargetLimits {
@@ -17,14 +17,14 @@
   /**
    * Makes it; no limit is known yet.
    *
-   * @param isListed whether a run of a target is still to be known
+   * @param facts what targets have said
    * @param directory the hosts that share limits
    * @param port the way to those that lend
    */
   public TargetLimits(
-      CoreContext context, Predicate<TargetId> isListed, LenderDirectory directory, LoanPort port) {
+      CoreContext context, TargetFacts facts, LenderDirectory directory, LoanPort port) {
     LenderRanking ranking = new LenderRanking(context, directory);
-    this.book = new LimitBook(context, isListed);
+    this.book = new LimitBook(context, facts);
     this.lender = new TokenLender(context, book, ranking, port);
     this.tokens = new RequestTokens(context, book, ranking, port, lender);
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/limit/TokenLender.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/limit/TokenLender.java
@@ -1,7 +1,6 @@
 package org.gatereel.core.limit;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -72,7 +71,7 @@
    * @param answer is told once, at once or later; empty if another host is to lend
    */
   void lend(LoanSubject.Requests asked, int count, Consumer<Optional<Loan>> answer) {
-    book.learn(List.of(asked.limit()));
+    book.learn(asked.limit());
     if (asked.passedOn()) {
       answer.accept(isYoung() ? Optional.empty() : Optional.of(lendHere(asked, count)));
       return;
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
@@ -19,7 +19,7 @@
 import org.gatereel.core.poison.PoisonFact;
 import org.gatereel.core.rollout.EvidenceKey;
 import org.gatereel.core.rollout.Tally;
-import org.gatereel.core.statement.LimitFact;
+import org.gatereel.core.statement.TargetFact;
 import org.gatereel.core.target.TargetRegistry;
 import org.gatereel.core.target.TargetState;
 
@@ -94,11 +94,11 @@
 
   /** Has reports carry what hosts have seen of requests under which targets end. */
   public void exchangePoison(SharedFacts<PoisonFact> told) {
-    facts = new FactSources(told, facts.limits());
+    facts = new FactSources(told, facts.targets());
   }
 
-  /** Has reports carry what targets have said of how many requests they take. */
-  public void exchangeLimits(SharedFacts<LimitFact> told) {
+  /** Has reports carry what targets have said. */
+  public void exchangeTargetFacts(SharedFacts<TargetFact> told) {
     facts = new FactSources(facts.poison(), told);
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
@@ -9,7 +9,7 @@
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.poison.PoisonFact;
-import org.gatereel.core.statement.LimitFact;
+import org.gatereel.core.statement.TargetFact;
 
 /**
  * What one receiver has been told, so that it is told only what changed.
@@ -36,8 +36,8 @@
   /** One fact about a request under which targets end, as counted on the wire. */
   private static final int FACT_BYTES = 90;
 
-  /** One target's limit: the longest name and start that targets have, and two numbers. */
-  private static final int LIMIT_BYTES = 50;
+  /** What a target said: its kind, the longest name and start that targets have, two numbers. */
+  private static final int TARGET_FACT_BYTES = 50;
 
   /** With 64 facts a report takes a second of the link; the others follow with the next. */
   private static final int MOST_FACTS = 64;
@@ -53,7 +53,7 @@
   private OptionalLong lastSequence = OptionalLong.empty();
   private long badTold;
   private final ToldFacts<PoisonFact> poisonTold = new ToldFacts<>();
-  private final ToldFacts<LimitFact> limitsTold = new ToldFacts<>();
+  private final ToldFacts<TargetFact> targetsTold = new ToldFacts<>();
   private long sentAt = Long.MIN_VALUE / 2;
   private long nextAt = Long.MIN_VALUE / 2;
   private long backoffMillis = FIRST_BACKOFF_MILLIS;
@@ -91,8 +91,8 @@
     // A version that turns bad must be known everywhere long before the next heartbeat.
     boolean alarm = sums.badAnswers() > badTold;
     List<PoisonFact> poison = poisonTold.next(facts.poison(), whole, MOST_FACTS);
-    List<LimitFact> limits = limitsTold.next(facts.limits(), whole, MOST_FACTS);
-    boolean news = !poison.isEmpty() || !limits.isEmpty();
+    List<TargetFact> targetFacts = targetsTold.next(facts.targets(), whole, MOST_FACTS);
+    boolean news = !poison.isEmpty() || !targetFacts.isEmpty();
     if (changed.isEmpty() && !news && !beat && !whole && !alarm) {
       return Optional.empty();
     }
@@ -108,12 +108,12 @@
             sums.demand(),
             sums.evidence(),
             poison,
-            limits);
+            targetFacts);
     badTold = sums.badAnswers();
     told = new HashMap<>(loads);
     sentAt = now;
     int entries = changed.size() + sums.demand().size() + sums.evidence().size();
-    nextAt = now + pauseMillis(entries, poison.size(), limits.size());
+    nextAt = now + pauseMillis(entries, poison.size(), targetFacts.size());
     lastSequence = OptionalLong.of(sequence);
     underWay = true;
     return Optional.of(report);
@@ -133,8 +133,8 @@
     return changes;
   }
 
-  private static long pauseMillis(int entries, int poison, int limits) {
-    long facts = (long) poison * FACT_BYTES + (long) limits * LIMIT_BYTES;
+  private static long pauseMillis(int entries, int poison, int targetFacts) {
+    long facts = (long) poison * FACT_BYTES + (long) targetFacts * TARGET_FACT_BYTES;
     long bytes = REPORT_BYTES + (long) entries * ENTRY_BYTES + facts;
     return bytes * 1_000 / BYTES_PER_SECOND;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadReport.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadReport.java
@@ -9,7 +9,7 @@
 import org.gatereel.core.poison.PoisonFact;
 import org.gatereel.core.rollout.EvidenceKey;
 import org.gatereel.core.rollout.Tally;
-import org.gatereel.core.statement.LimitFact;
+import org.gatereel.core.statement.TargetFact;
 
 /**
  * One message of a host about targets.
@@ -25,7 +25,7 @@
  *     where a service is busy
  * @param evidence answers that were counted during the roll-outs that run, whole in each report
  * @param poison what became known of requests under which targets end, since the report before
- * @param limits what targets have said of how many requests they take, since the report before
+ * @param targetFacts what targets have said, since the report before
  */
 public record LoadReport(
     HostId sender,
@@ -38,7 +38,7 @@
     Map<DemandKey, Double> demand,
     Map<EvidenceKey, Tally> evidence,
     List<PoisonFact> poison,
-    List<LimitFact> limits) {
+    List<TargetFact> targetFacts) {
   /** Makes a report of a host that has seen no answers during a roll-out, and heard of no facts. */
   public LoadReport(
       HostId sender,
@@ -59,6 +59,6 @@
     loads = Map.copyOf(loads);
     demand = Map.copyOf(demand);
     poison = List.copyOf(poison);
-    limits = List.copyOf(limits);
+    targetFacts = List.copyOf(targetFacts);
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.load.DemandKey;
@@ -61,6 +62,7 @@
   private final TargetRegistry targets;
   private final LoadExchange loads;
   private final ToDoubleFunction<TargetId> limits;
+  private final Predicate<TargetId> isResting;
   private final Demand demand = new Demand();
   private final Turns turns = new Turns();
   private final ReturnTimes returnTimes;
@@ -70,16 +72,19 @@
    * Makes a control that has reports tell what this host is asked for.
    *
    * @param limits tells how many requests a second a target takes; infinite where it names no limit
+   * @param isResting tells whether a target wants nothing from this host for now
    */
   public OverloadControl(
       CoreContext context,
       TargetRegistry targets,
       LoadExchange loads,
-      ToDoubleFunction<TargetId> limits) {
+      ToDoubleFunction<TargetId> limits,
+      Predicate<TargetId> isResting) {
     this.context = context;
     this.targets = targets;
     this.loads = loads;
     this.limits = limits;
+    this.isResting = isResting;
     this.returnTimes = new ReturnTimes(context.random());
     loads.tellDemand(this::told);
   }
@@ -119,6 +124,15 @@
     return returnTimes.millis(excess, deadline - context.now());
   }
 
+  /**
+   * Draws when a request that is refused is to come back, where targets rest.
+   *
+   * @param restMillis when the first of them takes requests again, in milliseconds from now
+   */
+  public long returnMillisAfter(long restMillis) {
+    return restMillis + context.random().nextLong(RETRY_MILLIS);
+  }
+
   /** Decides again on a request that waits. */
   public Verdict askAgain(Arrival arrival) {
     Capacity capacity = capacity(arrival.service());
@@ -185,9 +199,10 @@
     double assumed = engines ? ASSUMED_PROMPT_MILLIS : 0;
     Capacity capacity = new Capacity(engines, known == null ? assumed : known.millis());
     for (TargetState target : listed) {
-      if (!target.isFailing(context.now())) {
+      TargetId id = target.description().id();
+      if (!target.isFailing(context.now()) && !isResting.test(id)) {
         int places = engines ? 1 : target.description().slots();
-        capacity.add(places, limits.applyAsDouble(target.description().id()));
+        capacity.add(places, limits.applyAsDouble(id));
       }
     }
     return capacity;
--- a/gatereel-core/src/main/java/org/gatereel/core/statement/AnnouncedLimit.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/statement/AnnouncedLimit.java
@@ -22,7 +22,7 @@
    * Returns whether this is to take the place of another one: said later, or at once and lower, so
    * that all hosts come to the same, in whichever order they hear of both.
    */
-  public boolean replaces(AnnouncedLimit other) {
+  boolean replaces(AnnouncedLimit other) {
     if (perSecond == other.perSecond) {
       return false;
     }
--- a/gatereel-core/src/main/java/org/gatereel/core/statement/LimitFact.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/statement/LimitFact.java
@@ -1,6 +1,43 @@
 package org.gatereel.core.statement;
 
+import java.util.Locale;
+import java.util.OptionalDouble;
 import org.gatereel.core.model.TargetId;
 
 /** What one run of a target has said of how many requests it takes. */
-public record LimitFact(TargetId target, AnnouncedLimit limit) {}
+public record LimitFact(TargetId target, AnnouncedLimit limit) implements TargetFact {
+  @Override
+  public FactKind kind() {
+    return FactKind.LIMIT;
+  }
+
+  @Override
+  public long since() {
+    return limit.since();
+  }
+
+  @Override
+  public OptionalDouble value() {
+    return limit.isNone() ? OptionalDouble.empty() : OptionalDouble.of(limit.perSecond());
+  }
+
+  @Override
+  public String valueText() {
+    return limit.isNone() ? "-" : String.format(Locale.ROOT, "%.3f", limit.perSecond());
+  }
+
+  @Override
+  public boolean covers(TargetFact other) {
+    return !(other instanceof LimitFact fact) || fact.limit.perSecond() == limit.perSecond();
+  }
+
+  @Override
+  public boolean replaces(TargetFact other) {
+    return other instanceof LimitFact fact && limit.replaces(fact.limit);
+  }
+
+  @Override
+  public LimitFact later(long millis) {
+    return new LimitFact(target, new AnnouncedLimit(limit.perSecond(), limit.since() + millis));
+  }
+}
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/statement/RestFact.java
@@ -0,0 +1,44 @@
+package org.gatereel.core.statement;
+
+import java.util.OptionalDouble;
+import org.gatereel.core.model.TargetId;
+
+/**
+ * One run of a target wants nothing from some host until a time.
+ *
+ * @param until the end, on this host's steady clock in milliseconds
+ */
+public record RestFact(TargetId target, long since, long until) implements TargetFact {
+  /** Ends that differ by less are not worth a report: news between hosts takes about as long. */
+  private static final long SAME_END_MILLIS = 500;
+
+  @Override
+  public FactKind kind() {
+    return FactKind.REST;
+  }
+
+  @Override
+  public OptionalDouble value() {
+    return OptionalDouble.of(until - since);
+  }
+
+  @Override
+  public String valueText() {
+    return Long.toString(until - since);
+  }
+
+  @Override
+  public boolean covers(TargetFact other) {
+    return !(other instanceof RestFact rest) || rest.until - until < SAME_END_MILLIS;
+  }
+
+  @Override
+  public boolean replaces(TargetFact other) {
+    return !other.covers(this);
+  }
+
+  @Override
+  public RestFact later(long millis) {
+    return new RestFact(target, since + millis, until + millis);
+  }
+}
--- a/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
@@ -1,6 +1,7 @@
 package org.gatereel.core.target;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -23,10 +24,19 @@
 
 /** The targets that this host knows, and the choice among them. */
 public final class TargetRegistry {
+  /**
+   * A run that leaves stays so when a list names it again: an entry may lapse and return, and the
+   * list may be an older one. Longer than a target serves on after it has said that it leaves.
+   */
+  private static final long LEAVING_KEPT_MILLIS = 600_000;
+
   private final CoreContext context;
   private final PolicyTable table;
   private final Map<TargetId, TargetState> targets = new LinkedHashMap<>();
-  private final Set<TargetId> leavingHints = new HashSet<>();
+
+  /** When each run was last said to leave, whether it is listed or not. */
+  private final Map<TargetId, Long> saidToLeave = new HashMap<>();
+
   private final List<Consumer<TargetState>> leavingListeners = new ArrayList<>();
   private long listVersion = -1;
   private long sequence;
@@ -83,7 +93,7 @@
       changes.came(description.id());
     }
     known.update(description);
-    if (description.state() == LifeState.LEAVING || leavingHints.contains(description.id())) {
+    if (description.state() == LifeState.LEAVING || saidToLeave.containsKey(description.id())) {
       leave(description.id(), changes);
     }
     return description.id();
@@ -109,12 +119,15 @@
   private void dropUnnamed(Set<TargetId> named, ListChanges changes) {
     for (TargetId id : List.copyOf(targets.keySet())) {
       if (!named.contains(id)) {
-        markLeaving(id);
+        turnAway(id);
         targets.remove(id);
         changes.gone(id);
       }
     }
-    leavingHints.removeIf(id -> !named.contains(id) && !targets.containsKey(id));
+    long before = context.knowledgeTime() - LEAVING_KEPT_MILLIS;
+    saidToLeave
+        .entrySet()
+        .removeIf(run -> run.getValue() < before && !named.contains(run.getKey()));
   }
 
   private void leave(TargetId id, ListChanges changes) {
@@ -134,7 +147,12 @@
   }
 
   private boolean markLeaving(TargetId id) {
-    leavingHints.add(id);
+    saidToLeave.put(id, context.knowledgeTime());
+    return turnAway(id);
+  }
+
+  /** Gives a target nothing new; returns whether that is news. */
+  private boolean turnAway(TargetId id) {
     TargetState target = targets.get(id);
     if (target == null || !target.markLeaving()) {
       return false;
--- a/gatereel-core/src/main/java/org/gatereel/core/target/TargetState.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/target/TargetState.java
@@ -154,9 +154,11 @@
     if (failure == TargetFailure.FULL) {
       // The refusal is a load report in itself: others fill the target.
       reported(description.slots() + openHere, now);
+    }
+    if (failure == TargetFailure.FULL || failure == TargetFailure.RESTING) {
       lastFullAt = now;
     }
-    if (failure == TargetFailure.FULL || failure == TargetFailure.ERROR) {
+    if (!failure.isFault()) {
       return false;
     }
     boolean first = !failing;
--- a/gatereel-core/src/test/java/org/gatereel/core/choice/ConsiderationTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/choice/ConsiderationTest.java
@@ -52,6 +52,7 @@
           new HostDirectory(context, ELSEWHERE),
           ELSEWHERE,
           (to, report, receipt) -> {});
+  private final Set<TargetId> resting = new HashSet<>();
   private final TargetSelector selector =
       new TargetSelector(
           context,
@@ -67,7 +68,8 @@
             public int here() {
               return hosts;
             }
-          });
+          },
+          resting::contains);
   private final TargetQuery query = new TargetQuery(ENGINES, Optional.empty(), FITTING);
   private long sequence;
   private int hosts = 6;
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
@@ -159,6 +159,7 @@
     boolean finished;
     boolean aborted;
     Refusal refusal;
+    long retryAfterMillis;
 
     boolean isOver() {
       return finished || aborted || refusal != null;
@@ -202,6 +203,7 @@
     public void refuse(Refusal reason, long retryAfterMillis) {
       checkOpen();
       refusal = reason;
+      this.retryAfterMillis = retryAfterMillis;
     }
   }
 
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/LimitForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/LimitForwardingTest.java
@@ -17,7 +17,7 @@
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.TargetId;
-import org.gatereel.core.statement.LimitStatement;
+import org.gatereel.core.statement.Statement;
 import org.gatereel.core.statement.Statements;
 import org.junit.jupiter.api.Test;
 
@@ -48,11 +48,7 @@
 
   private void limit(double perSecond, String... targets) {
     for (String target : targets) {
-      world
-          .forwarder
-          .limits()
-          .book()
-          .hear(new TargetId(target), new LimitStatement.PerSecond(perSecond), 0);
+      world.forwarder.limits().book().hear(new TargetId(target), perSecond, 0);
     }
   }
 
@@ -101,7 +97,7 @@
     SentCall call = world.last().accepted();
     call.listener.answered(
         new ForwardWorld.Head(
-            200, false, true, false, Statements.of(new LimitStatement.PerSecond(0.5))));
+            200, false, true, false, Statements.NONE.withLimit(Statement.number(0.5))));
     call.listener.ended(AnswerEnd.LAST_CHUNK);
     assertEquals(0.5, world.forwarder.limits().book().perSecond(new TargetId(target)));
 
@@ -118,7 +114,7 @@
 
     call.listener.answered(
         new ForwardWorld.Head(
-            503, true, false, false, Statements.of(new LimitStatement.PerSecond(0.5))));
+            503, true, false, false, Statements.NONE.withLimit(Statement.number(0.5))));
 
     assertEquals(0.5, world.forwarder.limits().book().perSecond(new TargetId(call.target())));
   }
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/RolloutForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/RolloutForwardingTest.java
@@ -24,7 +24,6 @@
 import org.gatereel.core.rollout.RolloutState;
 import org.gatereel.core.rollout.Signal;
 import org.gatereel.core.rollout.Tally;
-import org.gatereel.core.statement.LimitStatement;
 import org.junit.jupiter.api.Test;
 
 /** Where requests, repeats and continuations go while a service moves to another version. */
@@ -96,11 +95,7 @@
     list(ForwardWorld.COUNTERS, "old1", "new1", "new2", "new3");
     knowAnotherHost();
     for (String target : new String[] {"new1", "new2", "new3"}) {
-      world
-          .forwarder
-          .limits()
-          .book()
-          .hear(new TargetId(target), new LimitStatement.PerSecond(5), 0);
+      world.forwarder.limits().book().hear(new TargetId(target), 5, 0);
     }
     while (world.tokenQuestions.isEmpty()) {
       world.ask("/safe/x", new ForwardWorld.Caller());
--- a/gatereel-core/src/test/java/org/gatereel/core/limit/LimitBookTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/limit/LimitBookTest.java
@@ -9,14 +9,14 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.gatereel.core.action.Action;
-import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.statement.AnnouncedLimit;
 import org.gatereel.core.statement.LimitFact;
-import org.gatereel.core.statement.LimitStatement;
+import org.gatereel.core.statement.TargetFact;
+import org.gatereel.core.statement.TargetFacts;
 import org.junit.jupiter.api.Test;
 
 class LimitBookTest {
@@ -27,7 +27,8 @@
   private final Set<TargetId> listed = new HashSet<>(Set.of(TARGET, NEXT_RUN));
   private final CoreContext context =
       new CoreContext(new HostId("h1"), new DataCentre("north"), new SplittableRandom(1));
-  private final LimitBook book = new LimitBook(context, listed::contains);
+  private final TargetFacts facts = new TargetFacts(context, listed::contains);
+  private final LimitBook book = new LimitBook(context, facts);
 
   LimitBookTest() {
     context.moveTo(100_000);
@@ -39,15 +40,15 @@
   }
 
   private void hear(double perSecond, long sentAgo) {
-    book.hear(TARGET, new LimitStatement.PerSecond(perSecond), context.now() - sentAgo);
+    book.hear(TARGET, perSecond, context.now() - sentAgo);
   }
 
   private void hearNone(long sentAgo) {
-    book.hear(TARGET, LimitStatement.NONE, context.now() - sentAgo);
+    book.hearNone(TARGET, context.now() - sentAgo);
   }
 
   private void told(double perSecond, long ago) {
-    book.learn(List.of(new LimitFact(TARGET, new AnnouncedLimit(perSecond, context.now() - ago))));
+    facts.learn(List.of(new LimitFact(TARGET, new AnnouncedLimit(perSecond, context.now() - ago))));
   }
 
   private List<Action.Note> notes() {
@@ -107,20 +108,6 @@
     assertEquals(0, book.size());
   }
 
-  @Test
-  void whatCannotBeReadChangesNothingAndIsLoggedOnceASecond() {
-    hear(5.4, 10);
-    notes();
-    pass(100);
-    for (int answer = 0; answer < 50; answer++) {
-      book.hear(TARGET, new LimitStatement.Unreadable("many"), context.now());
-    }
-
-    assertEquals(5.4, book.perSecond(TARGET));
-    assertEquals(
-        List.of(EventCode.LIMIT_UNREADABLE), notes().stream().map(Action.Note::code).toList());
-  }
-
   @Test
   void aLimitThatChangesWithEachAnswerFillsNoLog() {
     for (int answer = 0; answer < 100; answer++) {
@@ -162,7 +149,7 @@
     pass(100);
     context.noteLost(5_000);
 
-    long told = book.after(0, 1).get(0).fact().limit().since();
+    long told = facts.after(0, 1).get(0).fact().since();
     assertEquals(5_100, context.now() - told);
 
     told(2, 3_000);
@@ -178,12 +165,12 @@
   @Test
   void whatComesBackUnchangedIsNoNews() {
     hear(5.4, 0);
-    long number = book.after(0, 10).get(0).number();
+    long number = facts.after(0, 10).get(0).number();
     pass(500);
 
     told(5.4, 400);
 
-    assertEquals(List.of(), book.after(number, 10));
+    assertEquals(List.of(), facts.after(number, 10));
   }
 
   @Test
@@ -194,10 +181,10 @@
     pass(10);
     hearNone(0);
 
-    List<LimitFact> facts = book.after(0, 10).stream().map(told -> told.fact()).toList();
+    List<TargetFact> told = facts.after(0, 10).stream().map(next -> next.fact()).toList();
 
-    assertEquals(1, facts.size());
-    assertTrue(facts.get(0).limit().isNone());
+    assertEquals(1, told.size());
+    assertTrue(((LimitFact) told.get(0)).limit().isNone());
   }
 
   @Test
@@ -208,7 +195,7 @@
     pass(60_000);
     pass(60_001);
 
-    assertEquals(List.of(), book.after(0, 10));
+    assertEquals(List.of(), facts.after(0, 10));
     assertEquals(0, book.size());
   }
 }
--- a/gatereel-core/src/test/java/org/gatereel/core/limit/LimitWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/limit/LimitWorld.java
@@ -18,6 +18,7 @@
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.statement.AnnouncedLimit;
 import org.gatereel.core.statement.LimitFact;
+import org.gatereel.core.statement.TargetFacts;
 
 /** Hosts that share the limit of one target, over messages that take time; time is virtual. */
 final class LimitWorld {
@@ -56,8 +57,8 @@
       address = new Address("10.0." + index / 200 + "." + index % 200, 7);
       context = new CoreContext(new HostId("h" + index), dataCentre, new SplittableRandom(index));
       context.moveTo(now);
-      limits = new TargetLimits(context, any -> true, this, this::borrow);
-      limits.book().learn(List.of(fact()));
+      limits = new TargetLimits(context, new TargetFacts(context, any -> true), this, this::borrow);
+      limits.book().learn(fact());
     }
 
     @Override
--- a/gatereel-core/src/test/java/org/gatereel/core/overload/OverloadControlTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/overload/OverloadControlTest.java
@@ -6,10 +6,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.HostDirectory;
@@ -54,8 +56,9 @@
           new HostDirectory(context, ELSEWHERE),
           ELSEWHERE,
           (to, report, receipt) -> {});
+  private final Set<TargetId> resting = new HashSet<>();
   private final OverloadControl overload =
-      new OverloadControl(context, targets, loads, this::limit);
+      new OverloadControl(context, targets, loads, this::limit, resting::contains);
   private final Map<TargetId, Double> limits = new HashMap<>();
   private long sequence;
 
@@ -308,4 +311,29 @@
     assertTrue(latestOfMany > 4_000 && latestOfMany <= 5_500, "many: " + latestOfMany);
     assertTrue(times.millis(9, 300) <= 100);
   }
+
+  /** What a service can do shrinks with the word of a target, and grows again with its end. */
+  @Test
+  void aTargetThatRestsCountsNothingUntilItsEnd() {
+    learnCalls();
+    othersTell(0, asked(COUNTERS, 900, 10));
+    targets.failed(targets.find(new TargetId("c9")).orElseThrow(), TargetFailure.RESTING);
+    for (int index = 0; index < TARGETS / 2; index++) {
+      resting.add(new TargetId("c" + index));
+    }
+    assertInstanceOf(Verdict.Refuse.class, refusedAfterItsShare());
+
+    resting.clear();
+
+    assertInstanceOf(Verdict.Send.class, overload.arrive(call(HOT)));
+  }
+
+  /** An account that is beyond its share has saved little, which is used up first. */
+  private Verdict refusedAfterItsShare() {
+    Verdict verdict = overload.arrive(call(HOT));
+    for (int index = 0; index < 100 && verdict instanceof Verdict.Send; index++) {
+      verdict = overload.arrive(call(HOT));
+    }
+    return verdict;
+  }
 }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -139,6 +139,8 @@
     metrics.gauge("poison_requests_suspected", poison::suspected);
     metrics.gauge("poison_requests_held", poison::held);
     metrics.gauge("limited_targets", forwarder.limits().book()::size);
+    metrics.gauge("resting_targets", forwarder.rests()::size);
+    metrics.gauge("leaving_targets", () -> targets.leavingTargets().size());
     metrics.gauge("limit_tokens_granted", forwarder.limits()::granted);
     metrics.gauge("limit_tokens_denied", forwarder.limits()::denied);
     metrics.gauge("log_lines_dropped", log::dropped);
--- a/gatereel-forward/src/main/java/org/gatereel/forward/HeaderNames.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/HeaderNames.java
@@ -14,6 +14,7 @@
  * @param notRun a target's promise that it did not run the request
  * @param limit how many requests a second a target takes from all hosts together, as a decimal
  *     number
+ * @param leaving a target's word that it is about to end
  * @param tokenCounts the tokens of the prompt and the most that come out, joined by a comma
  * @param promptParts the parts of the prompt in their order, each as name:tokens, joined by commas
  * @param copyTo the address of the engine that is to hold a copy of the run
@@ -32,6 +33,7 @@
     String signature,
     String notRun,
     String limit,
+    String leaving,
     String tokenCounts,
     String promptParts,
     String copyTo,
--- a/gatereel-forward/src/main/java/org/gatereel/forward/TargetDialect.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/TargetDialect.java
@@ -1,7 +1,6 @@
 package org.gatereel.forward;
 
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 
 /** How targets are spoken to beyond the requests that are forwarded. */
@@ -12,8 +11,8 @@
   /** Returns where an engine tells its state without taking part in its queue. */
   String probePath();
 
-  /** Reads when the target began from what it tells at {@link #probePath}; empty if it does not. */
-  OptionalLong readBorn(byte[] answer);
+  /** Reads what a target tells at {@link #probePath}. */
+  TargetReport readReport(byte[] answer);
 
   /** Returns where an engine tells which parts of prompts it keeps. */
   String promptsPath();
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/ProbeHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/ProbeHandler.java
@@ -7,13 +7,16 @@
 import java.io.ByteArrayOutputStream;
 import java.net.ConnectException;
 import java.util.OptionalLong;
-import java.util.function.Function;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.AnswerEnd;
 import org.gatereel.core.forward.ProbeResult;
 import org.gatereel.core.forward.TargetPort;
 import org.gatereel.core.model.TargetId;
+import org.gatereel.core.statement.Statement;
+import org.gatereel.core.statement.Statements;
 import org.gatereel.forward.ControlThread;
+import org.gatereel.forward.TargetDialect;
+import org.gatereel.forward.TargetReport;
 
 /**
  * Tells the core whether one run of a target answers.
@@ -28,25 +31,26 @@
   private static final int MOST_BYTES = 64 << 10;
 
   private final TargetId probed;
-  private final Function<byte[], OptionalLong> readBorn;
+  private final TargetDialect dialect;
   private final TargetPort.ProbeListener listener;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private Statements said = Statements.NONE;
   private boolean refused;
   private boolean answered;
 
   /**
    * Makes a handler for the answer to one probe.
    *
-   * @param readBorn reads from a report when its sender began
+   * @param dialect reads what targets say
    */
   ProbeHandler(
       ControlThread control,
       TargetId probed,
-      Function<byte[], OptionalLong> readBorn,
+      TargetDialect dialect,
       TargetPort.ProbeListener listener) {
     super(control, HttpMethod.GET);
     this.probed = probed;
-    this.readBorn = readBorn;
+    this.dialect = dialect;
     this.listener = listener;
   }
 
@@ -64,10 +68,14 @@
   void onHead(HttpResponse head) {
     if (head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
       conclude(ProbeResult.GONE);
-    } else if (probed.born() == TargetId.UNKNOWN_BORN) {
-      conclude(ProbeResult.ALIVE);
+      return;
     }
     answered = true;
+    said = StatementHeaders.read(head, dialect.headers());
+    if (isKnownByName()) {
+      listener.heard(said);
+      conclude(ProbeResult.ALIVE);
+    }
   }
 
   @Override
@@ -79,13 +87,18 @@
     body.writeBytes(bytes);
   }
 
+  /** Another run's answer says nothing of the one that was probed. */
   @Override
   void onEnd(AnswerEnd end) {
-    OptionalLong born = readBorn.apply(body.toByteArray());
-    if (born.isEmpty()) {
+    TargetReport report = dialect.readReport(body.toByteArray());
+    boolean same = report.born().equals(OptionalLong.of(probed.born()));
+    if (same) {
+      listener.heard(report.leaving() ? said.withLeaving(new Statement.Said<>(true)) : said);
+    }
+    if (report.born().isEmpty()) {
       listener.probed(ProbeResult.ANSWERED);
     } else {
-      listener.probed(born.getAsLong() == probed.born() ? ProbeResult.ALIVE : ProbeResult.GONE);
+      listener.probed(same ? ProbeResult.ALIVE : ProbeResult.GONE);
     }
   }
 
@@ -98,6 +111,10 @@
     }
   }
 
+  private boolean isKnownByName() {
+    return probed.born() == TargetId.UNKNOWN_BORN;
+  }
+
   private void conclude(ProbeResult result) {
     forget();
     listener.probed(result);
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/StatementHeaders.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/StatementHeaders.java
@@ -1,10 +1,14 @@
 package org.gatereel.forward.http;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
-import org.gatereel.core.statement.LimitStatement;
+import org.gatereel.core.statement.Statement;
+import org.gatereel.core.statement.StatementReader;
 import org.gatereel.core.statement.Statements;
 import org.gatereel.forward.HeaderNames;
 
@@ -12,9 +16,24 @@
 final class StatementHeaders {
   private StatementHeaders() {}
 
-  static Statements read(HttpHeaders headers, HeaderNames names) {
+  static Statements read(HttpResponse head, HeaderNames names) {
+    HttpHeaders headers = head.headers();
     return new Statements(
-        LimitStatement.of(headers.getAll(names.limit())), unknown(headers, names));
+        StatementReader.limit(headers.getAll(names.limit())),
+        StatementReader.leaving(headers.getAll(names.leaving())),
+        rest(head),
+        unknown(headers, names));
+  }
+
+  /** Only with a refusal does the header say for how long the target wants nothing. */
+  private static Statement<Long> rest(HttpResponse head) {
+    int status = head.status().code();
+    boolean refuses =
+        status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
+            || status == HttpResponseStatus.TOO_MANY_REQUESTS.code();
+    return refuses
+        ? StatementReader.restMillis(head.headers().getAll(HttpHeaderNames.RETRY_AFTER))
+        : Statement.none();
   }
 
   private static Map<String, String> unknown(HttpHeaders headers, HeaderNames names) {
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetCallHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetCallHandler.java
@@ -23,6 +23,11 @@
     this.reader = reader;
   }
 
+  @Override
+  boolean mayBeSent() {
+    return listener.mayBeSent();
+  }
+
   @Override
   void onConnected() {
     listener.sent();
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
@@ -78,7 +78,7 @@
         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, dialect.probePath());
     request.headers().set(HttpHeaderNames.HOST, target.address().toString());
     request.headers().set(names.expectedTarget(), target.id().value());
-    ProbeHandler handler = new ProbeHandler(control, target.id(), dialect::readBorn, listener);
+    ProbeHandler handler = new ProbeHandler(control, target.id(), dialect, listener);
     Channel channel = open(target.address(), handler, request);
     control
         .loop()
@@ -122,11 +122,12 @@
             .connect(address.ip(), address.port());
     connecting.addListener(
         done -> {
-          if (done.isSuccess()) {
-            handler.connected();
+          if (!done.isSuccess()) {
+            handler.connectFailed(done.cause());
+          } else if (handler.connected()) {
             connecting.channel().writeAndFlush(request);
           } else {
-            handler.connectFailed(done.cause());
+            connecting.channel().close();
           }
         });
     return connecting.channel();
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetHandler.java
@@ -54,8 +54,23 @@
     fail(TargetFailure.NOT_CONNECTED);
   }
 
-  final void connected() {
-    step(this::onConnected);
+  /** Returns whether the request is still to be sent. */
+  boolean mayBeSent() {
+    return true;
+  }
+
+  /** The connection stands; returns whether the request is to be sent. */
+  final boolean connected() {
+    step(
+        () -> {
+          if (mayBeSent()) {
+            onConnected();
+          } else {
+            over = true;
+            onFailure(TargetFailure.WITHDRAWN);
+          }
+        });
+    return !over;
   }
 
   /** Nothing more is to be reported. */
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetHead.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetHead.java
@@ -35,7 +35,7 @@
         headers.contains(names.notRun()) || misdirected,
         named && plain && signed,
         type.startsWith(EVENT_STREAM),
-        StatementHeaders.read(headers, names));
+        StatementHeaders.read(response, names));
   }
 
   @Override
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
@@ -3,15 +3,20 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import com.google.common.base.Enums;
+import com.google.common.base.Strings;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.gatereel.core.load.DemandKey;
 import org.gatereel.core.load.LoadReport;
@@ -27,8 +32,8 @@
 import org.gatereel.core.rollout.EvidenceKey;
 import org.gatereel.core.rollout.Signal;
 import org.gatereel.core.rollout.Tally;
-import org.gatereel.core.statement.AnnouncedLimit;
-import org.gatereel.core.statement.LimitFact;
+import org.gatereel.core.statement.FactKind;
+import org.gatereel.core.statement.TargetFact;
 
 /**
  * Reports of load as JSON.
@@ -44,8 +49,12 @@
   /** The age of a failure that nobody saw. */
   private static final long NO_FAILURE = -1;
 
+  /** What a host of a later version says beside is passed over. */
   private static final ObjectMapper MAPPER =
-      JsonMapper.builder().addModule(new Jdk8Module()).build();
+      JsonMapper.builder()
+          .addModule(new Jdk8Module())
+          .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+          .build();
 
   private LoadMessages() {}
 
@@ -63,11 +72,11 @@
       List<Demand> demand,
       @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Evidence> evidence,
       @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Poison> poison,
-      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Limit> limits) {
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Fact> facts) {
     Message {
       evidence = evidence == null ? List.of() : evidence;
       poison = poison == null ? List.of() : poison;
-      limits = limits == null ? List.of() : limits;
+      facts = facts == null ? List.of() : facts;
     }
 
     boolean isComplete() {
@@ -79,7 +88,7 @@
           && demand != null
           && demand.stream().allMatch(entry -> entry != null && entry.service() != null)
           && evidence.stream().allMatch(entry -> entry != null && entry.isComplete())
-          && limits.stream().allMatch(entry -> entry != null && entry.isComplete())
+          && facts.stream().allMatch(Objects::nonNull)
           && poison.stream().allMatch(entry -> entry != null && entry.request() != null)
           && loads.stream().allMatch(entry -> entry != null && entry.target() != null);
     }
@@ -166,24 +175,29 @@
     }
   }
 
-  /** What a target takes, as an array of its values; the number is null where it names none. */
+  /**
+   * What a target said, as an array of its values; the number is null where the kind has none.
+   *
+   * <p>The kind is a text, so that a report with kinds of a later version can be read.
+   */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  private record Limit(String target, Double perSecond, long agoMillis) {
-    static Limit of(LimitFact fact, long now) {
-      return new Limit(
+  private record Fact(String kind, String target, Double value, long agoMillis) {
+    static Fact of(TargetFact fact, long now) {
+      return new Fact(
+          fact.kind().name(),
           TargetNames.write(fact.target()),
-          fact.limit().isNone() ? null : fact.limit().perSecond(),
-          Math.max(0, now - fact.limit().since()));
-    }
-
-    boolean isComplete() {
-      return target != null && (perSecond == null || perSecond >= 0);
+          fact.value().isPresent() ? fact.value().getAsDouble() : null,
+          Math.max(0, now - fact.since()));
     }
 
-    LimitFact fact(long now) {
-      double rate = perSecond == null ? Double.POSITIVE_INFINITY : perSecond;
-      return new LimitFact(
-          TargetNames.read(target), new AnnouncedLimit(rate, now - Math.max(0, agoMillis)));
+    /** Returns the fact; empty if this version does not know its kind, or its value is none. */
+    Optional<TargetFact> fact(long now) {
+      OptionalDouble number = value == null ? OptionalDouble.empty() : OptionalDouble.of(value);
+      return Enums.getIfPresent(FactKind.class, Strings.nullToEmpty(kind))
+          .toJavaUtil()
+          .filter(known -> target != null)
+          .flatMap(
+              known -> known.make(TargetNames.read(target), number, now - Math.max(0, agoMillis)));
     }
   }
 
@@ -207,7 +221,7 @@
             demand,
             evidence,
             report.poison().stream().map(fact -> Poison.of(fact, now)).toList(),
-            report.limits().stream().map(fact -> Limit.of(fact, now)).toList());
+            report.targetFacts().stream().map(fact -> Fact.of(fact, now)).toList());
     try {
       return MAPPER.writeValueAsBytes(message);
     } catch (JsonProcessingException e) {
@@ -256,7 +270,7 @@
         demand,
         evidence,
         message.poison().stream().map(entry -> entry.fact(now)).toList(),
-        message.limits().stream().map(entry -> entry.fact(now)).toList());
+        message.facts().stream().flatMap(entry -> entry.fact(now).stream()).toList());
   }
 
   private static TargetLoad load(Entry entry, long now) {
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
@@ -38,6 +38,7 @@
 import org.gatereel.forward.ControlThread;
 import org.gatereel.forward.HeaderNames;
 import org.gatereel.forward.TargetDialect;
+import org.gatereel.forward.TargetReport;
 import org.gatereel.forward.log.ForwardLog;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -67,6 +68,7 @@
           "Signed",
           "Not-Run",
           "Takes",
+          "Leaves",
           "Counts",
           "Parts",
           "Copy-To",
@@ -82,8 +84,8 @@
 
   private record Dialect(HeaderNames headers) implements TargetDialect {
     @Override
-    public OptionalLong readBorn(byte[] answer) {
-      return OptionalLong.empty();
+    public TargetReport readReport(byte[] answer) {
+      return TargetReport.NONE;
     }
 
     @Override
@@ -106,6 +108,16 @@
   private static final class Heard implements TargetPort.Listener {
     private final CountDownLatch answered = new CountDownLatch(1);
     private final CompletableFuture<String> outcome = new CompletableFuture<>();
+    private final boolean wanted;
+
+    private Heard(boolean wanted) {
+      this.wanted = wanted;
+    }
+
+    @Override
+    public boolean mayBeSent() {
+      return wanted;
+    }
 
     @Override
     public void sent() {}
@@ -166,6 +178,10 @@
   }
 
   private Heard send(byte[] body) {
+    return send(body, true);
+  }
+
+  private Heard send(byte[] body, boolean wanted) {
     IncomingRequest request =
         new IncomingRequest(
             HttpMethod.POST,
@@ -189,7 +205,7 @@
             Optional.empty(),
             Optional.empty(),
             false);
-    Heard heard = new Heard();
+    Heard heard = new Heard(wanted);
     group.next().execute(() -> connector.send(dispatch, heard));
     return heard;
   }
@@ -333,4 +349,15 @@
 
     assertEquals(ProbeResult.UNKNOWN, result.get(PATIENCE_SECONDS, TimeUnit.SECONDS));
   }
+
+  /** The target may have said that it leaves while the connection came about. */
+  @Test
+  void aRequestThatIsNotWantedAnyMoreIsNotSent() throws Exception {
+    Heard heard = send(new byte[1], false);
+
+    try (Socket connection = target.accept()) {
+      assertEquals(-1, connection.getInputStream().read());
+    }
+    assertEquals(TargetFailure.WITHDRAWN.name(), heard.outcome());
+  }
 }
--- a/gatereel-forward/src/test/java/org/gatereel/forward/peer/LoadMessagesTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/peer/LoadMessagesTest.java
@@ -203,7 +203,7 @@
         List.of(
             new LimitFact(one, new AnnouncedLimit(5.4, CAME_AT - 900)),
             new LimitFact(other, new AnnouncedLimit(Double.POSITIVE_INFINITY, CAME_AT - 40))),
-        read.limits());
+        read.targetFacts());
     int bytes = text.length - LoadMessages.write(bare, SENT_AT).length;
     assertTrue(bytes <= 2 * 50, "bytes: " + bytes);
   }
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
@@ -38,7 +38,7 @@
 import org.gatereel.core.poison.PoisonControl;
 import org.gatereel.core.rollout.RolloutBounds;
 import org.gatereel.core.rollout.RolloutControl;
-import org.gatereel.core.statement.LimitStatement;
+import org.gatereel.core.statement.Statement;
 import org.gatereel.core.statement.Statements;
 import org.gatereel.core.table.PolicyTable;
 import org.gatereel.core.target.TargetRegistry;
@@ -318,8 +318,17 @@
       if (over) {
         return;
       }
+      step(this::sendIfWanted);
+    }
+
+    private void sendIfWanted() {
+      if (!listener.mayBeSent()) {
+        over = true;
+        listener.failed(TargetFailure.WITHDRAWN);
+        return;
+      }
       sent = true;
-      step(listener::sent);
+      listener.sent();
       time.after(delay(), this::arrive);
     }
 
@@ -378,14 +387,12 @@
     public void head(int status, boolean notRun, boolean stream) {
       Optional<TargetLimit> limit = engine.limit();
       limit.ifPresent(named -> named.named(time.millis()));
-      LimitStatement said =
-          limit
-              .<LimitStatement>map(named -> new LimitStatement.PerSecond(named.perSecond()))
-              .orElse(LimitStatement.NONE);
+      Statement<Double> takes =
+          limit.map(named -> Statement.number(named.perSecond())).orElse(Statement.none());
       back(
           () -> {
             limit.ifPresent(named -> named.told(address, time.millis()));
-            listener.answered(new Head(status, notRun, stream, Statements.of(said)));
+            listener.answered(new Head(status, notRun, stream, Statements.NONE.withLimit(takes)));
           });
     }
 
