Replay targets that say they leave, and that turn all away and ask for rest

Both errors are figures: requests to leaving targets of hosts that were told and of any, the most of one host in a rest, those turned away, and how long a target got nothing after its rests.

--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
@@ -268,6 +268,18 @@
     }
   }
 
+  private static Statements statements(Optional<TargetSaying> saying) {
+    if (saying.isEmpty()) {
+      return Statements.NONE;
+    }
+    TargetSaying said = saying.get();
+    Statements leaving =
+        said.leaves() ? Statements.NONE.withLeaving(new Statement.Said<>(true)) : Statements.NONE;
+    return said.refuses()
+        ? leaving.withRestMillis(new Statement.Said<>(said.restMillis()))
+        : leaving;
+  }
+
   /** One request on its way to an engine, and its answer on the way back. */
   private final class Connection implements TargetPort.Call, TargetModel.Client {
     private final Dispatch dispatch;
@@ -275,6 +287,7 @@
     private TargetModel engine;
     private TargetModel.Run run;
     private boolean sent;
+    private long sentAt;
     private boolean over;
 
     private Connection(Dispatch dispatch, TargetPort.Listener listener) {
@@ -328,6 +341,7 @@
         return;
       }
       sent = true;
+      sentAt = time.millis();
       listener.sent();
       time.after(delay(), this::arrive);
     }
@@ -337,6 +351,7 @@
         return;
       }
       engine.limit().ifPresent(limit -> limit.arrived(address, time.millis()));
+      engine.saying().ifPresent(said -> said.arrived(address, sentAt, time.millis()));
       if (!engine.isAlive()) {
         reset();
       } else if (!engine.description().id().equals(dispatch.target().id())) {
@@ -389,10 +404,14 @@
       limit.ifPresent(named -> named.named(time.millis()));
       Statement<Double> takes =
           limit.map(named -> Statement.number(named.perSecond())).orElse(Statement.none());
+      Optional<TargetSaying> saying = engine.saying();
+      Statements said = statements(saying).withLimit(takes);
+      saying.ifPresent(word -> word.answered(address, time.millis()));
       back(
           () -> {
             limit.ifPresent(named -> named.told(address, time.millis()));
-            listener.answered(new Head(status, notRun, stream, Statements.NONE.withLimit(takes)));
+            saying.ifPresent(word -> word.told(address, time.millis()));
+            listener.answered(new Head(status, notRun, stream, said));
           });
     }
 
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayReport.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayReport.java
@@ -195,6 +195,31 @@
     return taken == 0 ? 1 : used / taken;
   }
 
+  /** Returns the requests to leaving targets of hosts that were told by them. */
+  int sentToLeavingByTold() {
+    return world.sayings().stream().mapToInt(TargetSaying::sentByTold).sum();
+  }
+
+  /** Returns the requests to leaving targets after all hosts had to know. */
+  int sentToLeavingByAny() {
+    return world.sayings().stream().mapToInt(TargetSaying::sentByAny).sum();
+  }
+
+  /** Returns the most requests of one host to one target within a rest. */
+  int mostInRest() {
+    return world.sayings().stream().mapToInt(TargetSaying::mostInRest).max().orElse(0);
+  }
+
+  /** Returns how many requests targets that wanted rest turned away. */
+  int refusedForRest() {
+    return world.sayings().stream().mapToInt(TargetSaying::refused).sum();
+  }
+
+  /** Returns how long a target got nothing after all its rests were over, the most. */
+  long idleAfterRestMillis() {
+    return world.sayings().stream().mapToLong(TargetSaying::idleMillis).max().orElse(0);
+  }
+
   long engineErrors() {
     return world.targets().stream().mapToLong(TargetModel::errors).sum();
   }
@@ -237,6 +262,11 @@
     table.put("requests over a limit, the most", decimal(limitExcess()));
     table.put(
         "limits used, least and all", decimal(limitUsed()) + ", " + decimal(limitUsedByAll()));
+    table.put(
+        "sent to leaving ones, told and any", sentToLeavingByTold() + ", " + sentToLeavingByAny());
+    table.put("of one host in a rest, the most", Integer.toString(mostInRest()));
+    table.put("turned away for rest", Integer.toString(refusedForRest()));
+    table.put("ms idle after a rest, the most", Long.toString(idleAfterRestMillis()));
     table.put("pauses beyond the aim", Integer.toString(count(EventCode.STREAM_PAUSED)));
     table.put("tries", Integer.toString(tries));
     table.put("tries that failed", failures.toString());
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayWorld.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayWorld.java
@@ -64,6 +64,7 @@
   private final List<CallerModel> callers = new ArrayList<>();
   private final List<FatalContent> fatalContents = new ArrayList<>();
   private final List<TargetLimit> limits = new ArrayList<>();
+  private final List<TargetSaying> sayings = new ArrayList<>();
   private final ReplayReport report;
   private final double[] accountTimes;
   private double times = 1;
@@ -335,6 +336,37 @@
         });
   }
 
+  private List<TargetModel> targetsOf(Script.ServiceKind kind) {
+    ServiceName service = kind == Script.ServiceKind.ENGINES ? ENGINES : COUNTERS;
+    return targets.values().stream()
+        .filter(target -> target.description().service().equals(service))
+        .toList();
+  }
+
+  /** Has targets say that they leave until they end. */
+  void leave(Script.ServiceKind kind, double share, long millis) {
+    for (TargetModel target : draw(targetsOf(kind), share)) {
+      TargetSaying saying = TargetSaying.leaving();
+      sayings.add(saying);
+      target.say(saying);
+      time.after(millis * 1_000, () -> endTarget(target, BACK_MILLIS));
+    }
+  }
+
+  /** Has targets turn all away for some time, and ask for rest. */
+  void rest(Script.ServiceKind kind, double share, long restMillis, long millis) {
+    for (TargetModel target : draw(targetsOf(kind), share)) {
+      TargetSaying saying = TargetSaying.resting(restMillis);
+      sayings.add(saying);
+      target.say(saying);
+      time.after(millis * 1_000, () -> saying.end(time.millis()));
+    }
+  }
+
+  List<TargetSaying> sayings() {
+    return sayings;
+  }
+
   List<TargetLimit> limits() {
     return limits;
   }
@@ -368,18 +400,18 @@
 
   private void endEngine(TargetModel engine, FatalContent content) {
     content.ended(time.millis());
-    endEngine(engine, BACK_MILLIS);
+    endTarget(engine, BACK_MILLIS);
   }
 
   void endEngines(int number, double share, long millis) {
     DataCentre there = dataCentre(number);
     for (TargetModel engine :
         draw(enginesOf(target -> target.description().dataCentre().equals(there)), share)) {
-      endEngine(engine, millis);
+      endTarget(engine, millis);
     }
   }
 
-  private void endEngine(TargetModel engine, long millis) {
+  private void endTarget(TargetModel engine, long millis) {
     TargetDescription ended = engine.description();
     engine.end();
     time.after(
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/Script.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/Script.java
@@ -73,6 +73,12 @@
    */
   record Trouble(double at, Kind kind, int where, double share, double times, double seconds) {}
 
+  /** The two services of a replay. */
+  enum ServiceKind {
+    ENGINES,
+    COUNTERS
+  }
+
   /** What may happen. */
   enum Kind {
     /** Engines of a data centre end, and start again under other names. */
@@ -127,6 +133,34 @@
         world.limitCounters(trouble.share(), trouble.times(), millis(trouble));
       }
     },
+    /** Some engines say that they leave, and end later; the list tells nothing of it before. */
+    ENGINES_LEAVE {
+      @Override
+      void play(ReplayWorld world, Trouble trouble) {
+        world.leave(ServiceKind.ENGINES, trouble.share(), millis(trouble));
+      }
+    },
+    /** Some plain targets do. */
+    COUNTERS_LEAVE {
+      @Override
+      void play(ReplayWorld world, Trouble trouble) {
+        world.leave(ServiceKind.COUNTERS, trouble.share(), millis(trouble));
+      }
+    },
+    /** Some engines turn all away and ask each host for {@code times} seconds of rest. */
+    ENGINES_REST {
+      @Override
+      void play(ReplayWorld world, Trouble trouble) {
+        world.rest(ServiceKind.ENGINES, trouble.share(), restMillis(trouble), millis(trouble));
+      }
+    },
+    /** Some plain targets do. */
+    COUNTERS_REST {
+      @Override
+      void play(ReplayWorld world, Trouble trouble) {
+        world.rest(ServiceKind.COUNTERS, trouble.share(), restMillis(trouble), millis(trouble));
+      }
+    },
     /** All accounts ask for more. */
     BURST {
       @Override
@@ -144,6 +178,10 @@
 
     abstract void play(ReplayWorld world, Trouble trouble);
 
+    private static long restMillis(Trouble trouble) {
+      return Math.round(trouble.times() * 1_000);
+    }
+
     private static long millis(Trouble trouble) {
       return Math.round(trouble.seconds() * 1_000);
     }
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/TargetModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/TargetModel.java
@@ -22,6 +22,7 @@
   private boolean failing;
   private long errors;
   private Optional<TargetLimit> limit = Optional.empty();
+  private Optional<TargetSaying> saying = Optional.empty();
 
   /** Who hears of a run. */
   interface Client {
@@ -111,6 +112,15 @@
     return limit;
   }
 
+  /** Says something in each answer, until it ends. */
+  final void say(TargetSaying said) {
+    saying = Optional.of(said);
+  }
+
+  final Optional<TargetSaying> saying() {
+    return saying;
+  }
+
   /** Answers each request with an error at once, or no longer. */
   final void fail(boolean fails) {
     failing = fails;
@@ -122,6 +132,8 @@
     life++;
     limit.ifPresent(named -> named.end(time.millis()));
     limit = Optional.empty();
+    saying.ifPresent(said -> said.end(time.millis()));
+    saying = Optional.empty();
     copies.clear();
     List<Run> broken = List.copyOf(runs);
     runs.clear();
@@ -140,6 +152,8 @@
       errors++;
       run.client.head(ERROR_STATUS, false, false);
       run.client.ended();
+    } else if (saying.filter(TargetSaying::refuses).isPresent()) {
+      run.client.head(FULL_STATUS, true, false);
     } else if (runs.size() >= description.slots() + queued) {
       run.client.head(FULL_STATUS, true, false);
     } else {
