--- a/gatereel-core/src/main/java/org/gatereel/core/choice/Consideration.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/Consideration.java
@@ -99,8 +99,7 @@
 
   /**
    * Beside the request itself, which counts as open: a prompt waits for the one before it, about a
-   * second. First events came after 1.35 s in the 90th percentile in place of 1.64 to 2.17 with 0.3
-   * (usual load, 95 hosts, 59 engines, replayed with four seeds).
+   * second.
    */
   private static final double READING_LOAD = 2;
 
@@ -117,9 +116,8 @@
   private static final double FAR_CALL_LOAD = 0.5;
 
   /**
-   * Larger than loads usually differ for some six seconds after one error that stands out. Six of
-   * 59 engines that answer with errors for 7 s give 7 to 13 of them in place of 24 to 34 (replayed
-   * with three seeds).
+   * Larger than loads usually differ for some six seconds after one error that stands out: a target
+   * that answers with errors at once has little open, and would draw requests.
    */
   private static final double ERROR_LOAD = 6;
 
--- a/gatereel-core/src/main/java/org/gatereel/core/choice/TargetSelector.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/TargetSelector.java
@@ -27,7 +27,7 @@
    */
   private static final int HOSTS_THAT_COMPARE_ALL = 9;
 
-  /** Chosen, not measured: enough that a drawn target is rarely among the most loaded. */
+  /** Enough that a drawn target is rarely among the most loaded. */
   private static final int LEAST_COMPARED = 4;
 
   private final LoadExchange loads;
@@ -123,9 +123,7 @@
    * Draws the targets that are compared: fewer, the more hosts choose at the same time.
    *
    * <p>Those of this data centre are drawn apart, so that there are some among the drawn: only its
-   * own hosts prefer them. Where all were drawn together, a service with one target in each data
-   * centre sent a fifth of its calls past the near one: 130 to 152 connections were not found in
-   * two cuts of 5 s, 29 to 40 now (95 hosts, replayed with two and three seeds).
+   * own hosts prefer them, and a service may have one target alone in each data centre.
    */
   private List<Candidate> draw(List<Candidate> candidates) {
     List<Candidate> drawn = new ArrayList<>();
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/DocumentRefresher.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/DocumentRefresher.java
@@ -176,9 +176,8 @@
     }
 
     /**
-     * A reader that is behind because the store answers nobody is kept, and the store left alone:
-     * 95 hosts made 2,565 calls in 75 s, with the store away for 13 s, in place of 3,902 when each
-     * passed reader after reader over until it read for itself (one play each).
+     * A reader that is behind because the store answers nobody is kept, and the store left alone;
+     * else each host would pass reader after reader over until it reads for itself.
      */
     private void storeFailed() {
       if (reader.isPresent()) {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/PromptLocator.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/PromptLocator.java
@@ -19,9 +19,8 @@
  * Finds the engine that keeps a prompt, for callers whose host has ended.
  *
  * <p>The host to which such a caller returns knows nothing of the run. Reading a prompt anew takes
- * a second and holds up all that runs beside it, so the engines are asked what they keep: 27,000
- * tokens were read for nothing in place of 72,000 in a minute in which all hosts were lost (means
- * of five plays, some 180 streams each). Requests that return together share the answers.
+ * a second and holds up all that runs beside it, so the engines are asked what they keep. Requests
+ * that return together share the answers.
  */
 final class PromptLocator {
   /** Engines answer within some milliseconds; one that does not is no use now. */
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
@@ -31,10 +31,6 @@
  * have. A host whose gatherer does not answer reports to the next one; one that nobody reports to
  * decides by what it sees itself. Plain calls end before the news arrives, so that of them errors
  * alone are told.
- *
- * <p>Streams last 6.3 s in the median and 8.3 s in the 90th percentile with it, 6.6 and 9.2 s if
- * hosts go by their own requests (six hosts, 13 engines, logs of six plays each, 760 and 728
- * streams without a failure).
  */
 public final class LoadExchange {
   /** How often a host says that what it told last still holds. */
@@ -277,9 +273,8 @@
   }
 
   /**
-   * Calls of plain services end before the news arrives. Where their mean was told, all hosts
-   * turned to the same target at once: 68 in 100 calls in time in place of all, at 0.9 of what
-   * could be done (95 hosts, replayed).
+   * Calls of plain services end before the news arrives; hosts that know the same old loads would
+   * all turn to the same target at once.
    */
   private TargetLoad errorsOf(TargetState target) {
     return new TargetLoad(0, 0, 0, errorsHere(target), TargetLoad.NEVER);
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/Capacity.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/Capacity.java
@@ -5,10 +5,8 @@
   private static final double SECOND_MILLIS = 1_000;
 
   /**
-   * Lets full queues empty: 24 calls in 1.6 s at 6 slots and 61 ms (arithmetic). Where one account
-   * asks for 30 times its usual, 0.51 of all calls are in time in place of 0.42, and 0.91 answered
-   * as before; where all ask for four times their usual, 0.51 in place of 0.48 (95 and 73 hosts,
-   * replayed with three seeds).
+   * Lets full queues empty within some seconds; what is shared out at the full rate keeps them
+   * full, so that all calls are late.
    */
   private static final double DRAINING_PART = 0.85;
 
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
@@ -23,11 +23,6 @@
  * over all hosts. What goes beyond waits here if what waits can be done in the time that its
  * callers have, and is refused before it has waited otherwise. A host that hears nobody goes by the
  * requests that it sees itself.
- *
- * <p>Where the largest of 40 accounts asks for 30 times its usual for 6.5 s, which is three times
- * what engines can read, streams of the others are in time in 88 to 89 of 100 cases in place of 33
- * to 42, and plain calls in 74 to 82 in place of 67 to 73 (95 hosts, 59 engines, replayed with
- * three seeds).
  */
 public final class OverloadControl {
   /** From this part of what a service can do on, hosts tell who asks for it. */
@@ -41,8 +36,8 @@
 
   /**
    * A plain service is overloaded for so long after a target said that it has no room. What is
-   * asked for is an estimate, and so is what can be done: by them alone 417 of 5,362 calls were
-   * refused at 0.9 of what could be done, none with this (replayed, one seed).
+   * asked for is an estimate, and so is what can be done: by them alone calls would be refused that
+   * can be served.
    */
   private static final long FULL_MILLIS = 1_000;
 
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/UsualWork.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/UsualWork.java
@@ -4,8 +4,8 @@
  * How long a target of a service usually has to do with one request before it can do the next.
  *
  * <p>The mean of what was seen while there was room. Until enough was seen the shortest counts,
- * which a queue has lengthened least: hosts that had just started when a burst came took targets
- * for slower than they are, and refused 17 in 100 calls that could have been done (replayed).
+ * which a queue has lengthened least: a host that has just started when a burst comes would take
+ * targets for slower than they are, and refuse calls that can be served.
  */
 final class UsualWork {
   /** Follows a change within some 20 requests. */
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayMain.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayMain.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -32,7 +33,7 @@
   private ReplayMain() {}
 
   /** Runs the command; exits with 2 if it was called wrongly. */
-  public static void main(String[] arguments) throws IOException {
+  public static void main(String[] arguments) {
     ReplayMain main = new ReplayMain();
     JCommander commander = JCommander.newBuilder().programName("replay").addObject(main).build();
     try {
@@ -45,7 +46,29 @@
       commander.usage();
       System.exit(main.help ? 0 : USAGE);
     }
-    main.play(Path.of(main.scripts.get(0)));
+    System.exit(main.run(main.scripts.get(0)));
+  }
+
+  /** Plays a script; returns the exit code. */
+  private int run(String script) {
+    try {
+      play(find(script));
+      return 0;
+    } catch (NoSuchFileException e) {
+      System.err.println("no script of this name or path: " + script);
+    } catch (IOException e) {
+      System.err.println(
+          script + " cannot be read: " + e.getMessage().lines().findFirst().orElse(""));
+    }
+    return USAGE;
+  }
+
+  /** Returns a script's file: the one at a path, or one of the project's by its name. */
+  private static Path find(String script) {
+    Path path = Path.of(script);
+    return Files.exists(path)
+        ? path
+        : Path.of(System.getProperty("replay.scripts", "replays"), script + ".json");
   }
 
   private void play(Path file) throws IOException {
