Listen to engines' lists of prompts, and tell of fields that nothing reads

Rows of the class that were left: what a target says in its answer to the question for kept prompts was read by nobody; fields of reports and entries that no code knows were dropped without a word. The first go to the same place as all answers; the second are events 508 and 511, bounded. Tests: TargetEntryDecoderTest, LoadMessagesTest, StatementForwardingTest pass.

--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -88,6 +88,7 @@
   LEAVING_ANNOUNCED(509, "A target says that it is about to end; it gets nothing new."),
   LEAVING_CONTRADICTED(
       510, "A target that said it leaves does not say so any more; it gets nothing all the same."),
+  ENTRY_FIELD_UNKNOWN(511, "Entries of targets have a field that nothing reads."),
   ROLLOUT_ORDERED(520, "The operators want a service's requests moved to another version."),
   ROLLOUT_STATE(521, "What all hosts agree on of a roll-out is another state."),
   ROLLOUT_JUDGED(522, "What hosts have seen of a new version lets this one judge it otherwise."),
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ListeningPort.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ListeningPort.java
@@ -45,7 +45,18 @@
 
   @Override
   public void listPrompts(
-      TargetDescription target, long timeoutMillis, Consumer<Optional<Set<String>>> answer) {
-    port.listPrompts(target, timeoutMillis, answer);
+      TargetDescription target,
+      long timeoutMillis,
+      Consumer<Statements> heard,
+      Consumer<Optional<Set<String>>> answer) {
+    long askedAt = context.now();
+    port.listPrompts(
+        target,
+        timeoutMillis,
+        said -> {
+          statements.heard(target, said, askedAt);
+          heard.accept(said);
+        },
+        answer);
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/PromptLocator.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/PromptLocator.java
@@ -63,6 +63,7 @@
         port.listPrompts(
             target.description(),
             TIMEOUT_MILLIS,
+            said -> {},
             kept -> answered(target.description().id(), kept));
       }
     }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetPort.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetPort.java
@@ -18,9 +18,14 @@
   /**
    * Asks an engine which parts of prompts it keeps; the answer is given exactly once, and is empty
    * if none came in time.
+   *
+   * @param heard is told before the answer what its head says of the target, if one came
    */
   void listPrompts(
-      TargetDescription target, long timeoutMillis, Consumer<Optional<Set<String>>> answer);
+      TargetDescription target,
+      long timeoutMillis,
+      Consumer<Statements> heard,
+      Consumer<Optional<Set<String>>> answer);
 
   /** A request that a target has. */
   interface Call {
--- a/gatereel-core/src/main/java/org/gatereel/core/statement/Statements.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/statement/Statements.java
@@ -1,6 +1,8 @@
 package org.gatereel.core.statement;
 
+import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What the head of one answer, or a report, says of its target.
@@ -8,7 +10,7 @@
  * @param limit how many requests a second the target takes from all hosts together
  * @param leaving whether the target is about to end and wants nothing new
  * @param restMillis for how long the target wants nothing from this host
- * @param unknown the values of headers that nothing reads, by their names in small letters
+ * @param unknown the values of headers and fields that nothing reads, by their names
  */
 public record Statements(
     Statement<Double> limit,
@@ -19,6 +21,8 @@
   public static final Statements NONE =
       new Statements(Statement.none(), Statement.none(), Statement.none(), Map.of());
 
+  private static final String FIELD_PREFIX = "report field ";
+
   public Statements {
     unknown = Map.copyOf(unknown);
   }
@@ -38,6 +42,16 @@
     return new Statements(limit, leaving, other, unknown);
   }
 
+  /** Returns the same with fields of a report that nothing reads. */
+  public Statements withUnknownFields(Set<String> names) {
+    if (names.isEmpty()) {
+      return this;
+    }
+    Map<String, String> all = new HashMap<>(unknown);
+    names.forEach(name -> all.put(FIELD_PREFIX + name, ""));
+    return new Statements(limit, leaving, restMillis, all);
+  }
+
   /** Returns whether the target leaves, as far as that can be read. */
   public boolean saysLeaving() {
     return leaving.said().orElse(false);
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
@@ -116,7 +116,8 @@
   record SentProbe(TargetDescription target, TargetPort.ProbeListener listener) {}
 
   /** A question to an engine which parts of prompts it keeps. */
-  record PromptQuestion(String target, Consumer<Optional<Set<String>>> answer) {}
+  record PromptQuestion(
+      String target, Consumer<Statements> heard, Consumer<Optional<Set<String>>> answer) {}
 
   /** A question to another host for requests to a target that takes only so many. */
   record TokenQuestion(
@@ -234,8 +235,11 @@
 
           @Override
           public void listPrompts(
-              TargetDescription target, long millis, Consumer<Optional<Set<String>>> answer) {
-            promptQuestions.add(new PromptQuestion(target.id().value(), answer));
+              TargetDescription target,
+              long millis,
+              Consumer<Statements> heard,
+              Consumer<Optional<Set<String>>> answer) {
+            promptQuestions.add(new PromptQuestion(target.id().value(), heard, answer));
           }
         };
     Address address = new Address("10.0.1.1", 7_215);
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/StatementForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/StatementForwardingTest.java
@@ -316,6 +316,20 @@
     assertFalse(chosen("/safe/x").contains("c1"));
   }
 
+  @Test
+  void anEngineThatIsAskedForItsPromptsSaysItToo() {
+    world.promptPart = Optional.of("part");
+    world.lastEventId = OptionalLong.of(7);
+    world.ask("/stream/x", caller);
+    String asked = world.promptQuestions.get(0).target();
+
+    world.promptQuestions.get(0).heard().accept(LEAVES);
+    world.promptQuestions.forEach(question -> question.answer().accept(Optional.empty()));
+
+    assertNotEquals(asked, world.last().target());
+    assertTrue(world.targets.find(new TargetId(asked)).orElseThrow().isLeaving());
+  }
+
   // Rest.
 
   @Test
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/DocumentClient.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/DocumentClient.java
@@ -13,6 +13,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -49,11 +50,17 @@
   /**
    * An answer with its body.
    *
+   * @param head the answer's status and headers
    * @param hasOwnEnd whether a length or chunks say that nothing is missing; of a body without,
    *     whose connection ended, a part may be missing unless its text shows its end, as JSON does
    */
   @SuppressWarnings("ArrayRecordComponent") // compared by nobody
-  public record Document(int status, byte[] body, boolean hasOwnEnd) {}
+  public record Document(HttpResponse head, byte[] body, boolean hasOwnEnd) {
+    /** Returns the answer's status. */
+    public int status() {
+      return head.status().code();
+    }
+  }
 
   public DocumentClient(EventLoop loop, Address address) {
     this.loop = loop;
@@ -194,10 +201,16 @@
       }
       byte[] body = ByteBufUtil.getBytes(response.content());
       boolean hasOwnEnd = !heads.end.equals(Optional.of(AnswerEnd.CONNECTION_CLOSED));
-      Document document = new Document(response.status().code(), body, hasOwnEnd);
+      Document document = new Document(headOf(response), body, hasOwnEnd);
       settle(broken ? Optional.empty() : Optional.of(document));
     }
 
+    /** Copies the head, since the answer itself is released with its body. */
+    private static HttpResponse headOf(FullHttpResponse response) {
+      return new DefaultHttpResponse(
+          response.protocolVersion(), response.status(), response.headers());
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
       if (context.channel() == channel) {
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/ProbeHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/ProbeHandler.java
@@ -93,7 +93,8 @@
     TargetReport report = dialect.readReport(body.toByteArray());
     boolean same = report.born().equals(OptionalLong.of(probed.born()));
     if (same) {
-      listener.heard(report.leaving() ? said.withLeaving(new Statement.Said<>(true)) : said);
+      Statements all = said.withUnknownFields(report.unknown());
+      listener.heard(report.leaving() ? all.withLeaving(new Statement.Said<>(true)) : all);
     }
     if (report.born().isEmpty()) {
       listener.probed(ProbeResult.ANSWERED);
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
@@ -23,6 +23,7 @@
 import org.gatereel.core.forward.TargetPort;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.TargetDescription;
+import org.gatereel.core.statement.Statements;
 import org.gatereel.forward.ControlThread;
 import org.gatereel.forward.HeaderNames;
 import org.gatereel.forward.TargetDialect;
@@ -93,7 +94,10 @@
 
   @Override
   public void listPrompts(
-      TargetDescription target, long timeoutMillis, Consumer<Optional<Set<String>>> answer) {
+      TargetDescription target,
+      long timeoutMillis,
+      Consumer<Statements> heard,
+      Consumer<Optional<Set<String>>> answer) {
     DocumentClient client = new DocumentClient(control.loop(), target.address());
     client.get(
         dialect.promptsPath(),
@@ -103,7 +107,12 @@
               document
                   .filter(found -> found.status() == HttpResponseStatus.OK.code())
                   .flatMap(found -> dialect.readPrompts(found.body()));
-          control.run(() -> answer.accept(kept));
+          control.run(
+              () -> {
+                document.ifPresent(
+                    found -> heard.accept(StatementHeaders.read(found.head(), names)));
+                answer.accept(kept);
+              });
           client.close();
         });
   }
--- a/gatereel-forward/src/test/java/org/gatereel/forward/peer/LoadMessagesTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/peer/LoadMessagesTest.java
@@ -27,7 +27,10 @@
 import org.gatereel.core.rollout.Signal;
 import org.gatereel.core.rollout.Tally;
 import org.gatereel.core.statement.AnnouncedLimit;
+import org.gatereel.core.statement.LeavingFact;
 import org.gatereel.core.statement.LimitFact;
+import org.gatereel.core.statement.RestFact;
+import org.gatereel.core.statement.TargetFact;
 import org.junit.jupiter.api.Test;
 
 class LoadMessagesTest {
@@ -224,4 +227,58 @@
 
     assertEquals(Optional.of(sent), LoadMessages.read(LoadMessages.write(sent, SENT_AT), CAME_AT));
   }
+
+  @Test
+  void whatTargetsSayOfLeavingAndRestIsToldByItsAge() {
+    TargetId target = new TargetId("i-1", 7);
+    LoadReport bare = report(OptionalLong.of(16), Map.of());
+    byte[] text =
+        LoadMessages.write(
+            withFacts(
+                bare,
+                new LeavingFact(target, SENT_AT - 300),
+                new RestFact(target, SENT_AT - 200, SENT_AT + 2_800)),
+            SENT_AT);
+
+    assertEquals(
+        List.of(
+            new LeavingFact(target, CAME_AT - 300),
+            new RestFact(target, CAME_AT - 200, CAME_AT + 2_800)),
+        LoadMessages.read(text, CAME_AT).orElseThrow().targetFacts());
+  }
+
+  /** Hosts of two versions stand beside each other for as long as a roll-out takes. */
+  @Test
+  void whatALaterVersionSaysBesideIsPassedOver() {
+    TargetId target = new TargetId("i-1", 7);
+    LoadReport bare = report(OptionalLong.of(16), Map.of());
+    String text =
+        new String(
+            LoadMessages.write(withFacts(bare, new LeavingFact(target, SENT_AT - 300)), SENT_AT),
+            StandardCharsets.UTF_8);
+    String later =
+        text.replace("[[\"LEAVING\"", "[[\"MOOD\",\"i-2\",4.5,10,\"more\"],[\"LEAVING\"")
+            .replace("{\"sender\"", "{\"news\":{\"a\":1},\"sender\"");
+    assertTrue(later.length() > text.length() + 30, later);
+
+    LoadReport read =
+        LoadMessages.read(later.getBytes(StandardCharsets.UTF_8), CAME_AT).orElseThrow();
+
+    assertEquals(List.of(new LeavingFact(target, CAME_AT - 300)), read.targetFacts());
+  }
+
+  private static LoadReport withFacts(LoadReport bare, TargetFact... facts) {
+    return new LoadReport(
+        bare.sender(),
+        bare.replyTo(),
+        bare.scope(),
+        bare.session(),
+        bare.sequence(),
+        bare.builtOn(),
+        bare.loads(),
+        bare.demand(),
+        Map.of(),
+        List.of(),
+        List.of(facts));
+  }
 }
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
@@ -254,7 +254,10 @@
 
     @Override
     public void listPrompts(
-        TargetDescription target, long timeoutMillis, Consumer<Optional<Set<String>>> answer) {
+        TargetDescription target,
+        long timeoutMillis,
+        Consumer<Statements> heard,
+        Consumer<Optional<Set<String>>> answer) {
       time.after(CONNECT_MICROS, () -> step(() -> answer.accept(Optional.empty())));
     }
   }
