Refuse at once a call that the only resting target has refused before

What callers saw: a call that its only target had refused for a short rest waited for the end of it, and was then refused for want of a target, since it is not sent to one target twice. Now only targets that it may be sent to are waited for. The test fails on the code before and passes now (StatementForwardingTest#aCallThatTheOnlyTargetRefusedForRestIsRefusedAtOnce).

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
@@ -150,23 +150,19 @@
   }
 
   private void nothingFound() {
-    OptionalLong restMillis = search.millisToEndOfRest();
     if (search.isAnySpent(exchange.isUnderWay())) {
       waitForTokens();
-    } else if (restMillis.isPresent()) {
-      waitForRest(restMillis.getAsLong());
-    } else {
-      exchange.giveUp(exchange.unserved(Refusal.NO_TARGET));
+      return;
     }
-  }
-
-  /** A request that would wait for longer than it may is refused at once. */
-  private void waitForRest(long millis) {
-    if (forwarder.context().now() + millis > waitUntil) {
-      long again = forwarder.overload().returnMillisAfter(millis);
-      refuse(again, "restMillis=" + millis);
+    OptionalLong usable = search.millisToEndOfRest(retries.isResumableStream());
+    OptionalLong first = search.millisToEndOfRest(true);
+    if (usable.isPresent() && forwarder.context().now() + usable.getAsLong() <= waitUntil) {
+      forwarder.context().after(usable.getAsLong(), this::chooseIfOpen);
+    } else if (first.isPresent()) {
+      long again = forwarder.overload().returnMillisAfter(first.getAsLong());
+      refuse(again, "restMillis=" + first.getAsLong());
     } else {
-      forwarder.context().after(millis, this::chooseIfOpen);
+      exchange.giveUp(exchange.unserved(Refusal.NO_TARGET));
     }
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
@@ -137,9 +137,12 @@
   /**
    * Returns in how many milliseconds the first of the targets that would do, and rest, takes
    * requests again; empty if none of them rests.
+   *
+   * @param again whether one that was tried will do
    */
-  OptionalLong millisToEndOfRest() {
+  OptionalLong millisToEndOfRest(boolean again) {
     return query.versions().among(forwarder.targets().listed(service)).stream()
+        .filter(target -> again || !tried.contains(target.description().id()))
         .mapToLong(target -> forwarder.rests().millisTo(target.description().id()))
         .filter(millis -> millis > 0)
         .min();
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/StatementForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/StatementForwardingTest.java
@@ -394,6 +394,19 @@
     assertEquals(before + 1, world.sent.size());
   }
 
+  /** It would wait for a target that it may not be sent to a second time. */
+  @Test
+  void aCallThatTheOnlyTargetRefusedForRestIsRefusedAtOnce() {
+    listOnly("c1");
+    world.ask("/safe/x", caller);
+    Statements shortRest = Statements.NONE.withRestMillis(new Statement.Said<>(1L));
+
+    world.last().accepted().listener.answered(head(503, true, shortRest));
+
+    assertEquals(Refusal.OVERLOADED, caller.refusal);
+    assertTrue(caller.retryAfterMillis >= 1);
+  }
+
   /** All that was refused comes back together; the target would refuse it again. */
   @Test
   void afterTheEndOneIsSentFirst() {
