--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Dispatch.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Dispatch.java
@@ -1,6 +1,7 @@
 package org.gatereel.core.forward;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.gatereel.core.model.AccountId;
 import org.gatereel.core.model.Address;
@@ -14,7 +15,7 @@
  * @param lastEventId the last event that the caller has; a stream resumes after it
  * @param copyTo the engine that is to hold a copy of the execution's memory
  * @param continueFrom the name of the copy at this target to continue from
- * @param urgent whether the engine is to admit the request before others
+ * @param urgency how early the engine is to admit the request, from 0 to 9; 0 is first
  */
 public record Dispatch(
     ForwardRequest request,
@@ -24,4 +25,4 @@
     OptionalLong lastEventId,
     Optional<Address> copyTo,
     Optional<String> continueFrom,
-    boolean urgent) {}
+    OptionalInt urgency) {}
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -1,6 +1,7 @@
 package org.gatereel.core.forward;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.gatereel.core.choice.TargetChoice;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
@@ -222,13 +223,18 @@
             relay.lastEventId(),
             copyTo,
             copyName,
-            callerResponse.hasBegun());
+            urgency());
     log.logForwarded(route, dispatch, choice, attemptCounter.started());
     forwarder.loads().scheduleReports();
     attempt.setCall(forwarder.port().send(dispatch, attempt));
     stallDetector.watch(attempt);
   }
 
+  /** Returns the urgency for the engine; a stream that its caller has a part of goes first. */
+  private OptionalInt urgency() {
+    return callerResponse.hasBegun() ? OptionalInt.of(0) : OptionalInt.empty();
+  }
+
   void onResponseHead(Attempt from) {
     ResponseHead head = from.head();
     from.recordHead(context.now());
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardPolicy.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardPolicy.java
@@ -1,5 +1,8 @@
 package org.gatereel.core.forward;
 
+import java.util.Set;
+import org.gatereel.core.scheduling.SchedulingFeature;
+
 /**
  * The limits of forwarding that are not part of the configuration.
  *
@@ -9,16 +12,38 @@
  * @param retryLimit the retries that all hosts may make together
  * @param retryAfterMillis the default {@code Retry-After} of rejected requests
  * @param maxBufferedBytes the largest response body that is buffered completely
+ * @param features the scheduling features that are enabled
  */
 public record ForwardPolicy(
     long probeTimeoutMillis,
     long firstEventProbeMillis,
     RetryLimit retryLimit,
     long retryAfterMillis,
-    int maxBufferedBytes) {
+    int maxBufferedBytes,
+    Set<SchedulingFeature> features) {
   /** The defaults. */
   public static final ForwardPolicy STANDARD =
-      new ForwardPolicy(150, 400, new RetryLimit(0.8, 150, 10_000), 700, 256 << 10);
+      new ForwardPolicy(150, 400, new RetryLimit(0.8, 150, 10_000), 700, 256 << 10, Set.of());
+
+  public ForwardPolicy {
+    features = Set.copyOf(features);
+  }
+
+  /** Returns whether a scheduling feature is enabled. */
+  public boolean has(SchedulingFeature feature) {
+    return features.contains(feature);
+  }
+
+  /** Returns this policy with other scheduling features. */
+  public ForwardPolicy withFeatures(Set<SchedulingFeature> enabled) {
+    return new ForwardPolicy(
+        probeTimeoutMillis,
+        firstEventProbeMillis,
+        retryLimit,
+        retryAfterMillis,
+        maxBufferedBytes,
+        enabled);
+  }
 
   /**
    * The retries of a service's requests that all hosts may make together within any window.
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -116,7 +116,7 @@
             context,
             targets,
             configuration,
-            policy(bounds),
+            policy(settings),
             new TargetConnector(control, dialect),
             metrics,
             directory,
@@ -147,7 +147,8 @@
     metrics.gauge("log_lines_dropped", log::dropped);
   }
 
-  private static ForwardPolicy policy(ForwardSettings.Bounds bounds) {
+  private static ForwardPolicy policy(ForwardSettings settings) {
+    ForwardSettings.Bounds bounds = settings.bounds();
     ForwardPolicy standard = ForwardPolicy.STANDARD;
     return new ForwardPolicy(
         standard.probeTimeoutMillis(),
@@ -155,7 +156,8 @@
         new ForwardPolicy.RetryLimit(
             bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMillis()),
         standard.retryAfterMillis(),
-        standard.maxBufferedBytes());
+        standard.maxBufferedBytes(),
+        settings.features());
   }
 
   public ControlThread control() {
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
@@ -165,9 +165,7 @@
     dispatch
         .continueFrom()
         .ifPresent(address -> headers.set(names.continueFrom(), address + "/" + request.id()));
-    if (dispatch.urgent()) {
-      headers.set(names.urgency(), 0);
-    }
+    dispatch.urgency().ifPresent(urgency -> headers.set(names.urgency(), urgency));
     return outgoingRequest;
   }
 
--- a/gatereel-forward/src/main/java/org/gatereel/forward/settings/ForwardSettings.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/settings/ForwardSettings.java
@@ -12,8 +12,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.rollout.RolloutBounds;
+import org.gatereel.core.scheduling.SchedulingFeature;
 
 /**
  * The settings of a forwarding host: JSON with comments.
@@ -26,6 +28,7 @@
  * @param peers IP:PORT for requests of other hosts
  * @param platform IP:PORT of the platform's store
  * @param bounds the limits that operators guarantee to users
+ * @param features the scheduling features that are enabled; none if absent
  */
 public record ForwardSettings(
     @JsonProperty(required = true) String host,
@@ -35,7 +38,8 @@
     @JsonProperty(required = true) String metrics,
     @JsonProperty(required = true) String peers,
     @JsonProperty(required = true) String platform,
-    @JsonProperty(required = true) Bounds bounds) {
+    @JsonProperty(required = true) Bounds bounds,
+    Set<SchedulingFeature> features) {
 
   private static final ObjectMapper MAPPER =
       JsonMapper.builder()
@@ -44,11 +48,14 @@
           .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
           .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
           .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
-          .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
           .build();
 
   private static final int MAX_PORT = 65_535;
 
+  public ForwardSettings {
+    features = features == null ? Set.of() : Set.copyOf(features);
+  }
+
   /**
    * The limits that operators guarantee to users.
    *
@@ -65,17 +72,17 @@
    * @param rollbackMillis the time for which a version known to be bad may still receive requests
    */
   public record Bounds(
-      boolean strictRevocation,
-      long revocationMillis,
-      long configurationMillis,
-      long drainMillis,
-      long graceMillis,
-      double retryRatio,
-      double retrySlack,
-      long retryWindowMillis,
-      double exposureShare,
-      double exposureSlack,
-      long rollbackMillis) {
+      @JsonProperty(required = true) boolean strictRevocation,
+      @JsonProperty(required = true) long revocationMillis,
+      @JsonProperty(required = true) long configurationMillis,
+      @JsonProperty(required = true) long drainMillis,
+      @JsonProperty(required = true) long graceMillis,
+      @JsonProperty(required = true) double retryRatio,
+      @JsonProperty(required = true) double retrySlack,
+      @JsonProperty(required = true) long retryWindowMillis,
+      @JsonProperty(required = true) double exposureShare,
+      @JsonProperty(required = true) double exposureSlack,
+      @JsonProperty(required = true) long rollbackMillis) {
     /** Returns the limits for rollouts. */
     public RolloutBounds rollouts() {
       return new RolloutBounds(exposureShare, exposureSlack, rollbackMillis);
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
@@ -14,6 +14,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -204,7 +205,7 @@
             OptionalLong.empty(),
             Optional.empty(),
             Optional.empty(),
-            false);
+            OptionalInt.empty());
     RecordingListener listener = new RecordingListener(mayBeSent);
     group.next().execute(() -> connector.send(dispatch, listener));
     return listener;
--- a/gatereel-forward/src/test/java/org/gatereel/forward/settings/ForwardSettingsTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/settings/ForwardSettingsTest.java
@@ -5,7 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Set;
 import org.gatereel.core.model.Address;
+import org.gatereel.core.scheduling.SchedulingFeature;
 import org.junit.jupiter.api.Test;
 
 class ForwardSettingsTest {
@@ -34,6 +36,17 @@
     assertEquals(5_000, settings.bounds().revocationMillis());
   }
 
+  /** A misspelt feature must not leave a host running without it. */
+  @Test
+  void readsFeaturesAndNamesAnUnknownOne() throws Exception {
+    String features = VALID.replace("{\"host\"", "{\"features\": [\"URGENCY_ORDER\"], \"host\"");
+
+    assertEquals(
+        Set.of(SchedulingFeature.URGENCY_ORDER), ForwardSettings.parse(features).features());
+    assertEquals(Set.of(), ForwardSettings.parse(VALID).features());
+    assertTrue(errors(features.replace("URGENCY_ORDER", "URGENCY")).get(0).contains("URGENCY"));
+  }
+
   @Test
   void reportsEveryError() {
     List<String> found =
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/CallerModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/CallerModel.java
@@ -36,17 +36,16 @@
 
   /** What is asked for. */
   enum Kind {
-    STREAM("/stream/", 4_500, 25_000, 700),
-    CALL("/call/", 200, 1_500, Long.MAX_VALUE);
+    STREAM("/stream/", 25_000, 700),
+    URGENT_STREAM("/urgent/", 25_000, 700),
+    CALL("/call/", 1_500, Long.MAX_VALUE);
 
     private final String path;
-    private final long aimMillis;
     private final long deadlineMillis;
     private final long pauseMillis;
 
-    Kind(String path, long aimMillis, long deadlineMillis, long pauseMillis) {
+    Kind(String path, long deadlineMillis, long pauseMillis) {
       this.path = path;
-      this.aimMillis = aimMillis;
       this.deadlineMillis = deadlineMillis;
       this.pauseMillis = pauseMillis;
     }
@@ -55,8 +54,8 @@
       return path;
     }
 
-    long aimMillis() {
-      return aimMillis;
+    boolean isStream() {
+      return this != CALL;
     }
 
     long deadlineMillis() {
@@ -128,7 +127,7 @@
 
   /** Returns whether the answer was whole and in time. */
   boolean isInTime() {
-    return whole && firstMillis() <= kind.aimMillis && longestPause <= kind.pauseMillis;
+    return whole && firstMillis() <= world.aimMillis(kind) && longestPause <= kind.pauseMillis;
   }
 
   private long leftMillis() {
@@ -255,7 +254,7 @@
 
     @Override
     public long promptTokens() {
-      return kind == Kind.STREAM ? world.prompt() : 0;
+      return kind.isStream() ? world.prompt() : 0;
     }
 
     @Override
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
@@ -81,7 +81,7 @@
             context,
             targets,
             keeper,
-            ForwardPolicy.STANDARD,
+            ForwardPolicy.STANDARD.withFeatures(world.features()),
             new Targets(),
             new Observer(),
             directory,
@@ -381,6 +381,7 @@
               prompt,
               Math.max(0, dispatch.lastEventId().orElse(0)),
               world.events());
+      dispatch.urgency().ifPresent(urgency -> run.urgency = urgency);
       run.fatal = ((CallerModel.Try) dispatch.request()).fatal();
       run.fatal.ifPresent(content -> content.arrived(time.millis()));
       engine.take(run);
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayMain.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayMain.java
@@ -10,6 +10,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.gatereel.core.scheduling.SchedulingFeature;
 
 /** The command {@code bin/replay}: plays a script of load and prints how callers fared. */
 public final class ReplayMain {
@@ -27,6 +30,11 @@
   @Parameter(names = "--engines", description = "how many engines, in place of the script's")
   private Integer engines;
 
+  @Parameter(
+      names = "--features",
+      description = "scheduling features of hosts, in place of the script's; NONE for none")
+  private List<String> features;
+
   @Parameter(names = "--help", help = true, description = "show this help")
   private boolean help;
 
@@ -71,13 +79,20 @@
         : Path.of(System.getProperty("replay.scripts", "replays"), script + ".json");
   }
 
+  private Set<SchedulingFeature> enabled() {
+    return features.stream()
+        .filter(name -> !name.equals("NONE"))
+        .map(SchedulingFeature::valueOf)
+        .collect(Collectors.toSet());
+  }
+
   private void play(Path file) throws IOException {
     try (InputStream text = Files.newInputStream(file)) {
       Script script = Script.read(text);
       Script sized =
           script.sized(
               hosts == null ? script.hosts() : hosts, engines == null ? script.engines() : engines);
-      new ReplayWorld(sized, seed)
+      new ReplayWorld(features == null ? sized : sized.with(enabled()), seed)
           .play()
           .table()
           .forEach((name, value) -> System.out.printf("%-34s %s%n", name, value));
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayReport.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayReport.java
@@ -170,10 +170,21 @@
             .filter(target -> target instanceof EngineModel)
             .mapToLong(target -> ((EngineModel) target).tokensRead())
             .sum();
-    long whole = callers(CallerModel.Kind.STREAM).stream().filter(CallerModel::isWhole).count();
+    long whole =
+        world.callers().stream()
+            .filter(caller -> caller.kind().isStream() && caller.isWhole() && !caller.isFatal())
+            .count();
     return Math.max(0, read - whole * world.prompt());
   }
 
+  /** Returns how often engines took memory from a running request. */
+  long preemptions() {
+    return world.targets().stream()
+        .filter(target -> target instanceof EngineModel)
+        .mapToLong(target -> ((EngineModel) target).preemptions())
+        .sum();
+  }
+
   /** Returns by how many requests the worst window of any limited target is over what it bears. */
   double limitExcess() {
     return world.limits().stream().mapToDouble(TargetLimit::excess).max().orElse(0);
@@ -237,6 +248,9 @@
   Map<String, String> table() {
     Map<String, String> table = new LinkedHashMap<>();
     for (CallerModel.Kind kind : CallerModel.Kind.values()) {
+      if (kind == CallerModel.Kind.URGENT_STREAM && callers(kind).isEmpty()) {
+        continue;
+      }
       String name = kind.name().toLowerCase(Locale.ROOT);
       table.put(name + "s", Integer.toString(callers(kind).size()));
       table.put(name + "s in time", decimal(inTime(kind)));
@@ -275,6 +289,7 @@
     table.put("answers broken off", Integer.toString(count(EventCode.GENERATION_INTERRUPTED)));
     table.put("repeats without budget", Integer.toString(count(EventCode.RETRY_BUDGET_SPENT)));
     table.put("prompt tokens read for nothing", Long.toString(readForNothing()));
+    table.put("runs that engines preempted", Long.toString(preemptions()));
     table.put("load reports, targets in them", reports + ", " + reportedTargets);
     table.put("questions for loans", Long.toString(borrowed));
     return table;
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayWorld.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayWorld.java
@@ -28,6 +28,7 @@
 import org.gatereel.core.model.TargetDescription;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.model.TargetKind;
+import org.gatereel.core.scheduling.SchedulingFeature;
 
 /** Hosts, targets and callers of one replay, and what happens to them. */
 final class ReplayWorld {
@@ -39,6 +40,8 @@
   private static final int HOST_PORT = 7_200;
   private static final int ATTEMPTS = 5;
   private static final int PRIORITY = 1;
+  private static final int URGENT_PRIORITY = 0;
+  private static final long CALL_AIM_MILLIS = 200;
   private static final long CACHE_TOKENS = 88_000;
 
   /** How long hosts and loads settle before callers come. */
@@ -68,6 +71,7 @@
   private final ReplayReport report;
   private final double[] accountTimes;
   private double times = 1;
+  private double routineTimes = 1;
   private long listVersion;
   private int incarnation;
 
@@ -92,7 +96,16 @@
       targets.put(
           engine.address(),
           new EngineModel(
-              time, engine, script.engineQueue(), script.engineSpeed(), this::endEngine));
+              time,
+              engine,
+              new EngineModel.Rules(
+                  script.engineQueue(),
+                  script.engineSpeed(),
+                  script.engineSpeeds().get(index % script.engineSpeeds().size()),
+                  script.engineNoise(),
+                  script.engineMemory()),
+              new SplittableRandom(index),
+              this::endEngine));
       listed.put(engine.id(), engine);
     }
     for (int index = 0; index < script.counters(); index++) {
@@ -135,6 +148,7 @@
     Configuration.Builder builder =
         Configuration.builder(1)
             .add(route(CallerModel.Kind.STREAM, RouteKind.STREAM, ENGINES))
+            .add(route(CallerModel.Kind.URGENT_STREAM, RouteKind.STREAM, ENGINES))
             .add(route(CallerModel.Kind.CALL, RouteKind.REPEATABLE, COUNTERS))
             .add(
                 new ServiceConfiguration(
@@ -149,7 +163,7 @@
     return builder.build();
   }
 
-  private static Route route(CallerModel.Kind kind, RouteKind routeKind, ServiceName service) {
+  private Route route(CallerModel.Kind kind, RouteKind routeKind, ServiceName service) {
     return new Route(
         kind.name(),
         HOST_NAME,
@@ -158,9 +172,9 @@
         true,
         false,
         kind.deadlineMillis(),
-        kind.aimMillis(),
+        aimMillis(kind),
         ATTEMPTS,
-        PRIORITY,
+        kind == CallerModel.Kind.URGENT_STREAM ? URGENT_PRIORITY : PRIORITY,
         700,
         List.of(new Route.WeightedService(service, 1)));
   }
@@ -220,6 +234,7 @@
       time.atMillis(millisOf(trouble.at()), () -> trouble.kind().play(this, trouble));
     }
     time.atMillis(SETTLE_MILLIS, () -> nextCaller(CallerModel.Kind.STREAM));
+    time.atMillis(SETTLE_MILLIS, () -> nextCaller(CallerModel.Kind.URGENT_STREAM));
     time.atMillis(SETTLE_MILLIS, () -> nextCaller(CallerModel.Kind.CALL));
     time.runUntil(millisOf(script.seconds()) + CallerModel.Kind.STREAM.deadlineMillis());
     return report;
@@ -231,11 +246,12 @@
   }
 
   private void nextCaller(CallerModel.Kind kind) {
-    double usual = kind == CallerModel.Kind.STREAM ? script.streams() : script.calls();
+    double usual = usualPerSecond(kind);
     if (usual == 0 || time.millis() >= millisOf(script.seconds())) {
       return;
     }
     double rate = usual * times * growth();
+    rate *= kind == CallerModel.Kind.STREAM ? routineTimes : 1;
     double gapSeconds = -Math.log(1 - random.nextDouble()) / rate;
     time.after(
         Math.max(1, Math.round(gapSeconds * 1_000_000)),
@@ -294,6 +310,32 @@
     time.after(millis * 1_000, () -> times /= factor);
   }
 
+  private double usualPerSecond(CallerModel.Kind kind) {
+    return switch (kind) {
+      case STREAM -> script.streams();
+      case URGENT_STREAM -> script.urgent().perSecond();
+      case CALL -> script.calls();
+    };
+  }
+
+  /** Returns the objective of a kind of request, in milliseconds. */
+  long aimMillis(CallerModel.Kind kind) {
+    return switch (kind) {
+      case STREAM -> script.streamAimMillis();
+      case URGENT_STREAM -> script.urgent().aimMillis();
+      case CALL -> CALL_AIM_MILLIS;
+    };
+  }
+
+  Set<SchedulingFeature> features() {
+    return script.features();
+  }
+
+  void growRoutine(double factor, long millis) {
+    routineTimes *= factor;
+    time.after(millis * 1_000, () -> routineTimes /= factor);
+  }
+
   void growAccount(int account, double factor, long millis) {
     accountTimes[account] *= factor;
     time.after(millis * 1_000, () -> accountTimes[account] /= factor);
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/Script.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/Script.java
@@ -7,6 +7,8 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.List;
+import java.util.Set;
+import org.gatereel.core.scheduling.SchedulingFeature;
 
 /**
  * What load and which trouble a replay plays; JSON with comments.
@@ -18,6 +20,12 @@
  * @param calls how many plain calls they make in a second
  * @param accounts how many client accounts share them; the n-th asks for 1/n of what the first does
  * @param engineSpeed how fast engines are; {@link EngineSpeed#USUAL} if it is left out
+ * @param urgent streams of a more urgent route of the same service; none if it is left out
+ * @param streamAimMillis the objective of the other streams; 4,500 if it is left out
+ * @param engineSpeeds speeds that engines have in turn, relative to the usual one
+ * @param engineNoise engines that are slow for moments; none if it is left out
+ * @param engineMemory tokens that an engine has room for; without limit if it is left out
+ * @param features the scheduling features of hosts
  * @param trouble what happens when
  */
 record Script(
@@ -37,7 +45,15 @@
     double calls,
     int accounts,
     EngineSpeed engineSpeed,
+    UrgentStreams urgent,
+    long streamAimMillis,
+    List<Double> engineSpeeds,
+    Noise engineNoise,
+    long engineMemory,
+    Set<SchedulingFeature> features,
     List<Trouble> trouble) {
+  private static final long USUAL_AIM_MILLIS = 4_500;
+
   private static final ObjectMapper MAPPER =
       JsonMapper.builder()
           .enable(JsonParser.Feature.ALLOW_COMMENTS)
@@ -46,9 +62,36 @@
 
   Script {
     engineSpeed = engineSpeed == null ? EngineSpeed.USUAL : engineSpeed;
+    urgent = urgent == null ? UrgentStreams.NONE : urgent;
+    streamAimMillis = streamAimMillis == 0 ? USUAL_AIM_MILLIS : streamAimMillis;
+    engineSpeeds =
+        engineSpeeds == null || engineSpeeds.isEmpty() ? List.of(1.0) : List.copyOf(engineSpeeds);
+    engineNoise = engineNoise == null ? Noise.NONE : engineNoise;
+    features = features == null ? Set.of() : Set.copyOf(features);
     trouble = trouble == null ? List.of() : List.copyOf(trouble);
   }
 
+  /**
+   * Streams that are wanted sooner than others.
+   *
+   * @param perSecond how many callers ask for
+   * @param aimMillis the objective of their first event
+   */
+  record UrgentStreams(double perSecond, long aimMillis) {
+    static final UrgentStreams NONE = new UrgentStreams(0, USUAL_AIM_MILLIS);
+  }
+
+  /**
+   * Moments in which some engines are slow.
+   *
+   * @param share how many of the engines, at any moment
+   * @param times how much longer work takes
+   * @param everyMillis how long a moment lasts
+   */
+  record Noise(double share, double times, long everyMillis) {
+    static final Noise NONE = new Noise(0, 1, 1_000);
+  }
+
   /**
    * How fast an engine is.
    *
@@ -168,6 +211,13 @@
         world.grow(trouble.times(), millis(trouble));
       }
     },
+    /** Callers ask for more streams, but not for more urgent ones. */
+    ROUTINE_BURST {
+      @Override
+      void play(ReplayWorld world, Trouble trouble) {
+        world.growRoutine(trouble.times(), millis(trouble));
+      }
+    },
     /** One account asks for more. */
     HOT_ACCOUNT {
       @Override
@@ -210,6 +260,40 @@
         calls,
         accounts,
         engineSpeed,
+        urgent,
+        streamAimMillis,
+        engineSpeeds,
+        engineNoise,
+        engineMemory,
+        features,
+        trouble);
+  }
+
+  /** Returns the same load with other scheduling features. */
+  Script with(Set<SchedulingFeature> newFeatures) {
+    return new Script(
+        seconds,
+        dataCentres,
+        hosts,
+        engines,
+        engineSlots,
+        engineQueue,
+        counters,
+        counterSlots,
+        counterQueue,
+        callMillis,
+        prompt,
+        events,
+        streams,
+        calls,
+        accounts,
+        engineSpeed,
+        urgent,
+        streamAimMillis,
+        engineSpeeds,
+        engineNoise,
+        engineMemory,
+        newFeatures,
         trouble);
   }
 }
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/TargetModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/TargetModel.java
@@ -11,6 +11,7 @@
 abstract class TargetModel {
   private static final int ERROR_STATUS = 500;
   private static final int FULL_STATUS = 503;
+  private static final int USUAL_URGENCY = 5;
 
   private final VirtualTime time;
   private final int queued;
@@ -42,6 +43,9 @@
     final TargetModel copyAt;
     final long lastEvent;
     Optional<FatalContent> fatal = Optional.empty();
+    final int prompt;
+    int urgency = USUAL_URGENCY;
+    boolean admitted;
     int promptLeft;
     int tokens;
     long event;
@@ -57,6 +61,7 @@
       this.client = client;
       this.name = name;
       this.copyAt = copyAt;
+      this.prompt = promptLeft;
       this.promptLeft = promptLeft;
       this.event = event;
       this.lastEvent = lastEvent;
@@ -99,7 +104,7 @@
   }
 
   /** Returns the requests it works on; the others wait. */
-  final List<Run> running() {
+  List<Run> running() {
     return runs.subList(0, Math.min(runs.size(), description.slots()));
   }
 
