Move the operators' configuration into a package of its own

core.forward had 53 files side by side. Configuration, Route, RouteKind, ServiceConfiguration, AccountConfiguration and InboundLimits depend on nothing in it and move to core.configuration; no logic changes. EngineConfiguration.fittingRequests becomes public, because Placement calls it from outside. ConfigurationHolder stays, because its lookups return Rejection. ArchitectureTest holds that the package does not depend on core.forward.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/AccountConfiguration.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/configuration/AccountConfiguration.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.configuration;
 
 import java.util.Set;
 import org.gatereel.core.model.AccountId;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/InboundLimits.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/configuration/InboundLimits.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.configuration;
 
 /**
  * The limits of inbound requests.
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Route.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/configuration/Route.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.configuration;
 
 import java.util.List;
 import org.gatereel.core.model.ServiceName;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RouteKind.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/configuration/RouteKind.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.configuration;
 
 /** The kind of a route's requests, which determines how often one may be executed. */
 public enum RouteKind {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ServiceConfiguration.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/configuration/ServiceConfiguration.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.configuration;
 
 import java.util.Optional;
 import org.gatereel.core.model.ServiceName;
@@ -25,7 +25,7 @@
     /**
      * Returns how many requests with prompts of a length fit into an engine's memory; at least one.
      */
-    int fittingRequests(long promptTokens) {
+    public int fittingRequests(long promptTokens) {
       double tokensPerRequest = promptTokens * (1 + OUTPUT_RATIO);
       return tokensPerRequest > 0
           ? Math.max(1, (int) (cacheTokens / tokensPerRequest))
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ConfigurationHolder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ConfigurationHolder.java
@@ -1,6 +1,9 @@
 package org.gatereel.core.forward;
 
 import java.util.Optional;
+import org.gatereel.core.configuration.AccountConfiguration;
+import org.gatereel.core.configuration.Configuration;
+import org.gatereel.core.configuration.Route;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.AccountId;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -2,6 +2,9 @@
 
 import java.util.Optional;
 import org.gatereel.core.choice.TargetChoice;
+import org.gatereel.core.configuration.Route;
+import org.gatereel.core.configuration.RouteKind;
+import org.gatereel.core.configuration.ServiceConfiguration;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.internal.CoreContext;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalLong;
 import org.gatereel.core.choice.TargetChoice;
+import org.gatereel.core.configuration.Route;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.model.Address;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardObserver.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardObserver.java
@@ -1,5 +1,7 @@
 package org.gatereel.core.forward;
 
+import org.gatereel.core.configuration.Route;
+
 /** Receives the outcome of requests, for metrics. */
 public interface ForwardObserver {
   /** Records a complete response of a target after {@code millis}. */
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardPolicy.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardPolicy.java
@@ -1,5 +1,7 @@
 package org.gatereel.core.forward;
 
+import org.gatereel.core.configuration.Route;
+
 /**
  * The limits of forwarding that are not part of the configuration.
  *
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.gatereel.core.choice.TargetChoice;
+import org.gatereel.core.configuration.Route;
 import org.gatereel.core.target.TargetState;
 
 /**
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RetryController.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RetryController.java
@@ -1,5 +1,7 @@
 package org.gatereel.core.forward;
 
+import org.gatereel.core.configuration.Route;
+import org.gatereel.core.configuration.RouteKind;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.model.ServiceName;
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ShutdownPolicy.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ShutdownPolicy.java
@@ -2,6 +2,7 @@
 
 import java.util.EnumMap;
 import java.util.Map;
+import org.gatereel.core.configuration.RouteKind;
 import org.gatereel.core.internal.CoreContext;
 
 /**
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
@@ -1,6 +1,7 @@
 package org.gatereel.core.forward;
 
 import java.util.OptionalLong;
+import org.gatereel.core.configuration.Route;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
 
--- a/gatereel-core/src/test/java/org/gatereel/core/ArchitectureTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/ArchitectureTest.java
@@ -45,4 +45,13 @@
   @ArchTest
   static final ArchRule THE_CORE_HAS_NO_MUTABLE_STATIC_FIELDS =
       noFields().that().areStatic().should().notBeFinal();
+
+  @ArchTest
+  static final ArchRule PACKAGES_THAT_FORWARDING_USES_DO_NOT_DEPEND_ON_IT =
+      noClasses()
+          .that()
+          .resideInAnyPackage("org.gatereel.core.configuration..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAPackage("org.gatereel.core.forward..");
 }
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ConfigurationHolderTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ConfigurationHolderTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
 import java.util.Optional;
+import org.gatereel.core.configuration.Configuration;
+import org.gatereel.core.configuration.RouteKind;
 import org.junit.jupiter.api.Test;
 
 class ConfigurationHolderTest {
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardMetrics.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardMetrics.java
@@ -10,10 +10,10 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.gatereel.core.configuration.Route;
+import org.gatereel.core.configuration.RouteKind;
 import org.gatereel.core.forward.ForwardObserver;
 import org.gatereel.core.forward.Rejection;
-import org.gatereel.core.forward.Route;
-import org.gatereel.core.forward.RouteKind;
 
 /** Counters and latency histograms of forwarded requests, in Prometheus' text format. */
 public final class ForwardMetrics implements ForwardObserver {
