Move the store's documents into a package of their own

DocumentCache, DocumentKind, DocumentRefresher, DocumentSources, SharedDocument, Poller and TargetListUpdater move from core.forward to core.document, with HostDirectory, on which DocumentRefresher depends and which uses nothing of core.forward. Their tests move with them.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/DocumentKind.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentKind.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.document;
 
 /** The documents of the platform's store that every host needs and passes to other hosts. */
 public enum DocumentKind {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Poller.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/Poller.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.document;
 
 import java.util.Optional;
 import java.util.function.LongSupplier;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/SharedDocument.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/SharedDocument.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.document;
 
 /**
  * A document of the store as read by this or another host.
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetListUpdater.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.document;
 
 import org.gatereel.core.model.HostList;
 import org.gatereel.core.target.TargetRegistry;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import org.gatereel.core.choice.TargetSelector;
 import org.gatereel.core.configuration.Route;
+import org.gatereel.core.document.HostDirectory;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.internal.CoreContext;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RetryBudgets.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RetryBudgets.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.gatereel.core.document.HostDirectory;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.limit.TokenGrant;
 import org.gatereel.core.limit.TokenPort;
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/DocumentRefresherTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/DocumentRefresherTest.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.document;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -11,9 +11,9 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
-import org.gatereel.core.forward.DocumentSources.PeerDocument;
-import org.gatereel.core.forward.DocumentSources.StoreResponse;
-import org.gatereel.core.forward.HostDirectory.Entry;
+import org.gatereel.core.document.DocumentSources.PeerDocument;
+import org.gatereel.core.document.DocumentSources.StoreResponse;
+import org.gatereel.core.document.HostDirectory.Entry;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/HostDirectoryTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/HostDirectoryTest.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.document;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import org.gatereel.core.forward.HostDirectory.Entry;
+import org.gatereel.core.document.HostDirectory.Entry;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/PollerTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/PollerTest.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.document;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
@@ -16,6 +16,7 @@
 import org.gatereel.core.configuration.Route;
 import org.gatereel.core.configuration.RouteKind;
 import org.gatereel.core.configuration.ServiceConfiguration;
+import org.gatereel.core.document.HostDirectory;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.limit.TokenGrant;
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/LateCallbackTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/LateCallbackTest.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.gatereel.core.document.HostDirectory;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.ForwardWorld.Caller;
 import org.gatereel.core.forward.ForwardWorld.SentCall;
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/LimitForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/LimitForwardingTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.gatereel.core.document.HostDirectory;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.ForwardWorld.Caller;
 import org.gatereel.core.forward.ForwardWorld.SentCall;
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/RetryBorrowingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/RetryBorrowingTest.java
@@ -7,6 +7,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.gatereel.core.document.HostDirectory;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/RolloutForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/RolloutForwardingTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.gatereel.core.document.HostDirectory;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.limit.TokenGrant;
 import org.gatereel.core.model.Address;
--- a/gatereel-core/src/test/java/org/gatereel/core/load/LoadWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/load/LoadWorld.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
-import org.gatereel.core.forward.HostDirectory;
+import org.gatereel.core.document.HostDirectory;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerClient.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerClient.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.gatereel.core.forward.DocumentCache;
-import org.gatereel.core.forward.DocumentSources.PeerDocument;
+import org.gatereel.core.document.DocumentCache;
+import org.gatereel.core.document.DocumentSources.PeerDocument;
 import org.gatereel.core.model.Address;
 import org.gatereel.forward.http.DocumentClient;
 
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerDocuments.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerDocuments.java
@@ -11,10 +11,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.gatereel.core.forward.DocumentCache;
-import org.gatereel.core.forward.DocumentKind;
-import org.gatereel.core.forward.DocumentSources.PeerDocument;
-import org.gatereel.core.forward.SharedDocument;
+import org.gatereel.core.document.DocumentCache;
+import org.gatereel.core.document.DocumentKind;
+import org.gatereel.core.document.DocumentSources.PeerDocument;
+import org.gatereel.core.document.SharedDocument;
 
 /**
  * Encodes the requests for documents between hosts as query strings, and the responses as JSON.
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerServer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerServer.java
@@ -2,7 +2,7 @@
 
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import org.gatereel.core.forward.DocumentCache;
+import org.gatereel.core.document.DocumentCache;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.limit.TokenGrant;
 import org.gatereel.core.limit.TokenIssuer;
--- a/gatereel-forward/src/test/java/org/gatereel/forward/peer/PeerDocumentsTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/peer/PeerDocumentsTest.java
@@ -5,9 +5,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Optional;
-import org.gatereel.core.forward.DocumentCache;
-import org.gatereel.core.forward.DocumentKind;
-import org.gatereel.core.forward.SharedDocument;
+import org.gatereel.core.document.DocumentCache;
+import org.gatereel.core.document.DocumentKind;
+import org.gatereel.core.document.SharedDocument;
 import org.junit.jupiter.api.Test;
 
 /** Guards against accepting a truncated list of another host's documents. */
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayWorld.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayWorld.java
@@ -18,7 +18,7 @@
 import org.gatereel.core.configuration.Route;
 import org.gatereel.core.configuration.RouteKind;
 import org.gatereel.core.configuration.ServiceConfiguration;
-import org.gatereel.core.forward.HostDirectory;
+import org.gatereel.core.document.HostDirectory;
 import org.gatereel.core.model.AccountId;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
