Move the retry budgets into a package of their own

RetryBudgets and RetryWindow move from core.forward to core.retry, with their tests. RetryBudgets needs RetryLimit, which was nested in ForwardPolicy; the record moves there as a class of its own, so that core.retry does not depend on core.forward, which ArchitectureTest now holds. RetryBudgets, its constructor and its three methods become public for Forwarder; no logic changes.

Measured: test-compile of all modules passes; ArchitectureTest and gatereel-core's Retry*Test pass.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardPolicy.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardPolicy.java
@@ -1,6 +1,7 @@
 package org.gatereel.core.forward;
 
 import org.gatereel.core.configuration.Route;
+import org.gatereel.core.retry.RetryLimit;
 
 /**
  * The limits of forwarding that are not part of the configuration.
@@ -22,15 +23,6 @@
   public static final ForwardPolicy STANDARD =
       new ForwardPolicy(150, 400, new RetryLimit(0.8, 150, 10_000), 700, 256 << 10);
 
-  /**
-   * The retries of a service's requests that all hosts may make together within any window.
-   *
-   * @param ratio retries for each request of the window
-   * @param slack additional retries for each window
-   * @param windowMillis the length of the window
-   */
-  public record RetryLimit(double ratio, double slack, long windowMillis) {}
-
   /** Delay of a probe as a ratio of the longest pause that meets the route's objective. */
   private static final double PROBE_DELAY_RATIO = 0.3;
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -24,6 +24,7 @@
 import org.gatereel.core.poison.Fingerprint;
 import org.gatereel.core.poison.PoisonControl;
 import org.gatereel.core.rest.TargetBackoffs;
+import org.gatereel.core.retry.RetryBudgets;
 import org.gatereel.core.rollout.RolloutControl;
 import org.gatereel.core.statement.FactKind;
 import org.gatereel.core.statement.TargetFact;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RetryBudgets.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/retry/RetryBudgets.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.retry;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -24,14 +24,14 @@
  * share; while the granting host is being replaced, two hosts may each grant their data centre's
  * share once.
  */
-final class RetryBudgets {
+public final class RetryBudgets {
   /** Leaves room for differences between the hosts' counts. */
   private static final double SAFETY_RATIO = 0.9;
 
   private static final double ISSUED_RATIO = 0.5;
 
   private final CoreContext context;
-  private final ForwardPolicy.RetryLimit limit;
+  private final RetryLimit limit;
   private final HostDirectory directory;
   private final TokenPort port;
   private final Map<ServiceName, Budget> budgets = new HashMap<>();
@@ -93,23 +93,20 @@
     }
   }
 
-  RetryBudgets(
-      CoreContext context,
-      ForwardPolicy.RetryLimit limit,
-      HostDirectory directory,
-      TokenPort port) {
+  public RetryBudgets(
+      CoreContext context, RetryLimit limit, HostDirectory directory, TokenPort port) {
     this.context = context;
     this.limit = limit;
     this.directory = directory;
     this.port = port;
   }
 
-  void recordRequest(ServiceName service) {
+  public void recordRequest(ServiceName service) {
     budget(service).local.recordRequest(context.now());
   }
 
   /** Takes one retry; {@code callback} receives, at once or later, whether it was granted. */
-  void acquire(ServiceName service, Consumer<Boolean> callback) {
+  public void acquire(ServiceName service, Consumer<Boolean> callback) {
     Budget budget = budget(service);
     if (budget.tryAcquireLocal()) {
       callback.accept(true);
@@ -120,7 +117,7 @@
   }
 
   /** Grants retries to a host of this data centre; returns how many of {@code count}. */
-  int issue(ServiceName service, int count) {
+  public int issue(ServiceName service, int count) {
     return budget(service).issue(count);
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RetryWindow.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/retry/RetryWindow.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.retry;
 
 import java.util.Arrays;
 
--- a/gatereel-core/src/test/java/org/gatereel/core/ArchitectureTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/ArchitectureTest.java
@@ -50,7 +50,10 @@
   static final ArchRule PACKAGES_THAT_FORWARDING_USES_DO_NOT_DEPEND_ON_IT =
       noClasses()
           .that()
-          .resideInAnyPackage("org.gatereel.core.configuration..", "org.gatereel.core.document..")
+          .resideInAnyPackage(
+              "org.gatereel.core.configuration..",
+              "org.gatereel.core.document..",
+              "org.gatereel.core.retry..")
           .should()
           .dependOnClassesThat()
           .resideInAPackage("org.gatereel.core.forward..");
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/RetryBudgetsTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/retry/RetryBudgetsTest.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.retry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -26,8 +26,7 @@
 /** Retry budgets that several hosts share. */
 class RetryBudgetsTest {
   private static final ServiceName SERVICE = new ServiceName("engines");
-  private static final ForwardPolicy.RetryLimit LIMIT =
-      new ForwardPolicy.RetryLimit(0.8, 150, 10_000);
+  private static final RetryLimit LIMIT = new RetryLimit(0.8, 150, 10_000);
   private static final int HOSTS = 60;
   private static final int DATA_CENTRES = 3;
 
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/RetryWindowTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/retry/RetryWindowTest.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.retry;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -23,6 +23,7 @@
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.poison.PoisonControl;
+import org.gatereel.core.retry.RetryLimit;
 import org.gatereel.core.rollout.RolloutControl;
 import org.gatereel.core.table.PolicyTable;
 import org.gatereel.core.target.TargetRegistry;
@@ -152,8 +153,7 @@
     return new ForwardPolicy(
         standard.probeTimeoutMillis(),
         standard.firstEventProbeMillis(),
-        new ForwardPolicy.RetryLimit(
-            bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMillis()),
+        new RetryLimit(bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMillis()),
         standard.retryAfterMillis(),
         standard.maxBufferedBytes());
   }
