Move the reading of event streams into a package of its own

EventStreamReader and StreamEvent depend on nothing in core.forward and move to core.stream. The reader, its methods and StreamEvent.isComment become public for Attempt and StreamRelay; no logic changes. CopyTracker stays, because it works on Forwarder, Attempt and ForwardRequest. ArchitectureTest holds that the package does not depend on core.forward.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.OptionalLong;
 import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.stream.EventStreamReader;
 import org.gatereel.core.target.TargetState;
 
 /** One attempt of an exchange: one request sent to one target, and its progress. */
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
@@ -4,6 +4,7 @@
 import org.gatereel.core.configuration.Route;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.stream.StreamEvent;
 
 /**
  * Forwards the events of a stream to the caller, each once and in order, across attempts.
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/EventStreamReader.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/stream/EventStreamReader.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.stream;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
@@ -12,7 +12,7 @@
  * <p>Bytes are kept unchanged. An incomplete event is buffered until its blank line, so that the
  * caller never receives part of an event.
  */
-final class EventStreamReader {
+public final class EventStreamReader {
   private static final String ID_FIELD = "id:";
   private static final String DATA_FIELD = "data:";
 
@@ -23,7 +23,7 @@
   private int lineStart;
 
   /** Adds bytes and returns the events that they complete. */
-  List<StreamEvent> read(byte[] bytes) {
+  public List<StreamEvent> read(byte[] bytes) {
     List<StreamEvent> events = new ArrayList<>();
     for (byte next : bytes) {
       pending.write(next);
@@ -35,11 +35,11 @@
   }
 
   /** Returns whether an incomplete event is buffered. */
-  boolean isWithinEvent() {
+  public boolean isWithinEvent() {
     return pending.size() > 0;
   }
 
-  int pendingBytes() {
+  public int pendingBytes() {
     return pending.size();
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StreamEvent.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/stream/StreamEvent.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.stream;
 
 import java.util.OptionalLong;
 
@@ -14,7 +14,7 @@
   /**
    * Returns whether the block is neither an event nor carries an id, such as a keep-alive comment.
    */
-  boolean isComment() {
+  public boolean isComment() {
     return id.isEmpty() && !hasData;
   }
 }
--- a/gatereel-core/src/test/java/org/gatereel/core/ArchitectureTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/ArchitectureTest.java
@@ -53,7 +53,8 @@
           .resideInAnyPackage(
               "org.gatereel.core.configuration..",
               "org.gatereel.core.document..",
-              "org.gatereel.core.retry..")
+              "org.gatereel.core.retry..",
+              "org.gatereel.core.stream..")
           .should()
           .dependOnClassesThat()
           .resideInAPackage("org.gatereel.core.forward..");
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/StreamContinuationTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/StreamContinuationTest.java
@@ -8,6 +8,8 @@
 import java.util.OptionalLong;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.ForwardWorld.Caller;
+import org.gatereel.core.stream.EventStreamReader;
+import org.gatereel.core.stream.StreamEvent;
 import org.junit.jupiter.api.Test;
 
 /** How executions at several targets are joined to one stream. */
