--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayMain.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayMain.java
@@ -5,6 +5,7 @@
 import com.beust.jcommander.ParameterException;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
@@ -35,6 +36,9 @@
       description = "scheduling features of hosts, in place of the script's; NONE for none")
   private List<String> features;
 
+  @Parameter(names = "--events", description = "file for the events that hosts log")
+  private String events;
+
   @Parameter(names = "--help", help = true, description = "show this help")
   private boolean help;
 
@@ -86,16 +90,24 @@
         .collect(Collectors.toSet());
   }
 
+  private ReplayReport play(ReplayWorld world) throws IOException {
+    if (events == null) {
+      return world.play();
+    }
+    try (PrintWriter lines = new PrintWriter(Files.newBufferedWriter(Path.of(events)))) {
+      world.listen(lines::println);
+      return world.play();
+    }
+  }
+
   private void play(Path file) throws IOException {
     try (InputStream text = Files.newInputStream(file)) {
       Script script = Script.read(text);
       Script sized =
           script.sized(
               hosts == null ? script.hosts() : hosts, engines == null ? script.engines() : engines);
-      new ReplayWorld(features == null ? sized : sized.with(enabled()), seed)
-          .play()
-          .table()
-          .forEach((name, value) -> System.out.printf("%-34s %s%n", name, value));
+      ReplayWorld world = new ReplayWorld(features == null ? sized : sized.with(enabled()), seed);
+      play(world).table().forEach((name, value) -> System.out.printf("%-34s %s%n", name, value));
     }
   }
 }
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayWorld.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayWorld.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.gatereel.core.action.Action;
 import org.gatereel.core.forward.AccountConfiguration;
@@ -74,6 +75,7 @@
   private double routineTimes = 1;
   private long listVersion;
   private int incarnation;
+  private Consumer<String> eventLines = line -> {};
 
   ReplayWorld(Script script, long seed) {
     this.script = script;
@@ -510,9 +512,16 @@
     hosts.values().forEach(host -> host.see(list));
   }
 
+  /** Gives each event that hosts log to a listener, as one line with its time in milliseconds. */
+  void listen(Consumer<String> listener) {
+    eventLines = listener;
+  }
+
   void noted(Action action) {
     if (action instanceof Action.LogEvent note) {
       report.noted(note);
+      eventLines.accept(
+          time.millis() + " " + note.code() + " " + note.subject() + " " + note.detail());
     }
   }
 }
