Let streams use the whole retry budget of a service

Cause: streams were interrupted because their host's share of the retry budget and the part issued in its data centre were spent, while hosts before other engines had retries left; in ten seconds 110 to 190 of some 250 allowed ones were used.

Change, with STANDBY_TARGETS and on streams that may be resumed: after the own share and the own issuer, the issuers of other data centres and a few hosts with an unused share are asked, then all of them again after 200 ms while the caller waits. A host that lends counts the retry as its own, so the sum stays within the budget.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -42,6 +42,7 @@
   private final TargetSelector selector;
   private final OverloadControl overload;
   private final RetryBudgets budgets;
+  private final StreamRetryTokens streamRetries;
   private final ShutdownPolicy shutdownPolicy;
   private final PromptLocator prompts;
   private final PoisonControl poison;
@@ -88,6 +89,7 @@
     this.selector =
         new TargetSelector(context, targets, loads, directory, backoffs::isBackingOffElsewhere);
     this.budgets = new RetryBudgets(context, policy.retryLimit(), directory, tokenPort);
+    this.streamRetries = new StreamRetryTokens(context, budgets, directory, tokenPort);
     this.shutdownPolicy = new ShutdownPolicy(context);
     this.prompts = new PromptLocator(context, targets, this.port, backoffs::isBackingOff);
     this.poison = poison;
@@ -222,6 +224,8 @@
       limits.issue(requests, count, callback);
     } else if (subject instanceof TokenRequest.RetryTokens retryTokens) {
       callback.accept(Optional.of(new TokenGrant(issueRetries(retryTokens.service(), count), 0)));
+    } else if (subject instanceof TokenRequest.UnusedRetryTokens unused) {
+      callback.accept(Optional.of(new TokenGrant(budgets.lend(unused.service(), count), 0)));
     }
   }
 
@@ -312,4 +316,8 @@
   RetryBudgets budgets() {
     return budgets;
   }
+
+  StreamRetryTokens streamRetries() {
+    return streamRetries;
+  }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RetryBudgets.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RetryBudgets.java
@@ -57,6 +57,14 @@
       return true;
     }
 
+    private int lend(int count) {
+      int lent = 0;
+      while (lent < count && tryAcquireLocal()) {
+        lent++;
+      }
+      return lent;
+    }
+
     private int issue(int count) {
       double dataCentreRatio = (double) directory.localHosts() / directory.estimatedHosts();
       double slack = ISSUED_RATIO * SAFETY_RATIO * limit.slack() * dataCentreRatio;
@@ -123,6 +131,11 @@
     return budget(service).issue(count);
   }
 
+  /** Lends unused retries of this host's share; returns how many of {@code count}. */
+  int lend(ServiceName service, int count) {
+    return budget(service).lend(count);
+  }
+
   private Budget budget(ServiceName service) {
     return budgets.computeIfAbsent(service, Budget::new);
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RetryController.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RetryController.java
@@ -2,9 +2,15 @@
 
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.scheduling.SchedulingFeature;
 
 /** Decides whether one request is retried, by its route, its response and the retry budget. */
 final class RetryController {
+  /** Callers abandon a stream that pauses for longer than both this and that many objectives. */
+  private static final long MIN_PATIENCE_MILLIS = 2_000;
+
+  private static final long PATIENCE_GAPS = 8;
+
   private final Forwarder forwarder;
   private final Exchange exchange;
   private final ExchangeLog log;
@@ -77,7 +83,26 @@
    * another host.
    */
   void retry() {
-    forwarder.budgets().acquire(service, this::retryIfGranted);
+    if (hasStandby()) {
+      forwarder
+          .streamRetries()
+          .acquire(service, waitUntil(), () -> !exchange.isFinished(), this::retryIfGranted);
+    } else {
+      forwarder.budgets().acquire(service, this::retryIfGranted);
+    }
+  }
+
+  /** Returns whether the next place of the stream is chosen before it is needed. */
+  private boolean hasStandby() {
+    return forwarder.policy().has(SchedulingFeature.STANDBY_TARGETS)
+        && route.kind() == RouteKind.STREAM
+        && route.resumable();
+  }
+
+  /** Returns until when the caller of a stream that has stopped waits for it to go on. */
+  private long waitUntil() {
+    long patienceMillis = Math.max(MIN_PATIENCE_MILLIS, PATIENCE_GAPS * route.gapObjectiveMillis());
+    return Math.min(deadline, forwarder.context().now() + patienceMillis);
   }
 
   private void retryIfGranted(boolean granted) {
--- a/gatereel-core/src/main/java/org/gatereel/core/limit/TokenRequest.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/limit/TokenRequest.java
@@ -9,6 +9,9 @@
   /** Tokens for retries, out of the data centre's part of a service's retry budget. */
   record RetryTokens(ServiceName service) implements TokenRequest {}
 
+  /** Tokens for retries, out of the part of the asked host that it does not use itself. */
+  record UnusedRetryTokens(ServiceName service) implements TokenRequest {}
+
   /**
    * Tokens for requests to a target, out of its limit.
    *
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/TokenMessages.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/TokenMessages.java
@@ -25,6 +25,7 @@
   static final String PATH = "/loans";
 
   private static final String SERVICE = "service";
+  private static final String LENDER_OF = "lenderOf";
   private static final String TARGET = "target";
   private static final String PER_SECOND = "perSecond";
   private static final String AGE_MILLIS = "ageMillis";
@@ -51,6 +52,8 @@
     QueryStringEncoder query = new QueryStringEncoder(PATH);
     if (subject instanceof TokenRequest.RetryTokens retryTokens) {
       query.addParam(SERVICE, retryTokens.service().value());
+    } else if (subject instanceof TokenRequest.UnusedRetryTokens unused) {
+      query.addParam(LENDER_OF, unused.service().value());
     } else if (subject instanceof TokenRequest.LimitTokens limitTokens) {
       AnnouncedLimit limit = limitTokens.limit().limit();
       query.addParam(TARGET, TargetIdCodec.encode(limitTokens.limit().target()));
@@ -78,8 +81,13 @@
   }
 
   private static Optional<TokenRequest> retryTokens(Map<String, List<String>> parameters) {
-    return text(parameters, SERVICE)
-        .map(name -> new TokenRequest.RetryTokens(new ServiceName(name)));
+    Optional<TokenRequest> unused =
+        text(parameters, LENDER_OF)
+            .map(name -> new TokenRequest.UnusedRetryTokens(new ServiceName(name)));
+    return unused.or(
+        () ->
+            text(parameters, SERVICE)
+                .map(name -> new TokenRequest.RetryTokens(new ServiceName(name))));
   }
 
   private static Optional<TokenRequest> limitTokens(
