Ask more hosts for unused retries, and not those that were silent

Six lenders a round found no share left where 60 of 250 were unused; sixteen do. A host that did not respond is skipped for 2 s, so that a cut does not cost its time-out again.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRetryTokens.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRetryTokens.java
@@ -30,13 +30,17 @@
   private static final long ROUND_DELAY_MILLIS = 200;
 
   /** Enough to find an unused share while most hosts have one, and few messages otherwise. */
-  private static final int LENDERS_IN_ROUND = 6;
+  private static final int LENDERS_IN_ROUND = 16;
+
+  /** A host that did not respond is not asked again for this time. */
+  private static final long SILENT_MILLIS = 2_000;
 
   private final CoreContext context;
   private final RetryBudgets budgets;
   private final HostDirectory directory;
   private final TokenPort port;
   private final Map<ServiceName, Waiters> waitersByService = new HashMap<>();
+  private final Map<Address, Long> silentUntil = new HashMap<>();
 
   /** A stream that waits for a retry until a time in milliseconds. */
   private record Waiter(long until, BooleanSupplier isWanted, Consumer<Boolean> callback) {}
@@ -66,10 +70,13 @@
       Queue<Question> questions = new ArrayDeque<>();
       TokenRequest issued = new TokenRequest.RetryTokens(service);
       TokenRequest unused = new TokenRequest.UnusedRetryTokens(service);
-      issuersElsewhere().forEach(issuer -> questions.add(new Question(issuer, issued)));
+      issuersElsewhere().stream()
+          .filter(StreamRetryTokens.this::responds)
+          .forEach(issuer -> questions.add(new Question(issuer, issued)));
       for (int asked = 0; asked < LENDERS_IN_ROUND; asked++) {
         directory
             .anyOtherHost(context.random())
+            .filter(StreamRetryTokens.this::responds)
             .ifPresent(lender -> questions.add(new Question(lender, unused)));
       }
       return questions;
@@ -88,6 +95,7 @@
             question.subject(),
             waiting.size(),
             grant -> {
+              recordResponse(question.host(), grant.isPresent());
               serve(grant.orElse(TokenGrant.NONE).granted());
               askNext(questions);
             });
@@ -153,6 +161,18 @@
     }
   }
 
+  private boolean responds(Address host) {
+    return silentUntil.getOrDefault(host, Long.MIN_VALUE) <= context.now();
+  }
+
+  private void recordResponse(Address host, boolean responded) {
+    if (responded) {
+      silentUntil.remove(host);
+    } else {
+      silentUntil.put(host, context.now() + SILENT_MILLIS);
+    }
+  }
+
   /** Returns the host that issues retries in each other data centre, in random order. */
   private List<Address> issuersElsewhere() {
     List<Address> issuers =
