Do not count executions at targets that have ended

The rule for attempts counts engines that are still there; a stream that had met five ends was given up though it had used none of its attempts at the engines left. With STANDBY_TARGETS an execution counts only while its target is listed and no later one has its address.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/AttemptCounter.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/AttemptCounter.java
@@ -1,5 +1,10 @@
 package org.gatereel.core.forward;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import org.gatereel.core.model.TargetId;
+
 /** Counts the attempts of one request and limits them. */
 final class AttemptCounter {
   /**
@@ -13,7 +18,7 @@
 
   private int started;
   private int unreachable;
-  private int executions;
+  private final List<TargetId> executedAt = new ArrayList<>();
 
   void recordStart() {
     started++;
@@ -25,8 +30,8 @@
   }
 
   /** Records that a target executed the request, or may have. */
-  void recordExecution() {
-    executions++;
+  void recordExecution(TargetId target) {
+    executedAt.add(target);
   }
 
   int started() {
@@ -34,7 +39,12 @@
   }
 
   int executions() {
-    return executions;
+    return executedAt.size();
+  }
+
+  /** Returns how many executions were at targets that have not ended since. */
+  int executionsAt(Predicate<TargetId> hasNotEnded) {
+    return (int) executedAt.stream().filter(hasNotEnded).count();
   }
 
   /** Returns whether no further attempt may start. */
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -288,7 +288,7 @@
    */
   void onCompleteResponse(Attempt from) {
     releaseAttempt(from);
-    attemptCounter.recordExecution();
+    attemptCounter.recordExecution(from.target().description().id());
     if (route.kind() != RouteKind.STREAM) {
       forwarder.overload().recordServiceTime(service, from.endedAt() - from.startedAt());
     }
@@ -327,7 +327,7 @@
     }
     if (possiblyExecuted) {
       mayHaveExecuted = true;
-      attemptCounter.recordExecution();
+      attemptCounter.recordExecution(from.target().description().id());
     }
     search.recordFailure(from, failure);
     poison.recordFailure(from, failure, possiblyExecuted);
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RetryController.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RetryController.java
@@ -2,7 +2,9 @@
 
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.model.TargetId;
 import org.gatereel.core.scheduling.SchedulingFeature;
+import org.gatereel.core.target.TargetState;
 
 /** Decides whether one request is retried, by its route, its response and the retry budget. */
 final class RetryController {
@@ -52,7 +54,9 @@
 
   /** Returns whether the route and the deadline allow one more execution. */
   boolean mayExecuteAgain() {
-    boolean executionsLeft = attemptCounter.executions() < route.maxAttempts();
+    int executions =
+        hasStandby() ? attemptCounter.executionsAt(this::hasNotEnded) : attemptCounter.executions();
+    boolean executionsLeft = executions < route.maxAttempts();
     return route.mayRetry() && executionsLeft && forwarder.context().now() < deadline;
   }
 
@@ -99,6 +103,17 @@
         && route.resumable();
   }
 
+  /** Returns whether a target is listed, and no later one at its address. */
+  private boolean hasNotEnded(TargetId target) {
+    return forwarder
+        .targets()
+        .find(target)
+        .map(TargetState::description)
+        .flatMap(listed -> forwarder.targets().findByAddress(service, listed.address()))
+        .map(current -> current.description().id().equals(target))
+        .orElse(forwarder.targets().find(target).isPresent());
+  }
+
   /** Returns until when the caller of a stream that has stopped waits for it to go on. */
   private long waitUntil() {
     long patienceMillis = Math.max(MIN_PATIENCE_MILLIS, PATIENCE_GAPS * route.gapObjectiveMillis());
