--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardPolicy.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardPolicy.java
@@ -1,6 +1,8 @@
 package org.gatereel.core.forward;
 
 import java.util.Set;
+import org.gatereel.core.configuration.Route;
+import org.gatereel.core.retry.RetryLimit;
 import org.gatereel.core.scheduling.SchedulingFeature;
 
 /**
@@ -45,15 +47,6 @@
         enabled);
   }
 
-  /**
-   * The retries of a service's requests that all hosts may make together within any window.
-   *
-   * @param ratio retries for each request of the window
-   * @param slack additional retries for each window
-   * @param windowMillis the length of the window
-   */
-  public record RetryLimit(double ratio, double slack, long windowMillis) {}
-
   /** Delay of a probe as a ratio of the longest pause that meets the route's objective. */
   private static final double PROBE_DELAY_RATIO = 0.3;
 
--- a/gatereel-core/src/test/java/org/gatereel/core/ArchitectureTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/ArchitectureTest.java
@@ -45,4 +45,17 @@
   @ArchTest
   static final ArchRule THE_CORE_HAS_NO_MUTABLE_STATIC_FIELDS =
       noFields().that().areStatic().should().notBeFinal();
+
+  @ArchTest
+  static final ArchRule PACKAGES_THAT_FORWARDING_USES_DO_NOT_DEPEND_ON_IT =
+      noClasses()
+          .that()
+          .resideInAnyPackage(
+              "org.gatereel.core.configuration..",
+              "org.gatereel.core.document..",
+              "org.gatereel.core.retry..",
+              "org.gatereel.core.stream..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAPackage("org.gatereel.core.forward..");
 }
