Test streams that wait for retries, and say why one was interrupted

The line of an interruption tells executions, whether the retry budget was spent, and the last holder of a copy; /metrics counts the retries of streams that other hosts granted.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/CopyTracker.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/CopyTracker.java
@@ -18,6 +18,7 @@
   private final ForwardRequest request;
   private final ServiceName service;
   private Optional<TargetState> holder = Optional.empty();
+  private Optional<Address> lastHolder = Optional.empty();
   private Optional<Address> leftCopyAddress = Optional.empty();
   private long leftCopyAt;
 
@@ -33,7 +34,13 @@
    */
   Optional<Address> chooseHolder(TargetState executor, TargetQuery query) {
     setHolder(forwarder.selector().chooseCopyHolder(query, executor));
-    return holder.map(state -> state.description().address());
+    lastHolder = holder.map(state -> state.description().address());
+    return lastHolder;
+  }
+
+  /** Returns the address of the holder that was chosen last. */
+  Optional<Address> lastHolder() {
+    return lastHolder;
   }
 
   /** Records that an execution failed. Without events it left no usable copy. */
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -376,7 +376,7 @@
   void abortResponse(String reason) {
     closeAttempt();
     callerResponse.abort();
-    log.log(EventCode.GENERATION_INTERRUPTED, "reason=" + reason);
+    log.logInterrupted(reason, retries, search.copies());
     forwarder.recordInterruption(route);
     finish();
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
@@ -72,6 +72,20 @@
     log(EventCode.PROMPT_LOCATED, inputs);
   }
 
+  /** Logs why a stream was interrupted: its executions, the budget, and its last copy. */
+  void logInterrupted(String reason, RetryController retries, CopyTracker copies) {
+    String inputs =
+        "reason="
+            + reason
+            + " executions="
+            + retries.attemptCounter().executions()
+            + " budgetSpent="
+            + retries.isBudgetSpent()
+            + " lastCopyAt="
+            + copies.lastHolder().map(Address::toString).orElse("-");
+    log(EventCode.GENERATION_INTERRUPTED, inputs);
+  }
+
   void logResponseEnded(Attempt attempt, ResponseEndVerdict verdict) {
     String inputs =
         "target="
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -25,6 +25,7 @@
 import org.gatereel.core.poison.PoisonControl;
 import org.gatereel.core.rest.TargetBackoffs;
 import org.gatereel.core.retry.RetryBudgets;
+import org.gatereel.core.retry.StreamRetryTokens;
 import org.gatereel.core.rollout.RolloutControl;
 import org.gatereel.core.statement.FactKind;
 import org.gatereel.core.statement.TargetFact;
@@ -228,17 +229,22 @@
     } else if (subject instanceof TokenRequest.RetryTokens retryTokens) {
       callback.accept(Optional.of(new TokenGrant(issueRetries(retryTokens.service(), count), 0)));
     } else if (subject instanceof TokenRequest.UnusedRetryTokens unused) {
-      callback.accept(Optional.of(new TokenGrant(budgets.lend(unused.service(), count), 0)));
+      int lent = budgets.lend(unused.service(), count);
+      logLent(unused.service(), count, lent);
+      callback.accept(Optional.of(new TokenGrant(lent, 0)));
     }
   }
 
   private int issueRetries(ServiceName service, int count) {
     int granted = budgets.issue(service, count);
-    context.logEvent(
-        EventCode.REPEATS_LENT, service.value(), "asked=" + count + " lent=" + granted);
+    logLent(service, count, granted);
     return granted;
   }
 
+  private void logLent(ServiceName service, int asked, int lent) {
+    context.logEvent(EventCode.REPEATS_LENT, service.value(), "asked=" + asked + " lent=" + lent);
+  }
+
   void onFinished(Exchange exchange) {
     exchanges.remove(exchange);
   }
@@ -320,7 +326,7 @@
     return budgets;
   }
 
-  StreamRetryTokens streamRetries() {
+  public StreamRetryTokens streamRetries() {
     return streamRetries;
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RetryController.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RetryController.java
@@ -24,6 +24,7 @@
   private final StreamRelay relay;
   private final long deadline;
   private final AttemptCounter attemptCounter = new AttemptCounter();
+  private boolean budgetSpent;
 
   /**
    * Creates the controller of a request.
@@ -54,6 +55,11 @@
     return attemptCounter;
   }
 
+  /** Returns whether the retry budget had no retry for the request. */
+  boolean isBudgetSpent() {
+    return budgetSpent;
+  }
+
   /** Returns whether the route and the deadline allow one more execution. */
   boolean mayExecuteAgain() {
     int executions =
@@ -130,6 +136,7 @@
       exchange.startNextAttempt();
       return;
     }
+    budgetSpent = true;
     log.log(EventCode.RETRY_BUDGET_SPENT, "service=" + service);
     exchange.failRequest(exchange.rejectionWhenUnserved(Rejection.OVERLOADED));
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/retry/RetryBudgets.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/retry/RetryBudgets.java
@@ -130,7 +130,7 @@
   }
 
   /** Lends unused retries of this host's share; returns how many of {@code count}. */
-  int lend(ServiceName service, int count) {
+  public int lend(ServiceName service, int count) {
     return budget(service).lend(count);
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRetryTokens.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/retry/StreamRetryTokens.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.retry;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -9,6 +9,7 @@
 import java.util.Queue;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.gatereel.core.document.HostDirectory;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.limit.TokenGrant;
 import org.gatereel.core.limit.TokenPort;
@@ -25,7 +26,7 @@
  * its time has passed. The sum over all hosts stays within the budget, since each issuer grants out
  * of its own part.
  */
-final class StreamRetryTokens {
+public final class StreamRetryTokens {
   /** A round asks each issuer once; a window of the budget moves by more than this in a slice. */
   private static final long ROUND_DELAY_MILLIS = 200;
 
@@ -41,6 +42,7 @@
   private final TokenPort port;
   private final Map<ServiceName, Waiters> waitersByService = new HashMap<>();
   private final Map<Address, Long> silentUntil = new HashMap<>();
+  private long grantedElsewhere;
 
   /** A stream that waits for a retry until a time in milliseconds. */
   private record Waiter(long until, BooleanSupplier isWanted, Consumer<Boolean> callback) {}
@@ -111,6 +113,7 @@
           served.add(first);
         }
       }
+      grantedElsewhere += served.size();
       served.forEach(waiter -> waiter.callback().accept(true));
     }
 
@@ -129,7 +132,7 @@
     }
   }
 
-  StreamRetryTokens(
+  public StreamRetryTokens(
       CoreContext context, RetryBudgets budgets, HostDirectory directory, TokenPort port) {
     this.context = context;
     this.budgets = budgets;
@@ -144,11 +147,16 @@
    * @param isWanted whether the request still waits; no retry is taken for one that does not
    * @param callback receives, at once or later, whether a retry was granted
    */
-  void acquire(
+  public void acquire(
       ServiceName service, long until, BooleanSupplier isWanted, Consumer<Boolean> callback) {
     acquire(service, new Waiter(until, isWanted, callback));
   }
 
+  /** Returns how many retries of streams came from other issuers and lenders. */
+  public long grantedElsewhere() {
+    return grantedElsewhere;
+  }
+
   private void acquire(ServiceName service, Waiter waiter) {
     budgets.acquire(service, granted -> onAnswer(service, waiter, granted));
   }
--- a/gatereel-core/src/test/java/org/gatereel/core/retry/RetryBudgetsTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/retry/RetryBudgetsTest.java
@@ -97,6 +97,22 @@
     assertTrue(granted >= 20, "granted " + granted);
   }
 
+  /** Retries that are both lent and used by the lender would exceed the budget of all hosts. */
+  @Test
+  void whatAHostLendsItDoesNotUseItself() {
+    Host lender = hosts.get(address(7));
+    for (int request = 0; request < 20; request++) {
+      lender.budgets.recordRequest(SERVICE);
+    }
+    int lent = lender.budgets.lend(SERVICE, 100);
+    lender.budgets.issue(SERVICE, 100);
+    issuersRespond = false;
+
+    assertTrue(lent > 0.7 * 20 && lent <= 0.8 * 20 + 2, "lent " + lent);
+    assertEquals(0, lender.acquire(1));
+    assertEquals(0, lender.budgets.lend(SERVICE, 1));
+  }
+
   @Test
   void allHostsTogetherStayWithinBudget() {
     int requests = 0;
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -143,6 +143,7 @@
     metrics.gauge("limited_targets", forwarder.limits().announced()::size);
     metrics.gauge("resting_targets", forwarder.backoffs()::size);
     metrics.gauge("leaving_targets", () -> targets.leavingTargets().size());
+    metrics.gauge("stream_retries_from_others", () -> forwarder.streamRetries().grantedElsewhere());
     metrics.gauge("limit_tokens_granted", forwarder.limits()::granted);
     metrics.gauge("limit_tokens_denied", forwarder.limits()::denied);
     metrics.gauge("log_lines_dropped", log::dropped);
--- a/gatereel-forward/src/test/java/org/gatereel/forward/peer/TokenMessagesTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/peer/TokenMessagesTest.java
@@ -23,6 +23,16 @@
     return new TokenRequest.LimitTokens(limit, new DataCentre("north hall"), true, true);
   }
 
+  /** A lender that took the request for one to the issuer would grant out of the wrong part. */
+  @Test
+  void readsARequestForUnusedRetryTokensAsWritten() {
+    TokenRequest unused = new TokenRequest.UnusedRetryTokens(new ServiceName("a b&c=d"));
+
+    assertEquals(
+        Optional.of(new TokenMessages.Query(unused, 3)),
+        TokenMessages.readQuery(TokenMessages.writeQuery(unused, 3, 0), 0));
+  }
+
   @Test
   void readsARequestForRetryTokensAsWritten() {
     TokenRequest retryTokens = new TokenRequest.RetryTokens(new ServiceName("a b&c=d"));
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayTest.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayTest.java
@@ -8,7 +8,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
 import org.gatereel.core.event.EventCode;
+import org.gatereel.core.scheduling.SchedulingFeature;
 import org.junit.jupiter.api.Test;
 
 /** What each decision on placement and load gains on the load that it answers. */
@@ -25,6 +27,13 @@
     }
   }
 
+  private static ReplayReport play(String script, long seed, Set<SchedulingFeature> features)
+      throws IOException {
+    try (InputStream text = Files.newInputStream(Path.of("replays", script + ".json"))) {
+      return new ReplayWorld(Script.read(text).with(features), seed).play();
+    }
+  }
+
   @Test
   void aReplayIsTheSameEachTime() throws IOException {
     assertEquals(play("data-centre-cut", 3).table(), play("data-centre-cut", 3).table());
@@ -167,6 +176,24 @@
     }
   }
 
+  /**
+   * Without STANDBY_TARGETS streams are interrupted because the retry budget of their host is
+   * spent, while others have retries left.
+   */
+  @Test
+  void streamsSurviveEndsInARowAndACutRightAfterAnEnd() throws IOException {
+    double whole = 0;
+    for (long seed = 1; seed <= 3; seed++) {
+      ReplayReport report =
+          play("two-ends-and-a-cut", seed, Set.of(SchedulingFeature.STANDBY_TARGETS));
+
+      assertEquals(0, report.count(EventCode.RETRY_BUDGET_SPENT), "seed " + seed);
+      whole += report.whole(CallerModel.Kind.STREAM) / 3;
+    }
+
+    assertTrue(whole >= 0.99, "streams whole: " + whole);
+  }
+
   /** Nobody has more than a share; what cannot be read at once waits, and none is lost. */
   @Test
   void aBurstOfAllAccountsIsServedWhole() throws IOException {
