--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -291,7 +291,7 @@
    */
   void onCompleteResponse(Attempt from) {
     releaseAttempt(from);
-    attemptCounter.recordExecution();
+    attemptCounter.recordExecution(from.target().description().id());
     if (route.kind() != RouteKind.STREAM) {
       forwarder.overload().recordServiceTime(service, from.endedAt() - from.startedAt());
     }
@@ -330,7 +330,7 @@
     }
     if (possiblyExecuted) {
       mayHaveExecuted = true;
-      attemptCounter.recordExecution();
+      attemptCounter.recordExecution(from.target().description().id());
     }
     search.recordFailure(from, failure);
     poison.recordFailure(from, failure, possiblyExecuted);
@@ -376,7 +376,7 @@
   void abortResponse(String reason) {
     closeAttempt();
     callerResponse.abort();
-    log.log(EventCode.GENERATION_INTERRUPTED, "reason=" + reason);
+    log.logInterrupted(reason, retries, search.copies());
     forwarder.recordInterruption(route);
     finish();
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -25,6 +25,7 @@
 import org.gatereel.core.poison.PoisonControl;
 import org.gatereel.core.rest.TargetBackoffs;
 import org.gatereel.core.retry.RetryBudgets;
+import org.gatereel.core.retry.StreamRetryTokens;
 import org.gatereel.core.rollout.RolloutControl;
 import org.gatereel.core.statement.FactKind;
 import org.gatereel.core.statement.TargetFact;
@@ -45,6 +46,7 @@
   private final TargetSelector selector;
   private final OverloadControl overload;
   private final RetryBudgets budgets;
+  private final StreamRetryTokens streamRetries;
   private final ShutdownPolicy shutdownPolicy;
   private final PromptLocator prompts;
   private final PoisonControl poison;
@@ -91,6 +93,7 @@
     this.selector =
         new TargetSelector(context, targets, loads, directory, backoffs::isBackingOffElsewhere);
     this.budgets = new RetryBudgets(context, policy.retryLimit(), directory, tokenPort);
+    this.streamRetries = new StreamRetryTokens(context, budgets, directory, tokenPort);
     this.shutdownPolicy = new ShutdownPolicy(context);
     this.prompts = new PromptLocator(context, targets, this.port, backoffs::isBackingOff);
     this.poison = poison;
@@ -225,16 +228,23 @@
       limits.issue(requests, count, callback);
     } else if (subject instanceof TokenRequest.RetryTokens retryTokens) {
       callback.accept(Optional.of(new TokenGrant(issueRetries(retryTokens.service(), count), 0)));
+    } else if (subject instanceof TokenRequest.UnusedRetryTokens unused) {
+      int lent = budgets.lend(unused.service(), count);
+      logLent(unused.service(), count, lent);
+      callback.accept(Optional.of(new TokenGrant(lent, 0)));
     }
   }
 
   private int issueRetries(ServiceName service, int count) {
     int granted = budgets.issue(service, count);
-    context.logEvent(
-        EventCode.REPEATS_LENT, service.value(), "asked=" + count + " lent=" + granted);
+    logLent(service, count, granted);
     return granted;
   }
 
+  private void logLent(ServiceName service, int asked, int lent) {
+    context.logEvent(EventCode.REPEATS_LENT, service.value(), "asked=" + asked + " lent=" + lent);
+  }
+
   void onFinished(Exchange exchange) {
     exchanges.remove(exchange);
   }
@@ -315,4 +325,8 @@
   RetryBudgets budgets() {
     return budgets;
   }
+
+  public StreamRetryTokens streamRetries() {
+    return streamRetries;
+  }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RetryController.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RetryController.java
@@ -4,9 +4,17 @@
 import org.gatereel.core.configuration.RouteKind;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.model.TargetId;
+import org.gatereel.core.scheduling.SchedulingFeature;
+import org.gatereel.core.target.TargetState;
 
 /** Decides whether one request is retried, by its route, its response and the retry budget. */
 final class RetryController {
+  /** Callers abandon a stream that pauses for longer than both this and that many objectives. */
+  private static final long MIN_PATIENCE_MILLIS = 2_000;
+
+  private static final long PATIENCE_GAPS = 8;
+
   private final Forwarder forwarder;
   private final Exchange exchange;
   private final ExchangeLog log;
@@ -16,6 +24,7 @@
   private final StreamRelay relay;
   private final long deadline;
   private final AttemptCounter attemptCounter = new AttemptCounter();
+  private boolean budgetSpent;
 
   /**
    * Creates the controller of a request.
@@ -46,9 +55,16 @@
     return attemptCounter;
   }
 
+  /** Returns whether the retry budget had no retry for the request. */
+  boolean isBudgetSpent() {
+    return budgetSpent;
+  }
+
   /** Returns whether the route and the deadline allow one more execution. */
   boolean mayExecuteAgain() {
-    boolean executionsLeft = attemptCounter.executions() < route.maxAttempts();
+    int executions =
+        hasStandby() ? attemptCounter.executionsAt(this::hasNotEnded) : attemptCounter.executions();
+    boolean executionsLeft = executions < route.maxAttempts();
     return route.mayRetry() && executionsLeft && forwarder.context().now() < deadline;
   }
 
@@ -79,7 +95,37 @@
    * another host.
    */
   void retry() {
-    forwarder.budgets().acquire(service, this::retryIfGranted);
+    if (hasStandby()) {
+      forwarder
+          .streamRetries()
+          .acquire(service, waitUntil(), () -> !exchange.isFinished(), this::retryIfGranted);
+    } else {
+      forwarder.budgets().acquire(service, this::retryIfGranted);
+    }
+  }
+
+  /** Returns whether the next place of the stream is chosen before it is needed. */
+  private boolean hasStandby() {
+    return forwarder.policy().has(SchedulingFeature.STANDBY_TARGETS)
+        && route.kind() == RouteKind.STREAM
+        && route.resumable();
+  }
+
+  /** Returns whether a target is listed, and no later one at its address. */
+  private boolean hasNotEnded(TargetId target) {
+    return forwarder
+        .targets()
+        .find(target)
+        .map(TargetState::description)
+        .flatMap(listed -> forwarder.targets().findByAddress(service, listed.address()))
+        .map(current -> current.description().id().equals(target))
+        .orElse(forwarder.targets().find(target).isPresent());
+  }
+
+  /** Returns until when the caller of a stream that has stopped waits for it to go on. */
+  private long waitUntil() {
+    long patienceMillis = Math.max(MIN_PATIENCE_MILLIS, PATIENCE_GAPS * route.gapObjectiveMillis());
+    return Math.min(deadline, forwarder.context().now() + patienceMillis);
   }
 
   private void retryIfGranted(boolean granted) {
@@ -90,6 +136,7 @@
       exchange.startNextAttempt();
       return;
     }
+    budgetSpent = true;
     log.log(EventCode.RETRY_BUDGET_SPENT, "service=" + service);
     exchange.failRequest(exchange.rejectionWhenUnserved(Rejection.OVERLOADED));
   }
