Learn the speed of each target and weigh it in choice

Targets of a service may differ by several times in their own speed; choice counted their requests alone, so that the slow ones queued. With TARGET_SPEED hosts time the events, prompts and calls of targets, share the times in load reports, and weigh open requests and prompts by a target's relative time.

--- a/gatereel-core/src/main/java/org/gatereel/core/choice/Candidate.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/Candidate.java
@@ -10,11 +10,13 @@
  *
  * @param otherHosts the load that all other hosts have reported at the target
  * @param backsOffElsewhere whether the target has requested a backoff from another host
+ * @param pace how fast the target is
  */
 record Candidate(
     TargetState target,
     TargetLoad otherHosts,
     boolean backsOffElsewhere,
+    TargetPace pace,
     SelectionContext context) {
   /** Returns by how much the recent errors of the target exceed the baseline of its service. */
   double excessErrors() {
--- a/gatereel-core/src/main/java/org/gatereel/core/choice/CostTerm.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/CostTerm.java
@@ -10,14 +10,24 @@
   OPEN {
     @Override
     double cost(Candidate candidate) {
-      return candidate.openRequests();
+      return candidate.pace().relativeTime() * candidate.openRequests();
     }
   },
   /** Reading a prompt delays all other requests at the same engine. */
   READING {
     @Override
     double cost(Candidate candidate) {
-      return READING_COST * candidate.prefills();
+      return candidate.pace().relativeTime() * READING_COST * candidate.prefills();
+    }
+  },
+  /** This request itself takes longer at a slow target. */
+  SPEED {
+    @Override
+    double cost(Candidate candidate) {
+      if (candidate.isEngine()) {
+        return (1 + READING_COST) * (candidate.pace().relativeTime() - 1);
+      }
+      return candidate.pace().isPassedOver() ? PASSED_OVER_COST : 0;
     }
   },
   /** A copy takes memory and may be resumed as an execution. */
@@ -102,6 +112,9 @@
   /** Added to the cost of the open request itself. */
   private static final double READING_COST = 2;
 
+  /** Outweighs the request that one host usually has open at a plain target. */
+  private static final double PASSED_OVER_COST = 1;
+
   /** Less than an open request, because most copies are never resumed. */
   private static final double COPY_COST = 0.3;
 
--- a/gatereel-core/src/main/java/org/gatereel/core/choice/TargetSelector.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/TargetSelector.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import org.gatereel.core.estimate.FirstEventEstimates;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.load.LoadExchange;
 import org.gatereel.core.model.DataCentre;
@@ -33,6 +34,7 @@
   private final LoadExchange loads;
   private final HostCount hosts;
   private final Predicate<TargetId> backsOffElsewhere;
+  private FirstEventEstimates estimates = FirstEventEstimates.UNKNOWN;
 
   /**
    * Makes a selector.
@@ -54,6 +56,11 @@
     this.backsOffElsewhere = backsOffElsewhere;
   }
 
+  /** Sets the source of the speeds of targets. */
+  public void setEstimates(FirstEventEstimates source) {
+    estimates = source;
+  }
+
   /**
    * Selects a target; one that is failing only if there is no other.
    *
@@ -123,7 +130,11 @@
   private Candidate candidate(TargetState target, SelectionContext selectionContext) {
     TargetId id = target.description().id();
     return new Candidate(
-        target, loads.othersLoad(id), backsOffElsewhere.test(id), selectionContext);
+        target,
+        loads.othersLoad(id),
+        backsOffElsewhere.test(id),
+        TargetPace.draw(estimates.relativeTime(target), context.random()),
+        selectionContext);
   }
 
   /**
--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -112,7 +112,9 @@
   LOADS_LAPSED(
       611, "A host has not reported its load for too long; its load is no longer counted."),
   LOADS_UNDELIVERED(
-      612, "A host does not accept this host's load reports; sending is retried later.");
+      612, "A host does not accept this host's load reports; sending is retried later."),
+  TIMES_UNREADABLE(
+      613, "A host reported impossible times of a target; they are ignored. Reported once.");
 
   private final int number;
   private final String description;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
@@ -1,8 +1,10 @@
 package org.gatereel.core.forward;
 
 import java.io.ByteArrayOutputStream;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.gatereel.core.event.TargetFailure;
+import org.gatereel.core.speed.AttemptTimer;
 import org.gatereel.core.target.TargetState;
 
 /** One attempt of an exchange: one request sent to one target, and its progress. */
@@ -15,6 +17,7 @@
   private final boolean continuation;
   private final EventStreamReader events = new EventStreamReader();
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private Optional<AttemptTimer> timer = Optional.empty();
   private TargetPort.Call call;
   private ResponseHead head;
   private OptionalLong headAt = OptionalLong.empty();
@@ -37,6 +40,22 @@
     this.lastDataAt = now;
   }
 
+  void setTimer(Optional<AttemptTimer> newTimer) {
+    timer = newTimer;
+  }
+
+  /** Takes the times of the events received so far, if the speed of targets is learnt. */
+  void timeEvents(long now) {
+    if (timer.isPresent() && forwardedEventCount > 0) {
+      timer.get().recordEvents(forwardedEventCount, now);
+    }
+  }
+
+  /** Takes the time of a complete call, if the speed of targets is learnt. */
+  void timeCall() {
+    timer.ifPresent(taken -> taken.recordCall(endedAt));
+  }
+
   void setCall(TargetPort.Call newCall) {
     call = newCall;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -208,6 +208,7 @@
     TargetState target = choice.target();
     attemptCounter.recordStart();
     attempt = new Attempt(this, target, copyName.isPresent(), context.now());
+    attempt.setTimer(forwarder.speeds().map(speeds -> speeds.begin(target, tokensToRead(choice))));
     forwarder.targets().recordOpened(target);
     versions.recordSent(attempt);
     if (route.kind() == RouteKind.STREAM && !search.hasPromptCached(target)) {
@@ -230,6 +231,12 @@
     stallDetector.watch(attempt);
   }
 
+  /** Returns how many tokens of the prompt the target has to read for the open attempt. */
+  private long tokensToRead(TargetChoice choice) {
+    boolean reads = !attempt.isContinuation() && !search.hasPromptCached(choice.target());
+    return reads ? request.promptTokens() : 0;
+  }
+
   /** Returns the urgency for the engine; a stream that its caller has a part of goes first. */
   private OptionalInt urgency() {
     return callerResponse.hasBegun() ? OptionalInt.of(0) : OptionalInt.empty();
@@ -254,6 +261,7 @@
     if (from.isEventStream()) {
       if (relay.forward(from, bytes)) {
         versions.recordEvent(from, context.now());
+        from.timeEvents(context.now());
         poison.recordProgress(from);
       } else {
         onAttemptFailed(from, TargetFailure.ERROR);
@@ -293,6 +301,9 @@
       forwarder.overload().recordServiceTime(service, from.endedAt() - from.startedAt());
     }
     TargetResponse response = from.takeResponse();
+    if (route.kind() != RouteKind.STREAM && !response.isError()) {
+      from.timeCall();
+    }
     search.recordResponse(from, response);
     versions.recordCompleteResponse(from, response);
     poison.recordSuccess();
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.gatereel.core.choice.TargetSelector;
+import org.gatereel.core.estimate.FirstEventEstimates;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.internal.CoreContext;
@@ -23,6 +24,8 @@
 import org.gatereel.core.poison.PoisonControl;
 import org.gatereel.core.rest.TargetBackoffs;
 import org.gatereel.core.rollout.RolloutControl;
+import org.gatereel.core.scheduling.SchedulingFeature;
+import org.gatereel.core.speed.TargetSpeeds;
 import org.gatereel.core.statement.FactKind;
 import org.gatereel.core.statement.TargetFact;
 import org.gatereel.core.statement.TargetFacts;
@@ -49,6 +52,7 @@
   private final TargetLimits limits;
   private final TargetBackoffs backoffs;
   private final AnnouncementReceiver announcements;
+  private final Optional<TargetSpeeds> speeds;
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
   private final Set<TargetId> probing = new HashSet<>();
 
@@ -87,6 +91,11 @@
     this.port = new ObservingTargetPort(context, port, announcements);
     this.selector =
         new TargetSelector(context, targets, loads, directory, backoffs::isBackingOffElsewhere);
+    this.speeds =
+        policy.has(SchedulingFeature.TARGET_SPEED)
+            ? Optional.of(new TargetSpeeds(context, targets, loads))
+            : Optional.empty();
+    selector.setEstimates(estimates());
     this.budgets = new RetryBudgets(context, policy.retryLimit(), directory, tokenPort);
     this.shutdownPolicy = new ShutdownPolicy(context);
     this.prompts = new PromptLocator(context, targets, this.port, backoffs::isBackingOff);
@@ -309,6 +318,16 @@
     return overload;
   }
 
+  /** Returns the speeds of targets; empty unless the feature is enabled. */
+  public Optional<TargetSpeeds> speeds() {
+    return speeds;
+  }
+
+  /** Returns the expected times of targets; unknown unless the feature is enabled. */
+  FirstEventEstimates estimates() {
+    return speeds.<FirstEventEstimates>map(known -> known).orElse(FirstEventEstimates.UNKNOWN);
+  }
+
   RetryBudgets budgets() {
     return budgets;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
@@ -50,6 +51,7 @@
   private final Set<Address> awaitingReceipt = new HashSet<>();
   private Supplier<Map<DemandKey, Double>> demand = Map::of;
   private Supplier<Map<EvidenceKey, ResponseTally>> evidence = Map::of;
+  private Function<TargetState, TargetTimes> times = target -> TargetTimes.UNKNOWN;
   private FactSources facts = FactSources.NONE;
   private long flushAt = Long.MAX_VALUE;
   private long sequence;
@@ -86,6 +88,11 @@
     evidence = source;
   }
 
+  /** Sets the source of the times that this host has learnt of a target. */
+  public void setTimesSource(Function<TargetState, TargetTimes> source) {
+    times = source;
+  }
+
   /** Sets the facts about poison requests that reports carry. */
   public void setPoisonFacts(GossipFacts<PoisonFact> poisonFacts) {
     facts = new FactSources(poisonFacts, facts.targets());
@@ -257,6 +264,7 @@
           target.description().kind() == TargetKind.ENGINE
               ? engineLoad(target)
               : plainServiceLoad(target);
+      load = load.withTimes(times.apply(target));
       if (!load.isNone()) {
         loads.put(target.description().id(), load);
       }
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
@@ -27,6 +27,9 @@
   /** The estimated size of one target, demand or evidence entry. */
   private static final int ENTRY_BYTES = 32;
 
+  /** The estimated size of the learnt times of one target. */
+  private static final int TIMES_BYTES = 32;
+
   private static final int POISON_FACT_BYTES = 90;
   private static final int TARGET_FACT_BYTES = 50;
 
@@ -44,7 +47,7 @@
   record Receiver(Address address, LoadScope scope, Optional<HostId> host) {}
 
   private final Receiver receiver;
-  private Map<TargetId, TargetLoad> sentLoads = new HashMap<>();
+  private final Map<TargetId, TargetLoad> sentLoads = new HashMap<>();
   private OptionalLong lastSequence = OptionalLong.empty();
   private long sentBadResponses;
   private final SentFacts<PoisonFact> sentPoisonFacts = new SentFacts<>();
@@ -107,10 +110,11 @@
             poison,
             targetFacts);
     sentBadResponses = sums.badResponses();
-    sentLoads = new HashMap<>(loads);
+    recordSent(changed, complete);
     sentAt = now;
+    int withTimes = (int) changed.values().stream().filter(load -> load.times().isKnown()).count();
     int entries = changed.size() + sums.demand().size() + sums.evidence().size();
-    nextReportAt = now + pauseMillis(entries, poison.size(), targetFacts.size());
+    nextReportAt = now + pauseMillis(entries, withTimes, poison.size(), targetFacts.size());
     lastSequence = OptionalLong.of(sequence);
     awaitingReceipt = true;
     return Optional.of(report);
@@ -120,7 +124,8 @@
     Map<TargetId, TargetLoad> changes = new HashMap<>();
     loads.forEach(
         (target, load) -> {
-          if (!load.equals(sentLoads.get(target))) {
+          TargetLoad sent = sentLoads.getOrDefault(target, TargetLoad.NONE);
+          if (load.differsNoticeablyFrom(sent)) {
             changes.put(target, load);
           }
         });
@@ -130,11 +135,26 @@
     return changes;
   }
 
+  private void recordSent(Map<TargetId, TargetLoad> changed, boolean complete) {
+    if (complete) {
+      sentLoads.clear();
+    }
+    changed.forEach(
+        (target, load) -> {
+          if (load.isNone()) {
+            sentLoads.remove(target);
+          } else {
+            sentLoads.put(target, load);
+          }
+        });
+  }
+
   /** Returns the pause after a report that keeps the link within its bandwidth limit. */
-  private static long pauseMillis(int entries, int poisonFacts, int targetFacts) {
+  private static long pauseMillis(int entries, int learntTimes, int poisonFacts, int targetFacts) {
     long factBytes =
         (long) poisonFacts * POISON_FACT_BYTES + (long) targetFacts * TARGET_FACT_BYTES;
-    long bytes = REPORT_OVERHEAD_BYTES + (long) entries * ENTRY_BYTES + factBytes;
+    long entryBytes = (long) entries * ENTRY_BYTES + (long) learntTimes * TIMES_BYTES;
+    long bytes = REPORT_OVERHEAD_BYTES + entryBytes + factBytes;
     return bytes * 1_000 / MAX_BYTES_PER_SECOND;
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadScope.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadScope.java
@@ -10,5 +10,13 @@
    * Those of all hosts but the receiver; sent by a gatherer to a host of its data centre. The
    * receiver does not forward them, so that no request is counted twice.
    */
-  EVERYONE_ELSE
+  EVERYONE_ELSE;
+
+  /** More hosts than any deployment has. */
+  private static final int MAX_HOSTS = 1_000;
+
+  /** Returns the highest weight of learnt times that a report of this scope may claim. */
+  double maxTimesWeight() {
+    return LearntTime.MAX_HOST_WEIGHT * (this == HOST ? 1 : MAX_HOSTS);
+  }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadTable.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadTable.java
@@ -29,7 +29,7 @@
   boolean receive(LoadReport report) {
     Source source = new Source(report.sender(), report.scope());
     SourceState existing = states.get(source);
-    SourceState state = existing == null ? new SourceState() : existing;
+    SourceState state = existing == null ? new SourceState(report.scope()) : existing;
     if (!state.update(report, context.now())) {
       return false;
     }
@@ -37,6 +37,9 @@
       states.put(source, state);
       note(EventCode.LOADS_HEARD, source, "targets=" + state.loads().size());
     }
+    if (state.hasNewInvalidTimes()) {
+      note(EventCode.TIMES_UNREADABLE, source, "target=" + state.invalidTimesOf().orElseThrow());
+    }
     othersCurrent = false;
     return true;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/load/SourceState.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/SourceState.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.rollout.EvidenceKey;
@@ -16,6 +17,13 @@
   private long session;
   private long sequence = Long.MIN_VALUE;
   private long receivedAt;
+  private final LoadScope scope;
+  private Optional<TargetId> invalidTimesOf = Optional.empty();
+  private boolean hasNewInvalidTimes;
+
+  SourceState(LoadScope scope) {
+    this.scope = scope;
+  }
 
   /** Applies a report; returns false if the report that it is based on was not received. */
   boolean update(LoadReport report, long now) {
@@ -32,7 +40,8 @@
     if (complete) {
       loads.clear();
     }
-    report.loads().forEach(this::put);
+    hasNewInvalidTimes = false;
+    report.loads().forEach((target, load) -> put(target, load.withTimes(valid(target, load))));
     demand = report.demand();
     evidence = report.evidence();
     replyTo = report.replyTo();
@@ -50,6 +59,26 @@
     }
   }
 
+  /** Returns the times of a report; unknown if they are impossible. */
+  private TargetTimes valid(TargetId target, TargetLoad load) {
+    if (load.times().isValid()) {
+      return load.times().withWeightUpTo(scope.maxTimesWeight());
+    }
+    hasNewInvalidTimes |= invalidTimesOf.isEmpty();
+    invalidTimesOf = Optional.of(target);
+    return TargetTimes.UNKNOWN;
+  }
+
+  /** Returns whether the last report was the first of this source with invalid times. */
+  boolean hasNewInvalidTimes() {
+    return hasNewInvalidTimes;
+  }
+
+  /** Returns the last target of which this source reported invalid times. */
+  Optional<TargetId> invalidTimesOf() {
+    return invalidTimesOf;
+  }
+
   Map<TargetId, TargetLoad> loads() {
     return loads;
   }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
@@ -19,9 +19,11 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.gatereel.core.load.DemandKey;
+import org.gatereel.core.load.LearntTime;
 import org.gatereel.core.load.LoadReport;
 import org.gatereel.core.load.LoadScope;
 import org.gatereel.core.load.TargetLoad;
+import org.gatereel.core.load.TargetTimes;
 import org.gatereel.core.model.AccountId;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.HostId;
@@ -49,6 +51,8 @@
   /** The value of {@code failedAgoMillis} if no failure was recorded. */
   private static final long NO_FAILURE = -1;
 
+  private static final double MICROS_PER_MILLI = 1_000;
+
   /** Ignores unknown fields, which hosts of a later version can send. */
   private static final ObjectMapper MAPPER =
       JsonMapper.builder()
@@ -69,11 +73,13 @@
       long sequence,
       OptionalLong builtOn,
       List<LoadEntry> loads,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Times> times,
       List<Demand> demand,
       @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Evidence> evidence,
       @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Poison> poison,
       @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Fact> facts) {
     Message {
+      times = times == null ? List.of() : times;
       evidence = evidence == null ? List.of() : evidence;
       poison = poison == null ? List.of() : poison;
       facts = facts == null ? List.of() : facts;
@@ -99,6 +105,37 @@
   private record LoadEntry(
       String target, int open, int reading, int copies, int errors, long failedAgoMillis) {}
 
+  /**
+   * The learnt times of the target of one load entry, as an array of values.
+   *
+   * <p>Times in microseconds; a weight of 0 marks an unknown time. The values are not limited to
+   * whole numbers, so that impossible ones do not make the report unreadable.
+   *
+   * @param entry the index of the load entry
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  private record Times(
+      int entry, double eventMicros, double eventWeight, double workMicros, double workWeight) {
+    static Times of(int entry, TargetTimes times) {
+      return new Times(
+          entry,
+          Math.rint(MICROS_PER_MILLI * times.event().millis()),
+          roundedWeight(times.event()),
+          Math.rint(MICROS_PER_MILLI * times.work().millis()),
+          roundedWeight(times.work()));
+    }
+
+    private static double roundedWeight(LearntTime time) {
+      return time.isKnown() ? Math.max(1, Math.rint(time.weight())) : 0;
+    }
+
+    TargetTimes times() {
+      return new TargetTimes(
+          new LearntTime(eventMicros / MICROS_PER_MILLI, eventWeight),
+          new LearntTime(workMicros / MICROS_PER_MILLI, workWeight));
+    }
+  }
+
   /** The request rate of one demand key, as an array of values; the account may be null. */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   private record Demand(String service, int rank, String account, double perSecond) {
@@ -205,7 +242,16 @@
 
   static byte[] write(LoadReport report, long nowMillis) {
     List<LoadEntry> entries = new ArrayList<>();
-    report.loads().forEach((target, load) -> entries.add(loadEntry(target, load, nowMillis)));
+    List<Times> times = new ArrayList<>();
+    report
+        .loads()
+        .forEach(
+            (target, load) -> {
+              if (load.times().isKnown()) {
+                times.add(Times.of(entries.size(), load.times()));
+              }
+              entries.add(loadEntry(target, load, nowMillis));
+            });
     List<Demand> demand = new ArrayList<>();
     report.demand().forEach((key, perSecond) -> demand.add(Demand.of(key, perSecond)));
     List<Evidence> evidence = new ArrayList<>();
@@ -220,6 +266,7 @@
             report.sequence(),
             report.baseSequence(),
             entries,
+            times,
             demand,
             evidence,
             report.poison().stream().map(fact -> Poison.of(fact, nowMillis)).toList(),
@@ -259,6 +306,7 @@
     message
         .loads()
         .forEach(entry -> loads.put(TargetIdCodec.decode(entry.target()), load(entry, nowMillis)));
+    addTimes(message, loads);
     Map<DemandKey, Double> demand = new HashMap<>();
     message.demand().forEach(entry -> demand.put(entry.key(), Math.max(0, entry.perSecond())));
     Map<EvidenceKey, ResponseTally> evidence = new HashMap<>();
@@ -277,6 +325,16 @@
         message.facts().stream().flatMap(entry -> entry.fact(nowMillis).stream()).toList());
   }
 
+  /** Adds the learnt times to the loads; those of entries that do not exist are left out. */
+  private static void addTimes(Message message, Map<TargetId, TargetLoad> loads) {
+    for (Times times : message.times()) {
+      if (times != null && times.entry() >= 0 && times.entry() < message.loads().size()) {
+        TargetId target = TargetIdCodec.decode(message.loads().get(times.entry()).target());
+        loads.computeIfPresent(target, (id, load) -> load.withTimes(times.times()));
+      }
+    }
+  }
+
   private static TargetLoad load(LoadEntry entry, long nowMillis) {
     boolean failed = entry.failedAgoMillis() != NO_FAILURE;
     return new TargetLoad(
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/EngineModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/EngineModel.java
@@ -64,6 +64,11 @@
     return tokensRead;
   }
 
+  /** Returns how fast the engine is; 1 for the usual speed. */
+  double relativeSpeed() {
+    return rules.relativeSpeed();
+  }
+
   /** Returns how often a request lost its memory to another one. */
   long preemptions() {
     return preemptions;
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayReport.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayReport.java
@@ -177,6 +177,53 @@
     return Math.max(0, read - whole * world.prompt());
   }
 
+  private List<EngineModel> engines() {
+    return world.targets().stream()
+        .filter(target -> target instanceof EngineModel)
+        .map(target -> (EngineModel) target)
+        .toList();
+  }
+
+  /**
+   * Returns, by speed, the tokens that engines of this speed read, relative to their share of the
+   * speed of all engines.
+   */
+  Map<Double, Double> utilizationBySpeed() {
+    double readPerSpeed = readPerSpeed(engines());
+    Map<Double, List<EngineModel>> bySpeed =
+        engines().stream()
+            .collect(
+                Collectors.groupingBy(
+                    EngineModel::relativeSpeed, TreeMap::new, Collectors.toList()));
+    Map<Double, Double> utilization = new TreeMap<>();
+    bySpeed.forEach((speed, alike) -> utilization.put(speed, readPerSpeed(alike) / readPerSpeed));
+    return utilization;
+  }
+
+  private static double readPerSpeed(List<EngineModel> engines) {
+    double read = engines.stream().mapToLong(EngineModel::tokensRead).sum();
+    return read / engines.stream().mapToDouble(EngineModel::relativeSpeed).sum();
+  }
+
+  /** Returns the tokens that the most loaded engine read, relative to its share by speed. */
+  double mostLoadedTimesItsShare() {
+    double readPerSpeed = readPerSpeed(engines());
+    return engines().stream()
+        .mapToDouble(engine -> readPerSpeed(List.of(engine)) / readPerSpeed)
+        .max()
+        .orElse(0);
+  }
+
+  /** Returns the part of the first events of a kind that came within a time. */
+  double firstWithin(CallerModel.Kind kind, long millis) {
+    List<CallerModel> asked = callers(kind);
+    long within =
+        asked.stream()
+            .filter(caller -> caller.firstMillis() >= 0 && caller.firstMillis() <= millis)
+            .count();
+    return asked.isEmpty() ? 1 : (double) within / asked.size();
+  }
+
   /** Returns how often engines took memory from a running request. */
   long preemptions() {
     return world.targets().stream()
@@ -269,6 +316,9 @@
         decimal(events.getValueAtPercentile(50) / 1_000.0)
             + " and "
             + decimal(events.getValueAtPercentile(90) / 1_000.0));
+    table.put("engines' work to their speed, by speed", utilizationBySpeed().toString());
+    table.put("most loaded engine, times its share", decimal(mostLoadedTimesItsShare()));
+    table.put("first events within 4.5 s", decimal(firstWithin(CallerModel.Kind.STREAM, 4_500)));
     table.put("engines that requests ended", Integer.toString(fatalEnds()));
     table.put("such requests sent too late, the most", Long.toString(fatalArrivalsTooLate()));
     table.put("other requests held back", Long.toString(innocentsHeldBack()));
