--- a/gatereel-core/src/main/java/org/gatereel/core/load/LearntTime.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LearntTime.java
@@ -16,10 +16,10 @@
   private static final double MAX_MILLIS = 600_000;
 
   /** Times that differ by less are not reported again. */
-  private static final double NOTICEABLE_RATIO = 1.15;
+  private static final double NOTICEABLE_RATIO = 1.25;
 
   /** Weights that differ by less are not reported again. */
-  private static final double NOTICEABLE_WEIGHT_RATIO = 2.5;
+  private static final double NOTICEABLE_WEIGHT_RATIO = 4;
 
   public boolean isKnown() {
     return weight > 0;
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Function;
 import java.util.function.Supplier;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
@@ -51,7 +50,7 @@
   private final Set<Address> awaitingReceipt = new HashSet<>();
   private Supplier<Map<DemandKey, Double>> demand = Map::of;
   private Supplier<Map<EvidenceKey, ResponseTally>> evidence = Map::of;
-  private Function<TargetState, TargetTimes> times = target -> TargetTimes.UNKNOWN;
+  private Supplier<Map<TargetId, TargetTimes>> times = Map::of;
   private FactSources facts = FactSources.NONE;
   private long flushAt = Long.MAX_VALUE;
   private long sequence;
@@ -88,8 +87,8 @@
     evidence = source;
   }
 
-  /** Sets the source of the times that this host has learnt of a target. */
-  public void setTimesSource(Function<TargetState, TargetTimes> source) {
+  /** Sets the source of the times that this host has learnt of targets. */
+  public void setTimesSource(Supplier<Map<TargetId, TargetTimes>> source) {
     times = source;
   }
 
@@ -147,6 +146,11 @@
     return table.othersLoad(target);
   }
 
+  /** Returns the times that all other hosts have learnt of a target. */
+  public TargetTimes othersTimes(TargetId target) {
+    return table.others().times().getOrDefault(target, TargetTimes.UNKNOWN);
+  }
+
   /** Returns the reported demand at all other hosts, in requests per second. */
   public Map<DemandKey, Double> othersDemand() {
     return table.others().demand();
@@ -170,7 +174,7 @@
   private void flush() {
     flushAt = Long.MAX_VALUE;
     Map<LoadLink.Receiver, LoadLink> current = new LinkedHashMap<>();
-    LoadSums own = new LoadSums(ownLoads(), demand.get(), evidence.get());
+    LoadSums own = new LoadSums(ownLoads(), demand.get(), evidence.get(), times.get());
     for (LoadLink.Receiver receiver : receivers()) {
       LoadLink link = links.getOrDefault(receiver, new LoadLink(receiver));
       current.put(receiver, link);
@@ -264,7 +268,6 @@
           target.description().kind() == TargetKind.ENGINE
               ? engineLoad(target)
               : plainServiceLoad(target);
-      load = load.withTimes(times.apply(target));
       if (!load.isNone()) {
         loads.put(target.description().id(), load);
       }
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
@@ -28,7 +28,7 @@
   private static final int ENTRY_BYTES = 32;
 
   /** The estimated size of the learnt times of one target. */
-  private static final int TIMES_BYTES = 32;
+  private static final int TIMES_BYTES = 55;
 
   private static final int POISON_FACT_BYTES = 90;
   private static final int TARGET_FACT_BYTES = 50;
@@ -47,11 +47,12 @@
   record Receiver(Address address, LoadScope scope, Optional<HostId> host) {}
 
   private final Receiver receiver;
-  private final Map<TargetId, TargetLoad> sentLoads = new HashMap<>();
+  private Map<TargetId, TargetLoad> sentLoads = new HashMap<>();
   private OptionalLong lastSequence = OptionalLong.empty();
   private long sentBadResponses;
   private final SentFacts<PoisonFact> sentPoisonFacts = new SentFacts<>();
   private final SentFacts<TargetFact> sentTargetFacts = new SentFacts<>();
+  private final SentTimes sentTimes = new SentTimes();
   private long sentAt = Long.MIN_VALUE / 2;
   private long nextReportAt = Long.MIN_VALUE / 2;
   private long backoffMillis = INITIAL_BACKOFF_MILLIS;
@@ -96,6 +97,7 @@
     if (changed.isEmpty() && !newFacts && !heartbeatDue && !complete && !moreBadResponses) {
       return Optional.empty();
     }
+    Map<TargetId, TargetTimes> times = sentTimes.nextToSend(sums.times(), complete, sequence);
     LoadReport report =
         new LoadReport(
             sender.host(),
@@ -108,13 +110,13 @@
             sums.demand(),
             sums.evidence(),
             poison,
-            targetFacts);
+            targetFacts,
+            times);
     sentBadResponses = sums.badResponses();
-    recordSent(changed, complete);
+    sentLoads = new HashMap<>(loads);
     sentAt = now;
-    int withTimes = (int) changed.values().stream().filter(load -> load.times().isKnown()).count();
     int entries = changed.size() + sums.demand().size() + sums.evidence().size();
-    nextReportAt = now + pauseMillis(entries, withTimes, poison.size(), targetFacts.size());
+    nextReportAt = now + pauseMillis(entries, times.size(), poison.size(), targetFacts.size());
     lastSequence = OptionalLong.of(sequence);
     awaitingReceipt = true;
     return Optional.of(report);
@@ -124,8 +126,7 @@
     Map<TargetId, TargetLoad> changes = new HashMap<>();
     loads.forEach(
         (target, load) -> {
-          TargetLoad sent = sentLoads.getOrDefault(target, TargetLoad.NONE);
-          if (load.differsNoticeablyFrom(sent)) {
+          if (!load.equals(sentLoads.get(target))) {
             changes.put(target, load);
           }
         });
@@ -135,25 +136,11 @@
     return changes;
   }
 
-  private void recordSent(Map<TargetId, TargetLoad> changed, boolean complete) {
-    if (complete) {
-      sentLoads.clear();
-    }
-    changed.forEach(
-        (target, load) -> {
-          if (load.isNone()) {
-            sentLoads.remove(target);
-          } else {
-            sentLoads.put(target, load);
-          }
-        });
-  }
-
   /** Returns the pause after a report that keeps the link within its bandwidth limit. */
-  private static long pauseMillis(int entries, int learntTimes, int poisonFacts, int targetFacts) {
+  private static long pauseMillis(int entries, int times, int poisonFacts, int targetFacts) {
     long factBytes =
         (long) poisonFacts * POISON_FACT_BYTES + (long) targetFacts * TARGET_FACT_BYTES;
-    long entryBytes = (long) entries * ENTRY_BYTES + (long) learntTimes * TIMES_BYTES;
+    long entryBytes = (long) entries * ENTRY_BYTES + (long) times * TIMES_BYTES;
     long bytes = REPORT_OVERHEAD_BYTES + entryBytes + factBytes;
     return bytes * 1_000 / MAX_BYTES_PER_SECOND;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadReport.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadReport.java
@@ -26,6 +26,7 @@
  * @param evidence responses counted during running rollouts, complete in each report
  * @param poison observations of poison requests that were not reported yet
  * @param targetFacts announcements of targets that were not reported yet
+ * @param times the learnt times of some targets, which hold until another report names the target
  */
 public record LoadReport(
     HostId sender,
@@ -38,7 +39,8 @@
     Map<DemandKey, Double> demand,
     Map<EvidenceKey, ResponseTally> evidence,
     List<PoisonFact> poison,
-    List<TargetFact> targetFacts) {
+    List<TargetFact> targetFacts,
+    Map<TargetId, TargetTimes> times) {
   /** Makes a report without rollout evidence and facts. */
   public LoadReport(
       HostId sender,
@@ -60,7 +62,36 @@
         demand,
         Map.of(),
         List.of(),
-        List.of());
+        List.of(),
+        Map.of());
+  }
+
+  /** Makes a report without learnt times. */
+  public LoadReport(
+      HostId sender,
+      Address replyTo,
+      LoadScope scope,
+      long session,
+      long sequence,
+      OptionalLong baseSequence,
+      Map<TargetId, TargetLoad> loads,
+      Map<DemandKey, Double> demand,
+      Map<EvidenceKey, ResponseTally> evidence,
+      List<PoisonFact> poison,
+      List<TargetFact> targetFacts) {
+    this(
+        sender,
+        replyTo,
+        scope,
+        session,
+        sequence,
+        baseSequence,
+        loads,
+        demand,
+        evidence,
+        poison,
+        targetFacts,
+        Map.of());
   }
 
   public LoadReport {
@@ -69,5 +100,6 @@
     demand = Map.copyOf(demand);
     poison = List.copyOf(poison);
     targetFacts = List.copyOf(targetFacts);
+    times = Map.copyOf(times);
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadTable.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadTable.java
@@ -29,7 +29,8 @@
   boolean receive(LoadReport report) {
     Source source = new Source(report.sender(), report.scope());
     SourceState existing = states.get(source);
-    SourceState state = existing == null ? new SourceState(report.scope()) : existing;
+    SourceState state = existing == null ? new SourceState() : existing;
+    boolean hadInvalidTimes = state.invalidTimesOf().isPresent();
     if (!state.update(report, context.now())) {
       return false;
     }
@@ -37,8 +38,8 @@
       states.put(source, state);
       note(EventCode.LOADS_HEARD, source, "targets=" + state.loads().size());
     }
-    if (state.hasNewInvalidTimes()) {
-      note(EventCode.TIMES_UNREADABLE, source, "target=" + state.invalidTimesOf().orElseThrow());
+    if (!hadInvalidTimes && state.invalidTimesOf().isPresent()) {
+      note(EventCode.TIMES_UNREADABLE, source, "target=" + state.invalidTimesOf().get());
     }
     othersCurrent = false;
     return true;
--- a/gatereel-core/src/main/java/org/gatereel/core/load/SourceState.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/SourceState.java
@@ -13,17 +13,12 @@
   private final Map<TargetId, TargetLoad> loads = new HashMap<>();
   private Map<DemandKey, Double> demand = Map.of();
   private Map<EvidenceKey, ResponseTally> evidence = Map.of();
+  private final Map<TargetId, TargetTimes> times = new HashMap<>();
+  private Optional<TargetId> invalidTimesOf = Optional.empty();
   private Address replyTo;
   private long session;
   private long sequence = Long.MIN_VALUE;
   private long receivedAt;
-  private final LoadScope scope;
-  private Optional<TargetId> invalidTimesOf = Optional.empty();
-  private boolean hasNewInvalidTimes;
-
-  SourceState(LoadScope scope) {
-    this.scope = scope;
-  }
 
   /** Applies a report; returns false if the report that it is based on was not received. */
   boolean update(LoadReport report, long now) {
@@ -39,9 +34,10 @@
     }
     if (complete) {
       loads.clear();
+      times.clear();
     }
-    hasNewInvalidTimes = false;
-    report.loads().forEach((target, load) -> put(target, load.withTimes(valid(target, load))));
+    report.loads().forEach(this::put);
+    report.times().forEach((target, learnt) -> put(target, learnt, report.scope()));
     demand = report.demand();
     evidence = report.evidence();
     replyTo = report.replyTo();
@@ -59,22 +55,19 @@
     }
   }
 
-  /** Returns the times of a report; unknown if they are impossible. */
-  private TargetTimes valid(TargetId target, TargetLoad load) {
-    if (load.times().isValid()) {
-      return load.times().withWeightUpTo(scope.maxTimesWeight());
+  private void put(TargetId target, TargetTimes learnt, LoadScope scope) {
+    boolean valid = learnt.isValid();
+    if (!valid) {
+      invalidTimesOf = Optional.of(target);
+    }
+    if (valid && learnt.isKnown()) {
+      times.put(target, learnt.withWeightUpTo(scope.maxTimesWeight()));
+    } else {
+      times.remove(target);
     }
-    hasNewInvalidTimes |= invalidTimesOf.isEmpty();
-    invalidTimesOf = Optional.of(target);
-    return TargetTimes.UNKNOWN;
-  }
-
-  /** Returns whether the last report was the first of this source with invalid times. */
-  boolean hasNewInvalidTimes() {
-    return hasNewInvalidTimes;
   }
 
-  /** Returns the last target of which this source reported invalid times. */
+  /** Returns the last target for which this source reported impossible times. */
   Optional<TargetId> invalidTimesOf() {
     return invalidTimesOf;
   }
@@ -83,6 +76,11 @@
     return loads;
   }
 
+  /** Returns the times that the source has learnt of targets. */
+  Map<TargetId, TargetTimes> times() {
+    return times;
+  }
+
   Map<DemandKey, Double> demand() {
     return demand;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/load/TargetLoad.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/TargetLoad.java
@@ -9,25 +9,13 @@
  * @param errors recent error responses
  * @param failedAt when one of the hosts last observed a failure of the target, on this host's
  *     steady clock in milliseconds; {@link #NEVER} if there was none recently
- * @param times the times that the hosts have learnt of the target
  */
-public record TargetLoad(
-    int open, int reading, int copies, int errors, long failedAt, TargetTimes times) {
+public record TargetLoad(int open, int reading, int copies, int errors, long failedAt) {
   /** The value of {@code failedAt} if there was no recent failure. */
   public static final long NEVER = Long.MIN_VALUE;
 
   public static final TargetLoad NONE = new TargetLoad(0, 0, 0, 0, NEVER);
 
-  /** Makes a load without learnt times. */
-  public TargetLoad(int open, int reading, int copies, int errors, long failedAt) {
-    this(open, reading, copies, errors, failedAt, TargetTimes.UNKNOWN);
-  }
-
-  /** Returns this load with other learnt times. */
-  public TargetLoad withTimes(TargetTimes other) {
-    return new TargetLoad(open, reading, copies, errors, failedAt, other);
-  }
-
   /** Adds the load of other hosts, with the later of both failure times. */
   TargetLoad plus(TargetLoad other) {
     return new TargetLoad(
@@ -35,14 +23,7 @@
         reading + other.reading,
         copies + other.copies,
         errors + other.errors,
-        Math.max(failedAt, other.failedAt),
-        times.plus(other.times));
-  }
-
-  /** Returns whether a receiver that knows {@code reported} should be told this load. */
-  boolean differsNoticeablyFrom(TargetLoad reported) {
-    return !withTimes(reported.times).equals(reported)
-        || times.differsNoticeablyFrom(reported.times);
+        Math.max(failedAt, other.failedAt));
   }
 
   boolean isNone() {
--- a/gatereel-core/src/main/java/org/gatereel/core/speed/TargetSpeeds.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/speed/TargetSpeeds.java
@@ -39,7 +39,7 @@
     this.context = context;
     this.targets = targets;
     this.loads = loads;
-    loads.setTimesSource(this::ownTimes);
+    loads.setTimesSource(this::timesToReport);
   }
 
   /**
@@ -99,13 +99,25 @@
     return extreme;
   }
 
+  private Map<TargetId, TargetTimes> timesToReport() {
+    Map<TargetId, TargetTimes> reported = new HashMap<>();
+    timers.forEach(
+        (id, timer) -> {
+          TargetTimes times = timer.at(context.now());
+          if (times.isKnown()) {
+            reported.put(id, times);
+          }
+        });
+    return reported;
+  }
+
   private TargetTimes ownTimes(TargetState target) {
     TargetTimer timer = timers.get(target.description().id());
     return timer == null ? TargetTimes.UNKNOWN : timer.at(context.now());
   }
 
   private TargetTimes times(TargetState target) {
-    return ownTimes(target).plus(loads.othersLoad(target.description().id()).times());
+    return ownTimes(target).plus(loads.othersTimes(target.description().id()));
   }
 
   private ServiceTimes medians(ServiceName service) {
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
@@ -73,11 +73,11 @@
       long sequence,
       OptionalLong builtOn,
       List<LoadEntry> loads,
-      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Times> times,
       List<Demand> demand,
       @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Evidence> evidence,
       @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Poison> poison,
-      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Fact> facts) {
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Fact> facts,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Times> times) {
     Message {
       times = times == null ? List.of() : times;
       evidence = evidence == null ? List.of() : evidence;
@@ -95,6 +95,7 @@
           && demand.stream().allMatch(entry -> entry != null && entry.service() != null)
           && evidence.stream().allMatch(entry -> entry != null && entry.isComplete())
           && facts.stream().allMatch(Objects::nonNull)
+          && times.stream().allMatch(entry -> entry != null && entry.target() != null)
           && poison.stream().allMatch(entry -> entry != null && entry.request() != null)
           && loads.stream().allMatch(entry -> entry != null && entry.target() != null);
     }
@@ -106,19 +107,17 @@
       String target, int open, int reading, int copies, int errors, long failedAgoMillis) {}
 
   /**
-   * The learnt times of the target of one load entry, as an array of values.
+   * The learnt times of one target, as an array of values.
    *
-   * <p>Times in microseconds; a weight of 0 marks an unknown time. The values are not limited to
-   * whole numbers, so that impossible ones do not make the report unreadable.
-   *
-   * @param entry the index of the load entry
+   * <p>Times are in microseconds; a weight of 0 marks an unknown time. The values are not limited
+   * to whole numbers, so that impossible ones do not make the report unreadable.
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   private record Times(
-      int entry, double eventMicros, double eventWeight, double workMicros, double workWeight) {
-    static Times of(int entry, TargetTimes times) {
+      String target, double eventMicros, double eventWeight, double workMicros, double workWeight) {
+    static Times of(TargetId target, TargetTimes times) {
       return new Times(
-          entry,
+          TargetIdCodec.encode(target),
           Math.rint(MICROS_PER_MILLI * times.event().millis()),
           roundedWeight(times.event()),
           Math.rint(MICROS_PER_MILLI * times.work().millis()),
@@ -242,16 +241,9 @@
 
   static byte[] write(LoadReport report, long nowMillis) {
     List<LoadEntry> entries = new ArrayList<>();
+    report.loads().forEach((target, load) -> entries.add(loadEntry(target, load, nowMillis)));
     List<Times> times = new ArrayList<>();
-    report
-        .loads()
-        .forEach(
-            (target, load) -> {
-              if (load.times().isKnown()) {
-                times.add(Times.of(entries.size(), load.times()));
-              }
-              entries.add(loadEntry(target, load, nowMillis));
-            });
+    report.times().forEach((target, learnt) -> times.add(Times.of(target, learnt)));
     List<Demand> demand = new ArrayList<>();
     report.demand().forEach((key, perSecond) -> demand.add(Demand.of(key, perSecond)));
     List<Evidence> evidence = new ArrayList<>();
@@ -266,11 +258,11 @@
             report.sequence(),
             report.baseSequence(),
             entries,
-            times,
             demand,
             evidence,
             report.poison().stream().map(fact -> Poison.of(fact, nowMillis)).toList(),
-            report.targetFacts().stream().map(fact -> Fact.of(fact, nowMillis)).toList());
+            report.targetFacts().stream().map(fact -> Fact.of(fact, nowMillis)).toList(),
+            times);
     try {
       return MAPPER.writeValueAsBytes(message);
     } catch (JsonProcessingException e) {
@@ -306,7 +298,10 @@
     message
         .loads()
         .forEach(entry -> loads.put(TargetIdCodec.decode(entry.target()), load(entry, nowMillis)));
-    addTimes(message, loads);
+    Map<TargetId, TargetTimes> times = new HashMap<>();
+    message
+        .times()
+        .forEach(entry -> times.put(TargetIdCodec.decode(entry.target()), entry.times()));
     Map<DemandKey, Double> demand = new HashMap<>();
     message.demand().forEach(entry -> demand.put(entry.key(), Math.max(0, entry.perSecond())));
     Map<EvidenceKey, ResponseTally> evidence = new HashMap<>();
@@ -322,17 +317,8 @@
         demand,
         evidence,
         message.poison().stream().map(entry -> entry.fact(nowMillis)).toList(),
-        message.facts().stream().flatMap(entry -> entry.fact(nowMillis).stream()).toList());
-  }
-
-  /** Adds the learnt times to the loads; those of entries that do not exist are left out. */
-  private static void addTimes(Message message, Map<TargetId, TargetLoad> loads) {
-    for (Times times : message.times()) {
-      if (times != null && times.entry() >= 0 && times.entry() < message.loads().size()) {
-        TargetId target = TargetIdCodec.decode(message.loads().get(times.entry()).target());
-        loads.computeIfPresent(target, (id, load) -> load.withTimes(times.times()));
-      }
-    }
+        message.facts().stream().flatMap(entry -> entry.fact(nowMillis).stream()).toList(),
+        times);
   }
 
   private static TargetLoad load(LoadEntry entry, long nowMillis) {
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
@@ -35,6 +35,7 @@
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.HostList;
 import org.gatereel.core.model.TargetDescription;
+import org.gatereel.core.model.TargetId;
 import org.gatereel.core.poison.PoisonControl;
 import org.gatereel.core.rollout.RolloutBounds;
 import org.gatereel.core.rollout.RolloutControl;
@@ -91,6 +92,14 @@
             poison);
   }
 
+  /** Returns the time of a target relative to its service that this host has learnt; 1 if none. */
+  double learntRelativeTime(TargetId target) {
+    return forwarder
+        .speeds()
+        .flatMap(speeds -> targets.find(target).map(speeds::relativeTime))
+        .orElse(1.0);
+  }
+
   DataCentre dataCentre() {
     return context.dataCentre();
   }
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayReport.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayReport.java
@@ -200,6 +200,18 @@
     return utilization;
   }
 
+  /** Returns, by speed, the mean relative time of engines that the first host has learnt. */
+  Map<Double, Double> learntRelativeTimes() {
+    HostModel host = world.firstHost();
+    return engines().stream()
+        .collect(
+            Collectors.groupingBy(
+                EngineModel::relativeSpeed,
+                TreeMap::new,
+                Collectors.averagingDouble(
+                    engine -> host.learntRelativeTime(engine.description().id()))));
+  }
+
   private static double readPerSpeed(List<EngineModel> engines) {
     double read = engines.stream().mapToLong(EngineModel::tokensRead).sum();
     return read / engines.stream().mapToDouble(EngineModel::relativeSpeed).sum();
@@ -317,6 +329,7 @@
             + " and "
             + decimal(events.getValueAtPercentile(90) / 1_000.0));
     table.put("engines' work to their speed, by speed", utilizationBySpeed().toString());
+    table.put("learnt time of engines, by speed", learntRelativeTimes().toString());
     table.put("most loaded engine, times its share", decimal(mostLoadedTimesItsShare()));
     table.put("first events within 4.5 s", decimal(firstWithin(CallerModel.Kind.STREAM, 4_500)));
     table.put("engines that requests ended", Integer.toString(fatalEnds()));
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayWorld.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayWorld.java
@@ -215,6 +215,10 @@
     return List.copyOf(targets.values());
   }
 
+  HostModel firstHost() {
+    return hosts.values().iterator().next();
+  }
+
   Optional<HostModel> host(Address address) {
     return Optional.ofNullable(hosts.get(address));
   }
