--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.speed.AttemptTimer;
+import org.gatereel.core.stream.EventStreamReader;
 import org.gatereel.core.target.TargetState;
 
 /** One attempt of an exchange: one request sent to one target, and its progress. */
