--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
@@ -28,7 +28,7 @@
   private static final int ENTRY_BYTES = 32;
 
   /** The estimated size of the learnt times of one target. */
-  private static final int TIMES_BYTES = 55;
+  private static final int TIMES_BYTES = 65;
 
   private static final int POISON_FACT_BYTES = 90;
   private static final int TARGET_FACT_BYTES = 50;
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -145,6 +145,13 @@
     metrics.gauge("leaving_targets", () -> targets.leavingTargets().size());
     metrics.gauge("limit_tokens_granted", forwarder.limits()::granted);
     metrics.gauge("limit_tokens_denied", forwarder.limits()::denied);
+    forwarder
+        .speeds()
+        .ifPresent(
+            speeds -> {
+              metrics.gauge("slowest_target", () -> speeds.extremeRelativeTime(true));
+              metrics.gauge("fastest_target", () -> speeds.extremeRelativeTime(false));
+            });
     metrics.gauge("log_lines_dropped", log::dropped);
   }
 
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayTest.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayTest.java
@@ -8,7 +8,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
 import org.gatereel.core.event.EventCode;
+import org.gatereel.core.scheduling.SchedulingFeature;
 import org.junit.jupiter.api.Test;
 
 /** What each decision on placement and load gains on the load that it answers. */
@@ -20,8 +22,13 @@
   }
 
   private static ReplayReport play(String script, long seed) throws IOException {
+    return play(script, seed, Set.of());
+  }
+
+  private static ReplayReport play(String script, long seed, Set<SchedulingFeature> features)
+      throws IOException {
     try (InputStream text = Files.newInputStream(Path.of("replays", script + ".json"))) {
-      return new ReplayWorld(Script.read(text), seed).play();
+      return new ReplayWorld(Script.read(text).with(features), seed).play();
     }
   }
 
@@ -176,4 +183,21 @@
     assertTrue(report.inTime(CallerModel.Kind.STREAM) >= 0.6);
     assertTrue(report.inTime(CallerModel.Kind.CALL) >= 0.95);
   }
+
+  /** Guards against slow engines that get as many streams as fast ones, and against a herd. */
+  @Test
+  void enginesOfThreeSpeedsAreUsedInProportionToTheirSpeed() throws IOException {
+    for (String script : List.of("uneven-speeds", "uneven-speeds-busy")) {
+      for (long seed = 1; seed <= 2; seed++) {
+        ReplayReport report = play(script, seed, Set.of(SchedulingFeature.TARGET_SPEED));
+        String seen = script + ", seed " + seed + ": " + report.table();
+
+        assertTrue(report.firstWithin(CallerModel.Kind.STREAM, 4_500) >= 0.95, seen);
+        assertTrue(report.mostLoadedTimesItsShare() < 1.5, seen);
+        for (double utilization : report.utilizationBySpeed().values()) {
+          assertEquals(1, utilization, 0.15, seen);
+        }
+      }
+    }
+  }
 }
