--- a/gatereel-core/src/main/java/org/gatereel/core/choice/CostTerm.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/CostTerm.java
@@ -20,12 +20,12 @@
       return candidate.pace().relativeTime() * READING_COST * candidate.prefills();
     }
   },
-  /** This request itself takes longer at a slow target. */
+  /** The prompt of this request takes longer to read at a slow target. */
   SPEED {
     @Override
     double cost(Candidate candidate) {
       if (candidate.isEngine()) {
-        return (1 + READING_COST) * (candidate.pace().relativeTime() - 1);
+        return READING_COST * (candidate.pace().relativeTime() - 1);
       }
       return candidate.pace().isPassedOver() ? PASSED_OVER_COST : 0;
     }
--- a/gatereel-core/src/main/java/org/gatereel/core/speed/ServiceTimes.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/speed/ServiceTimes.java
@@ -19,7 +19,7 @@
   private static final double WORK_SAMPLE_WEIGHT = 4;
 
   /** The weight of the assumption that a target is as fast as the median. */
-  private static final double PRIOR_WEIGHT = 4;
+  private static final double PRIOR_WEIGHT = 2;
 
   /** The largest ratio that counts, so that a wrong figure has a bounded effect. */
   private static final double MAX_RATIO = 2.5;
