--- a/gatereel-core/src/main/java/org/gatereel/core/load/SentTimes.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/SentTimes.java
@@ -15,7 +15,7 @@
  * longest time ago. The others follow with later reports, so that loads are not delayed.
  */
 final class SentTimes {
-  private static final int MAX_PER_REPORT = 8;
+  static final int MAX_PER_REPORT = 8;
 
   private static final Sent NOT_SENT = new Sent(TargetTimes.UNKNOWN, Long.MIN_VALUE);
 
--- a/gatereel-core/src/main/java/org/gatereel/core/speed/LastingTime.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/speed/LastingTime.java
@@ -22,7 +22,7 @@
   private static final double WEIGHT_HALF_LIFE_MILLIS = 20_000;
 
   /** A lower weight is reported as unknown. */
-  private static final double MIN_WEIGHT = 0.5;
+  static final double MIN_WEIGHT = 0.5;
 
   private double logMillis;
   private double weight;
--- a/gatereel-core/src/test/java/org/gatereel/core/load/LearntTimesExchangeTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/load/LearntTimesExchangeTest.java
@@ -127,11 +127,11 @@
   void onlyNoticeableChangesAreSentAndAFewWithEachReport() {
     SentTimes sent = new SentTimes();
     Map<TargetId, TargetTimes> times = new LinkedHashMap<>();
-    for (int target = 0; target < 10; target++) {
+    for (int target = 0; target < 2 * SentTimes.MAX_PER_REPORT + 2; target++) {
       times.put(new TargetId("e" + target), events(30, 10));
     }
-    assertEquals(4, sent.nextToSend(times, true, 1).size());
-    assertEquals(4, sent.nextToSend(times, false, 2).size());
+    assertEquals(SentTimes.MAX_PER_REPORT, sent.nextToSend(times, true, 1).size());
+    assertEquals(SentTimes.MAX_PER_REPORT, sent.nextToSend(times, false, 2).size());
     assertEquals(2, sent.nextToSend(times, false, 3).size());
     times.replaceAll((target, known) -> events(32, 12));
     assertTrue(sent.nextToSend(times, false, 4).isEmpty());
--- a/gatereel-core/src/test/java/org/gatereel/core/speed/ServiceTimesTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/speed/ServiceTimesTest.java
@@ -39,7 +39,7 @@
     assertEquals(1, service.relativeTime(TargetTimes.UNKNOWN));
     double recent = service.relativeTime(times(48, 32));
     double old = service.relativeTime(times(48, 4));
-    double oldest = service.relativeTime(times(48, 0.6));
+    double oldest = service.relativeTime(times(48, LastingTime.MIN_WEIGHT));
     assertTrue(recent > old && old > oldest, recent + ", " + old + ", " + oldest);
     assertEquals(1, oldest);
   }
