--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadLink.java
@@ -27,6 +27,9 @@
   /** The estimated size of one target, demand or evidence entry. */
   private static final int ENTRY_BYTES = 32;
 
+  /** The estimated size of the learnt times of one target. */
+  private static final int TIMES_BYTES = 65;
+
   private static final int POISON_FACT_BYTES = 90;
   private static final int TARGET_FACT_BYTES = 50;
 
@@ -49,6 +52,7 @@
   private long sentBadResponses;
   private final SentFacts<PoisonFact> sentPoisonFacts = new SentFacts<>();
   private final SentFacts<TargetFact> sentTargetFacts = new SentFacts<>();
+  private final SentTimes sentTimes = new SentTimes();
   private long sentAt = Long.MIN_VALUE / 2;
   private long nextReportAt = Long.MIN_VALUE / 2;
   private long backoffMillis = INITIAL_BACKOFF_MILLIS;
@@ -93,6 +97,7 @@
     if (changed.isEmpty() && !newFacts && !heartbeatDue && !complete && !moreBadResponses) {
       return Optional.empty();
     }
+    Map<TargetId, TargetTimes> times = sentTimes.nextToSend(sums.times(), complete, sequence);
     LoadReport report =
         new LoadReport(
             sender.host(),
@@ -105,12 +110,13 @@
             sums.demand(),
             sums.evidence(),
             poison,
-            targetFacts);
+            targetFacts,
+            times);
     sentBadResponses = sums.badResponses();
     sentLoads = new HashMap<>(loads);
     sentAt = now;
     int entries = changed.size() + sums.demand().size() + sums.evidence().size();
-    nextReportAt = now + pauseMillis(entries, poison.size(), targetFacts.size());
+    nextReportAt = now + pauseMillis(entries, times.size(), poison.size(), targetFacts.size());
     lastSequence = OptionalLong.of(sequence);
     awaitingReceipt = true;
     return Optional.of(report);
@@ -131,10 +137,11 @@
   }
 
   /** Returns the pause after a report that keeps the link within its bandwidth limit. */
-  private static long pauseMillis(int entries, int poisonFacts, int targetFacts) {
+  private static long pauseMillis(int entries, int times, int poisonFacts, int targetFacts) {
     long factBytes =
         (long) poisonFacts * POISON_FACT_BYTES + (long) targetFacts * TARGET_FACT_BYTES;
-    long bytes = REPORT_OVERHEAD_BYTES + (long) entries * ENTRY_BYTES + factBytes;
+    long entryBytes = (long) entries * ENTRY_BYTES + (long) times * TIMES_BYTES;
+    long bytes = REPORT_OVERHEAD_BYTES + entryBytes + factBytes;
     return bytes * 1_000 / MAX_BYTES_PER_SECOND;
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadTable.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadTable.java
@@ -30,6 +30,7 @@
     Source source = new Source(report.sender(), report.scope());
     SourceState existing = states.get(source);
     SourceState state = existing == null ? new SourceState() : existing;
+    boolean hadInvalidTimes = state.invalidTimesOf().isPresent();
     if (!state.update(report, context.now())) {
       return false;
     }
@@ -37,6 +38,9 @@
       states.put(source, state);
       note(EventCode.LOADS_HEARD, source, "targets=" + state.loads().size());
     }
+    if (!hadInvalidTimes && state.invalidTimesOf().isPresent()) {
+      note(EventCode.TIMES_UNREADABLE, source, "target=" + state.invalidTimesOf().get());
+    }
     othersCurrent = false;
     return true;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/load/SourceState.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/SourceState.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.rollout.EvidenceKey;
@@ -12,6 +13,8 @@
   private final Map<TargetId, TargetLoad> loads = new HashMap<>();
   private Map<DemandKey, Double> demand = Map.of();
   private Map<EvidenceKey, ResponseTally> evidence = Map.of();
+  private final Map<TargetId, TargetTimes> times = new HashMap<>();
+  private Optional<TargetId> invalidTimesOf = Optional.empty();
   private Address replyTo;
   private long session;
   private long sequence = Long.MIN_VALUE;
@@ -31,8 +34,10 @@
     }
     if (complete) {
       loads.clear();
+      times.clear();
     }
     report.loads().forEach(this::put);
+    report.times().forEach((target, learnt) -> put(target, learnt, report.scope()));
     demand = report.demand();
     evidence = report.evidence();
     replyTo = report.replyTo();
@@ -50,10 +55,32 @@
     }
   }
 
+  private void put(TargetId target, TargetTimes learnt, LoadScope scope) {
+    boolean valid = learnt.isValid();
+    if (!valid) {
+      invalidTimesOf = Optional.of(target);
+    }
+    if (valid && learnt.isKnown()) {
+      times.put(target, learnt.withWeightUpTo(scope.maxTimesWeight()));
+    } else {
+      times.remove(target);
+    }
+  }
+
+  /** Returns the last target for which this source reported impossible times. */
+  Optional<TargetId> invalidTimesOf() {
+    return invalidTimesOf;
+  }
+
   Map<TargetId, TargetLoad> loads() {
     return loads;
   }
 
+  /** Returns the times that the source has learnt of targets. */
+  Map<TargetId, TargetTimes> times() {
+    return times;
+  }
+
   Map<DemandKey, Double> demand() {
     return demand;
   }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -146,6 +146,13 @@
     metrics.gauge("stream_retries_from_others", () -> forwarder.streamRetries().grantedElsewhere());
     metrics.gauge("limit_tokens_granted", forwarder.limits()::granted);
     metrics.gauge("limit_tokens_denied", forwarder.limits()::denied);
+    forwarder
+        .speeds()
+        .ifPresent(
+            speeds -> {
+              metrics.gauge("slowest_target", () -> speeds.extremeRelativeTime(true));
+              metrics.gauge("fastest_target", () -> speeds.extremeRelativeTime(false));
+            });
     metrics.gauge("log_lines_dropped", log::dropped);
   }
 
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
@@ -19,9 +19,11 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.gatereel.core.load.DemandKey;
+import org.gatereel.core.load.LearntTime;
 import org.gatereel.core.load.LoadReport;
 import org.gatereel.core.load.LoadScope;
 import org.gatereel.core.load.TargetLoad;
+import org.gatereel.core.load.TargetTimes;
 import org.gatereel.core.model.AccountId;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.HostId;
@@ -49,6 +51,8 @@
   /** The value of {@code failedAgoMillis} if no failure was recorded. */
   private static final long NO_FAILURE = -1;
 
+  private static final double MICROS_PER_MILLI = 1_000;
+
   /** Ignores unknown fields, which hosts of a later version can send. */
   private static final ObjectMapper MAPPER =
       JsonMapper.builder()
@@ -72,8 +76,10 @@
       List<Demand> demand,
       @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Evidence> evidence,
       @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Poison> poison,
-      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Fact> facts) {
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Fact> facts,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Times> times) {
     Message {
+      times = times == null ? List.of() : times;
       evidence = evidence == null ? List.of() : evidence;
       poison = poison == null ? List.of() : poison;
       facts = facts == null ? List.of() : facts;
@@ -89,6 +95,7 @@
           && demand.stream().allMatch(entry -> entry != null && entry.service() != null)
           && evidence.stream().allMatch(entry -> entry != null && entry.isComplete())
           && facts.stream().allMatch(Objects::nonNull)
+          && times.stream().allMatch(entry -> entry != null && entry.target() != null)
           && poison.stream().allMatch(entry -> entry != null && entry.request() != null)
           && loads.stream().allMatch(entry -> entry != null && entry.target() != null);
     }
@@ -99,6 +106,35 @@
   private record LoadEntry(
       String target, int open, int reading, int copies, int errors, long failedAgoMillis) {}
 
+  /**
+   * The learnt times of one target, as an array of values.
+   *
+   * <p>Times are in microseconds; a weight of 0 marks an unknown time. The values are not limited
+   * to whole numbers, so that impossible ones do not make the report unreadable.
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  private record Times(
+      String target, double eventMicros, double eventWeight, double workMicros, double workWeight) {
+    static Times of(TargetId target, TargetTimes times) {
+      return new Times(
+          TargetIdCodec.encode(target),
+          Math.rint(MICROS_PER_MILLI * times.event().millis()),
+          roundedWeight(times.event()),
+          Math.rint(MICROS_PER_MILLI * times.work().millis()),
+          roundedWeight(times.work()));
+    }
+
+    private static double roundedWeight(LearntTime time) {
+      return time.isKnown() ? Math.max(1, Math.rint(time.weight())) : 0;
+    }
+
+    TargetTimes times() {
+      return new TargetTimes(
+          new LearntTime(eventMicros / MICROS_PER_MILLI, eventWeight),
+          new LearntTime(workMicros / MICROS_PER_MILLI, workWeight));
+    }
+  }
+
   /** The request rate of one demand key, as an array of values; the account may be null. */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   private record Demand(String service, int rank, String account, double perSecond) {
@@ -206,6 +242,8 @@
   static byte[] write(LoadReport report, long nowMillis) {
     List<LoadEntry> entries = new ArrayList<>();
     report.loads().forEach((target, load) -> entries.add(loadEntry(target, load, nowMillis)));
+    List<Times> times = new ArrayList<>();
+    report.times().forEach((target, learnt) -> times.add(Times.of(target, learnt)));
     List<Demand> demand = new ArrayList<>();
     report.demand().forEach((key, perSecond) -> demand.add(Demand.of(key, perSecond)));
     List<Evidence> evidence = new ArrayList<>();
@@ -223,7 +261,8 @@
             demand,
             evidence,
             report.poison().stream().map(fact -> Poison.of(fact, nowMillis)).toList(),
-            report.targetFacts().stream().map(fact -> Fact.of(fact, nowMillis)).toList());
+            report.targetFacts().stream().map(fact -> Fact.of(fact, nowMillis)).toList(),
+            times);
     try {
       return MAPPER.writeValueAsBytes(message);
     } catch (JsonProcessingException e) {
@@ -259,6 +298,10 @@
     message
         .loads()
         .forEach(entry -> loads.put(TargetIdCodec.decode(entry.target()), load(entry, nowMillis)));
+    Map<TargetId, TargetTimes> times = new HashMap<>();
+    message
+        .times()
+        .forEach(entry -> times.put(TargetIdCodec.decode(entry.target()), entry.times()));
     Map<DemandKey, Double> demand = new HashMap<>();
     message.demand().forEach(entry -> demand.put(entry.key(), Math.max(0, entry.perSecond())));
     Map<EvidenceKey, ResponseTally> evidence = new HashMap<>();
@@ -274,7 +317,8 @@
         demand,
         evidence,
         message.poison().stream().map(entry -> entry.fact(nowMillis)).toList(),
-        message.facts().stream().flatMap(entry -> entry.fact(nowMillis).stream()).toList());
+        message.facts().stream().flatMap(entry -> entry.fact(nowMillis).stream()).toList(),
+        times);
   }
 
   private static TargetLoad load(LoadEntry entry, long nowMillis) {
