Keep learnt times as logarithms

Cause: a gatherer combines the times of all hosts for each report, with two logarithms and an exponential a target. Change: LearntTime holds the logarithm, so that a weighted mean is additions alone; same means, same wire form. Measured: the 24 tests of core.speed, core.load and the wire form pass; processor time at a gatherer was not measured again.

--- a/gatereel-core/src/main/java/org/gatereel/core/speed/LastingTime.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/speed/LastingTime.java
@@ -49,6 +49,6 @@
   /** Returns the time with its weight, which halves while no samples are added. */
   LearntTime at(long now) {
     double current = weightAt(now);
-    return current < MIN_WEIGHT ? LearntTime.UNKNOWN : new LearntTime(Math.exp(logMillis), current);
+    return current < MIN_WEIGHT ? LearntTime.UNKNOWN : new LearntTime(logMillis, current);
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/speed/ServiceTimes.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/speed/ServiceTimes.java
@@ -61,6 +61,6 @@
   }
 
   private static double weightedLog(double weight, LearntTime time, double median) {
-    return weight == 0 ? 0 : weight * Math.log(time.millis() / median);
+    return weight == 0 ? 0 : weight * (time.logMillis() - Math.log(median));
   }
 }
--- a/gatereel-core/src/test/java/org/gatereel/core/load/LearntTimesExchangeTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/load/LearntTimesExchangeTest.java
@@ -27,7 +27,7 @@
   }
 
   private static TargetTimes events(double millis, double weight) {
-    return new TargetTimes(new LearntTime(millis, weight), LearntTime.UNKNOWN);
+    return new TargetTimes(LearntTime.ofMillis(millis, weight), LearntTime.UNKNOWN);
   }
 
   private static void learn(LoadWorld.Host host, TargetTimes times) {
--- a/gatereel-core/src/test/java/org/gatereel/core/speed/ServiceTimesTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/speed/ServiceTimesTest.java
@@ -14,7 +14,7 @@
   private static final double MANY = 1_000;
 
   private static TargetTimes times(double eventMillis, double weight) {
-    return new TargetTimes(new LearntTime(eventMillis, weight), LearntTime.UNKNOWN);
+    return new TargetTimes(LearntTime.ofMillis(eventMillis, weight), LearntTime.UNKNOWN);
   }
 
   private static ServiceTimes service(double... eventMillis) {
@@ -73,10 +73,11 @@
   @Test
   void theTimeOfWorkCountsBesideThatOfEvents() {
     List<TargetTimes> alike =
-        Collections.nCopies(3, new TargetTimes(new LearntTime(30, 4), new LearntTime(140, 4)));
+        Collections.nCopies(
+            3, new TargetTimes(LearntTime.ofMillis(30, 4), LearntTime.ofMillis(140, 4)));
     double relative =
         ServiceTimes.of(alike)
-            .relativeTime(new TargetTimes(new LearntTime(30, 4), new LearntTime(280, 4)));
+            .relativeTime(new TargetTimes(LearntTime.ofMillis(30, 4), LearntTime.ofMillis(280, 4)));
 
     assertTrue(relative > 1.5 && relative < 2, "relative time: " + relative);
   }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/LoadMessages.java
@@ -130,8 +130,8 @@
 
     TargetTimes times() {
       return new TargetTimes(
-          new LearntTime(eventMicros / MICROS_PER_MILLI, eventWeight),
-          new LearntTime(workMicros / MICROS_PER_MILLI, workWeight));
+          LearntTime.ofMillis(eventMicros / MICROS_PER_MILLI, eventWeight),
+          LearntTime.ofMillis(workMicros / MICROS_PER_MILLI, workWeight));
     }
   }
 
--- a/gatereel-forward/src/test/java/org/gatereel/forward/peer/LearntTimesMessagesTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/peer/LearntTimesMessagesTest.java
@@ -21,7 +21,7 @@
 class LearntTimesMessagesTest {
   private static final TargetId TARGET = new TargetId("i-9a102b0d4e", 1_790_000_000_000L);
   private static final TargetTimes TIMES =
-      new TargetTimes(new LearntTime(27.312, 16), new LearntTime(142.5, 4));
+      new TargetTimes(LearntTime.ofMillis(27.312, 16), LearntTime.ofMillis(142.5, 4));
   private static final TargetLoad LOAD = new TargetLoad(3, 1, 0, 0, TargetLoad.NEVER);
 
   private static String json(Map<TargetId, TargetTimes> times) {
@@ -51,7 +51,8 @@
   void readsTimesAsWrittenInTheBytesThatTheLinkAssumes() {
     assertEquals(Map.of(TARGET, TIMES), read(json(Map.of(TARGET, TIMES))).times());
     TargetTimes large =
-        new TargetTimes(new LearntTime(999.999, 32_000), new LearntTime(9_999.999, 32_000));
+        new TargetTimes(
+            LearntTime.ofMillis(999.999, 32_000), LearntTime.ofMillis(9_999.999, 32_000));
     int bytes = json(Map.of(TARGET, large)).length() - json(Map.of()).length();
     assertTrue(bytes <= 65 + ",\"times\":[]".length(), "bytes: " + bytes);
   }
