Sum loads and read weights only where they are used

Change: own loads are summed once a link may send; sources expire without a copy; the default weight is parsed once; log lines name no place in the code.

--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
@@ -1,5 +1,6 @@
 package org.gatereel.core.load;
 
+import com.google.common.base.Suppliers;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -163,7 +164,9 @@
   private void flush() {
     flushAt = Long.MAX_VALUE;
     Map<LoadLink.Receiver, LoadLink> current = new LinkedHashMap<>();
-    LoadSums own = new LoadSums(ownLoads(), demand.get(), evidence.get());
+    // Most flushes find that no link may send yet.
+    Supplier<LoadSums> own =
+        Suppliers.memoize(() -> new LoadSums(ownLoads(), demand.get(), evidence.get()));
     for (LoadLink.Receiver receiver : receivers()) {
       LoadLink link = links.getOrDefault(receiver, new LoadLink(receiver));
       current.put(receiver, link);
@@ -207,7 +210,7 @@
         .noneMatch(link -> link.isFailing(context.now()));
   }
 
-  private void send(LoadLink link, LoadSums own) {
+  private void send(LoadLink link, Supplier<LoadSums> own) {
     if (awaitingReceipt.contains(link.receiver().address())) {
       // The receipt schedules another flush; two links may have the same address.
       return;
@@ -216,7 +219,7 @@
       flushBy(link.nextReportAt());
       return;
     }
-    link.nextReport(sumsFor(link.receiver(), own), facts, sender, ++sequence, context.now())
+    link.nextReport(sumsFor(link.receiver(), own.get()), facts, sender, ++sequence, context.now())
         .ifPresent(report -> send(link, report));
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadTable.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadTable.java
@@ -1,5 +1,6 @@
 package org.gatereel.core.load;
 
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -45,9 +46,11 @@
   boolean expire() {
     long since = context.now() - LEASE_MILLIS;
     boolean removed = false;
-    for (var entry : Map.copyOf(states).entrySet()) {
+    Iterator<Map.Entry<Source, SourceState>> entries = states.entrySet().iterator();
+    while (entries.hasNext()) {
+      Map.Entry<Source, SourceState> entry = entries.next();
       if (entry.getValue().receivedAt() < since) {
-        states.remove(entry.getKey());
+        entries.remove();
         note(
             EventCode.LOADS_LAPSED,
             entry.getKey(),
--- a/gatereel-core/src/main/java/org/gatereel/core/table/PolicyTable.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/table/PolicyTable.java
@@ -21,6 +21,9 @@
 public final class PolicyTable {
   private static final int MAX_RECENT_EDITS = 512;
 
+  private static final int DEFAULT_WEIGHT =
+      Integer.parseInt(Column.DATA_CENTRE_WEIGHT.defaultValue());
+
   private final SortedMap<RowKey, TableEdit> latestByKey = new TreeMap<>();
   private final Map<String, Row> accountsByCredential = new HashMap<>();
   private final List<TableEdit> recentEdits = new ArrayList<>();
@@ -93,9 +96,12 @@
 
   /** Returns the weight of a data centre; one without a row has the default weight. */
   public int weight(DataCentre dataCentre) {
+    if (latestByKey.isEmpty()) {
+      return DEFAULT_WEIGHT;
+    }
     return row(new RowKey(RowKind.DATA_CENTRE, dataCentre.value()))
         .map(row -> row.intValue(Column.DATA_CENTRE_WEIGHT))
-        .orElse(Integer.parseInt(Column.DATA_CENTRE_WEIGHT.defaultValue()));
+        .orElse(DEFAULT_WEIGHT);
   }
 
   /**
--- a/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
@@ -1,6 +1,7 @@
 package org.gatereel.core.target;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -231,10 +232,16 @@
 
   /** Returns the targets of a service that are not leaving, including failing ones. */
   public List<TargetState> notLeaving(ServiceName service) {
-    return known(service).stream()
-        .filter(target -> !target.isLeaving())
-        .filter(target -> table.weight(target.description().dataCentre()) > 0)
-        .toList();
+    List<TargetState> found = new ArrayList<>();
+    for (TargetState target : targets.values()) {
+      TargetDescription description = target.description();
+      if (description.service().equals(service)
+          && !target.isLeaving()
+          && table.weight(description.dataCentre()) > 0) {
+        found.add(target);
+      }
+    }
+    return Collections.unmodifiableList(found);
   }
 
   /** Returns the target of a service at an address, if there is one that is not leaving. */
--- a/gatereel-forward/src/main/java/org/gatereel/forward/log/ForwardLog.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/log/ForwardLog.java
@@ -1,6 +1,7 @@
 package org.gatereel.forward.log;
 
 import com.google.common.flogger.FluentLogger;
+import com.google.common.flogger.LogSite;
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.util.logging.Handler;
@@ -25,10 +26,11 @@
     root.setLevel(Level.INFO);
   }
 
-  /** Logs an event of the event catalogue. */
+  /** Logs an event of the event catalogue; its code tells its place, so that no stack is walked. */
   public void event(EventCode code, String subject, String detail) {
     LOGGER
         .atInfo()
+        .withInjectedLogSite(LogSite.INVALID)
         .with(LogEvent.KEY, new LogEvent(code.number(), code.name(), subject, detail))
         .log("event");
   }
