--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/DocumentClient.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/DocumentClient.java
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -126,7 +127,7 @@
                         .addLast(new ResponseHandler(framingReader));
                   }
                 })
-            .connect(address.ip(), address.port());
+            .connect(new InetSocketAddress(address.ip(), address.port()));
     channel = connecting.channel();
     connecting.addListener(
         done -> {
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -129,7 +130,7 @@
                     channel.pipeline().addLast(ResponseFraming.codec()).addLast(handler);
                   }
                 })
-            .connect(address.ip(), address.port());
+            .connect(new InetSocketAddress(address.ip(), address.port()));
     connecting.addListener(
         done -> {
           if (!done.isSuccess()) {
