Admit waiting streams in the order of urgency over all hosts (in progress)

Streams of services whose routes differ in priority were sent in order of arrival and waited in engines' queues. With URGENCY_ORDER they wait at their hosts while no engine is free to read, by class of urgency and least slack.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/AdmissionWait.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/AdmissionWait.java
@@ -5,6 +5,7 @@
 import org.gatereel.core.overload.ArrivingRequest;
 import org.gatereel.core.overload.OverloadControl;
 import org.gatereel.core.overload.OverloadDecision;
+import org.gatereel.core.overload.Urgency;
 
 /** Submits one request to {@link OverloadControl} and waits until it is admitted or rejected. */
 final class AdmissionWait {
@@ -29,7 +30,7 @@
    *     without waiting
    */
   void begin(boolean resumed) {
-    OverloadDecision verdict = forwarder.overload().decide(arrival);
+    OverloadDecision verdict = forwarder.overload().decide(arrival, this::onTurn);
     if (verdict instanceof OverloadDecision.Wait wait) {
       waiting = true;
       log.log(EventCode.REQUEST_QUEUED, wait.inputs());
@@ -37,6 +38,16 @@
     apply(resumed ? new OverloadDecision.Send() : verdict);
   }
 
+  /** Records how long the stream took from being sent to an engine until its end. */
+  void recordStreamTime(long millis) {
+    forwarder.overload().recordStreamTime(arrival, millis);
+  }
+
+  /** Returns the urgency of the request among those of its service. */
+  Urgency urgency() {
+    return arrival.urgency();
+  }
+
   private void apply(OverloadDecision verdict) {
     if (verdict instanceof OverloadDecision.Wait wait) {
       timer = forwarder.context().schedule(wait.retryMillis(), this::recheck);
@@ -50,6 +61,13 @@
     }
   }
 
+  private void onTurn() {
+    if (waiting) {
+      timer.cancel();
+      recheck();
+    }
+  }
+
   private void recheck() {
     if (forwarder.isStopping()) {
       end();
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Configuration.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Configuration.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.gatereel.core.model.AccountId;
 import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.overload.Urgency;
 
 /** One version of the operators' configuration, indexed for lookups; immutable. */
 public final class Configuration {
@@ -19,6 +21,7 @@
   private final Map<String, List<Route>> routesByHostName;
   private final Map<ServiceName, ServiceConfiguration> services;
   private final Map<String, AccountConfiguration> accountsByKey;
+  private final UrgencyRanks urgencyRanks;
 
   private Configuration(Builder builder) {
     version = builder.version;
@@ -34,6 +37,7 @@
     for (AccountConfiguration account : builder.accounts) {
       account.keys().forEach(key -> accountsByKey.put(key, account));
     }
+    urgencyRanks = new UrgencyRanks(builder.routes, builder.accounts);
   }
 
   /** Returns a builder for a configuration of the given version. */
@@ -70,6 +74,11 @@
     return Optional.ofNullable(services.get(name));
   }
 
+  /** Returns the urgency of a request among all requests of its service. */
+  public Urgency urgency(ServiceName service, Route route, Optional<AccountId> account) {
+    return urgencyRanks.urgency(service, route, account);
+  }
+
   /** Builds a configuration. */
   public static final class Builder {
     private final long version;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.gatereel.core.choice.TargetChoice;
+import org.gatereel.core.estimate.RequestSize;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.internal.CoreContext;
@@ -11,6 +12,7 @@
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.overload.ArrivingRequest;
+import org.gatereel.core.overload.Urgency;
 import org.gatereel.core.poison.Fingerprint;
 import org.gatereel.core.target.TargetState;
 
@@ -87,7 +89,14 @@
             this,
             log,
             new ArrivingRequest(
-                service, route.priority(), account, route.objectiveMillis(), deadline));
+                service,
+                route.priority(),
+                account,
+                route.objectiveMillis(),
+                deadline,
+                startedAt,
+                forwarder.urgency(allowed, service),
+                new RequestSize(request.promptTokens(), 0)));
   }
 
   /** Rejects a quarantined request; queues any other for admission. */
@@ -232,7 +241,11 @@
 
   /** Returns the urgency for the engine; a stream that its caller has a part of goes first. */
   private OptionalInt urgency() {
-    return callerResponse.hasBegun() ? OptionalInt.of(0) : OptionalInt.empty();
+    if (callerResponse.hasBegun()) {
+      return OptionalInt.of(0);
+    }
+    Urgency urgency = admissionWait.urgency();
+    return urgency.isRanked() ? OptionalInt.of(urgency.engineUrgency()) : OptionalInt.empty();
   }
 
   void onResponseHead(Attempt from) {
@@ -291,6 +304,8 @@
     attemptCounter.recordExecution();
     if (route.kind() != RouteKind.STREAM) {
       forwarder.overload().recordServiceTime(service, from.endedAt() - from.startedAt());
+    } else if (!from.isContinuation() && attemptCounter.started() == 1) {
+      admissionWait.recordStreamTime(from.endedAt() - from.startedAt());
     }
     TargetResponse response = from.takeResponse();
     search.recordResponse(from, response);
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -19,10 +19,12 @@
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.overload.OverloadControl;
+import org.gatereel.core.overload.Urgency;
 import org.gatereel.core.poison.Fingerprint;
 import org.gatereel.core.poison.PoisonControl;
 import org.gatereel.core.rest.TargetBackoffs;
 import org.gatereel.core.rollout.RolloutControl;
+import org.gatereel.core.scheduling.SchedulingFeature;
 import org.gatereel.core.statement.FactKind;
 import org.gatereel.core.statement.TargetFact;
 import org.gatereel.core.statement.TargetFacts;
@@ -305,6 +307,18 @@
     return announcements;
   }
 
+  /** Returns the urgency of a request among those of its service, if hosts are to regard it. */
+  Urgency urgency(ConfigurationHolder.Lookup.Allowed allowed, ServiceName service) {
+    return policy.has(SchedulingFeature.URGENCY_ORDER)
+        ? allowed.configuration().urgency(service, allowed.route(), allowed.account())
+        : Urgency.UNRANKED;
+  }
+
+  /** Returns how many requests wait for their admission. */
+  public int waitingRequestCount() {
+    return overload.waitingCount();
+  }
+
   OverloadControl overload() {
     return overload;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/load/DemandKey.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/DemandKey.java
@@ -23,6 +23,14 @@
     return new DemandKey(service, WAITING, Optional.empty());
   }
 
+  /**
+   * Returns the key of the waiting requests of one class of urgency, where 0 goes first. Its value
+   * is their number, not a rate.
+   */
+  public static DemandKey waitingFor(ServiceName service, int urgencyClass) {
+    return new DemandKey(service, WAITING - 1 - urgencyClass, Optional.empty());
+  }
+
   /** Returns the key of all requests to a service. */
   public static DemandKey allOf(ServiceName service) {
     return new DemandKey(service, ALL_PRIORITIES, Optional.empty());
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
@@ -6,12 +6,14 @@
 import java.util.Map;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import org.gatereel.core.estimate.FirstEventEstimates;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.load.DemandKey;
 import org.gatereel.core.load.LoadExchange;
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.model.TargetKind;
+import org.gatereel.core.room.TargetRoom;
 import org.gatereel.core.target.TargetRegistry;
 import org.gatereel.core.target.TargetState;
 
@@ -57,6 +59,10 @@
   private final AdmissionCredits credits = new AdmissionCredits();
   private final RetryDelays retryDelays;
   private final Map<ServiceName, ServiceTimeEstimate> serviceTimes = new HashMap<>();
+  private final StreamTimes streamTimes = new StreamTimes();
+  private final ServicePlaces places;
+  private final UrgencyAdmission urgencyAdmission;
+  private FirstEventEstimates estimates = FirstEventEstimates.UNKNOWN;
 
   /**
    * Makes a control and registers it as the source of demand for load reports.
@@ -77,17 +83,39 @@
     this.limits = limits;
     this.isBackingOff = isBackingOff;
     this.retryDelays = new RetryDelays(context.random());
+    this.places = new ServicePlaces(targets, loads, this::isUsable);
+    this.urgencyAdmission =
+        new UrgencyAdmission(context, loads, places, streamTimes, this::situation);
     loads.setDemandSource(this::demandToReport);
   }
 
+  /** Sets the sources of expected times and of free places, which are unknown without them. */
+  public void setSources(FirstEventEstimates firstEvents, TargetRoom room) {
+    estimates = firstEvents;
+    places.setRoom(room);
+  }
+
   /**
    * Counts an arriving request and decides on it. After a decision to wait, {@link #endWaiting}
    * must be called once.
    */
   public OverloadDecision decide(ArrivingRequest request) {
+    return decide(request, () -> {});
+  }
+
+  /**
+   * Counts an arriving request and decides on it.
+   *
+   * @param onTurn is run if the request, after a decision to wait, is to be decided on again at
+   *     once
+   */
+  public OverloadDecision decide(ArrivingRequest request, Runnable onTurn) {
     DemandKey key = request.demandKey();
     demand.count(key, context.now());
     Capacity capacity = capacity(request.service());
+    if (isOrderedByUrgency(request, capacity)) {
+      return urgencyAdmission.decide(request, onTurn);
+    }
     if (!isOverloaded(request, capacity)) {
       credits.clear(request.service());
       return new OverloadDecision.Send();
@@ -131,6 +159,9 @@
 
   /** Decides again on a waiting request. */
   public OverloadDecision decideWaiting(ArrivingRequest request) {
+    if (urgencyAdmission.isWaiting(request)) {
+      return urgencyAdmission.decideWaiting(request);
+    }
     Capacity capacity = capacity(request.service());
     if (credits.tryAcquire(request.demandKey()) || drawsFreeCapacity(request, capacity)) {
       return new OverloadDecision.Send();
@@ -144,7 +175,50 @@
 
   /** Records that a request no longer waits, whether it was sent, rejected or cancelled. */
   public void endWaiting(ArrivingRequest request) {
-    credits.endWaiting(request.demandKey());
+    if (urgencyAdmission.isWaiting(request)) {
+      urgencyAdmission.endWaiting(request);
+    } else {
+      credits.endWaiting(request.demandKey());
+    }
+  }
+
+  /** Returns how many requests wait at this host. */
+  public int waitingCount() {
+    return urgencyAdmission.waitingCount()
+        + credits.waitingByService().values().stream().mapToInt(Integer::intValue).sum();
+  }
+
+  /** Records how long a stream took from being sent to an engine until its end. */
+  public void recordStreamTime(ArrivingRequest request, long millis) {
+    streamTimes.record(request.service(), request.urgency(), millis);
+  }
+
+  private static boolean isOrderedByUrgency(ArrivingRequest request, Capacity capacity) {
+    return request.urgency().isRanked() && capacity.isEngineService() && !capacity.isRateLimited();
+  }
+
+  private ServiceSituation situation(ArrivingRequest request) {
+    Capacity capacity = capacity(request.service());
+    double arrivals = perSecond(DemandKey.allOf(request.service()));
+    double served = capacity.admittedPerSecond();
+    double expectedMillis =
+        estimates
+            .unloadedMillis(request.service(), request.size())
+            .orElse(capacity.serviceTimeMillis());
+    return new ServiceSituation(
+        arrivals, served, expectedMillis, fairWeight(request, arrivals, served));
+  }
+
+  /** Returns the account's fair share relative to the ratio of all demand that can be served. */
+  private double fairWeight(ArrivingRequest request, double arrivals, double served) {
+    if (arrivals <= served) {
+      return 1;
+    }
+    DemandKey key = request.demandKey();
+    double ratio =
+        FairShares.of(served, demandByAccount(request.service()))
+            .admittedRatio(key, perSecond(key));
+    return Math.min(1, ratio * arrivals / served);
   }
 
   /**
@@ -204,15 +278,18 @@
     double defaultMillis = engines ? DEFAULT_PROMPT_MILLIS : 0;
     Capacity capacity = new Capacity(engines, estimate == null ? defaultMillis : estimate.millis());
     for (TargetState target : listed) {
-      TargetId id = target.description().id();
-      if (!target.isFailing(context.now()) && !isBackingOff.test(id)) {
+      if (isUsable(target)) {
         int slots = engines ? 1 : target.description().slots();
-        capacity.addTarget(slots, limits.applyAsDouble(id));
+        capacity.addTarget(slots, limits.applyAsDouble(target.description().id()));
       }
     }
     return capacity;
   }
 
+  private boolean isUsable(TargetState target) {
+    return !target.isFailing(context.now()) && !isBackingOff.test(target.description().id());
+  }
+
   private boolean isBusy(ServiceName service) {
     return perSecond(DemandKey.allOf(service)) > BUSY_RATIO * capacity(service).perSecond();
   }
@@ -246,7 +323,7 @@
   private int promptsInProgress(ServiceName service) {
     int prompts = 0;
     for (TargetState target : targets.notLeaving(service)) {
-      prompts += target.localPrefills() + loads.othersLoad(target.description().id()).reading();
+      prompts += places.promptsAt(target);
     }
     return prompts;
   }
@@ -266,6 +343,7 @@
     credits
         .waitingByService()
         .forEach((service, count) -> reported.put(DemandKey.waitingFor(service), (double) count));
+    reported.putAll(urgencyAdmission.countsToReport());
     return reported;
   }
 
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/UrgencyAdmission.java
@@ -0,0 +1,293 @@
+package org.gatereel.core.overload;
+
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Function;
+import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.load.DemandKey;
+import org.gatereel.core.load.LoadExchange;
+import org.gatereel.core.model.ServiceName;
+
+/**
+ * Admits streams to engines in the order of urgency over all hosts, and has the others wait.
+ *
+ * <p>All hosts observe about the same free places and the same waiting requests by class of
+ * urgency. Each draws for its requests with the probability of the places that more urgent classes
+ * leave, divided by the requests of the class that compete for them. Within this host a place that
+ * is drawn goes to the first of the {@link WaitingLine}.
+ */
+final class UrgencyAdmission {
+  /** How many prompts an engine may have when a request of the most urgent rank is sent. */
+  private static final int FIRST_RANK_PROMPT_LIMIT = 2;
+
+  private static final int PROMPT_LIMIT = 1;
+
+  /** The share of places for requests that have waited for most of their time, at any rank. */
+  private static final double OVERDUE_SHARE = 0.25;
+
+  /** A request is overdue once its slack is below this ratio of its objective. */
+  private static final double OVERDUE_SLACK_RATIO = 0.25;
+
+  /** The age of load reports, during which hosts admit requests unknown to one another. */
+  private static final double REPORT_AGE_SECONDS = 0.2;
+
+  private static final long RETRY_INTERVAL_MILLIS = 200;
+
+  private static final long MIN_RETRY_AFTER_MILLIS = 500;
+
+  /** The {@code Retry-After} time is at most the caller's remaining time divided by this. */
+  private static final int REMAINING_TIME_DIVISOR = 3;
+
+  private final CoreContext context;
+  private final LoadExchange loads;
+  private final ServicePlaces places;
+  private final StreamTimes streamTimes;
+  private final Function<ArrivingRequest, ServiceSituation> situations;
+  private final WaitingLine line = new WaitingLine();
+
+  /**
+   * Makes an admission without waiting requests.
+   *
+   * @param situations returns the situation of a request's service
+   */
+  UrgencyAdmission(
+      CoreContext context,
+      LoadExchange loads,
+      ServicePlaces places,
+      StreamTimes streamTimes,
+      Function<ArrivingRequest, ServiceSituation> situations) {
+    this.context = context;
+    this.loads = loads;
+    this.places = places;
+    this.streamTimes = streamTimes;
+    this.situations = situations;
+  }
+
+  /**
+   * Decides on an arriving request. After a decision to wait, {@link #endWaiting} must be called.
+   *
+   * @param onTurn is run when the waiting request is admitted in the turn of another one
+   */
+  OverloadDecision decide(ArrivingRequest request, Runnable onTurn) {
+    ServiceSituation situation = situations.apply(request);
+    Contention contention = contention(request, situation);
+    if (contention.rivals() == 0 && contention.room() >= contention.contenders()) {
+      return new OverloadDecision.Send();
+    }
+    String inputs = contention.inputs();
+    long missingMillis = contention.missingMillis();
+    if (missingMillis > 0) {
+      return new OverloadDecision.Reject(drawRetryAfterMillis(request, missingMillis), inputs);
+    }
+    line.add(request, onTurn);
+    OverloadDecision drawn = drawFor(request, contention);
+    if (drawn instanceof OverloadDecision.Send) {
+      line.remove(request);
+    }
+    return drawn;
+  }
+
+  /** Decides again on a waiting request. */
+  OverloadDecision decideWaiting(ArrivingRequest request) {
+    if (line.isAdmitted(request)) {
+      return new OverloadDecision.Send();
+    }
+    Contention contention = contention(request, situations.apply(request));
+    long missingMillis = reserveMillis(request) - remainingMillis(request);
+    if (missingMillis > 0) {
+      return new OverloadDecision.Reject(
+          drawRetryAfterMillis(request, missingMillis), contention.inputs());
+    }
+    return drawFor(request, contention);
+  }
+
+  boolean isWaiting(ArrivingRequest request) {
+    return line.contains(request);
+  }
+
+  void endWaiting(ArrivingRequest request) {
+    line.remove(request);
+  }
+
+  int waitingCount() {
+    return line.size();
+  }
+
+  /** Returns how many requests wait at this host, by class, for load reports. */
+  Map<DemandKey, Double> countsToReport() {
+    Map<DemandKey, Double> counts = new HashMap<>();
+    for (ServiceName service : line.services()) {
+      line.countsByClass(service, this::classOf)
+          .forEach(
+              (urgencyClass, count) ->
+                  counts.put(DemandKey.waitingFor(service, urgencyClass), (double) count));
+    }
+    return counts;
+  }
+
+  private OverloadDecision drawFor(ArrivingRequest request, Contention contention) {
+    OverloadDecision.Wait wait = new OverloadDecision.Wait(drawRetryMillis(), contention.inputs());
+    if (context.random().nextDouble() >= contention.chance()) {
+      return wait;
+    }
+    int urgencyClass = classOf(request);
+    ArrivingRequest first =
+        line.first(request.service(), urgencyClass, this::classOf, context.now()).orElse(request);
+    Runnable onTurn = line.admit(first, context.now());
+    if (first == request) {
+      return new OverloadDecision.Send();
+    }
+    context.schedule(0, onTurn);
+    return wait;
+  }
+
+  /**
+   * Returns the class of a request: its rank while its objective can be met, and behind all ranks
+   * after that.
+   */
+  private int classOf(ArrivingRequest request) {
+    return classOf(request, situations.apply(request).firstEventMillis());
+  }
+
+  private int classOf(ArrivingRequest request, double firstEventMillis) {
+    Urgency urgency = request.urgency();
+    boolean canMeetObjective = slackMillis(request, firstEventMillis) >= 0;
+    return canMeetObjective ? urgency.rank() : urgency.ranks() + urgency.rank();
+  }
+
+  private double slackMillis(ArrivingRequest request, double firstEventMillis) {
+    return request.dueAt() - context.now() - firstEventMillis;
+  }
+
+  private long remainingMillis(ArrivingRequest request) {
+    return request.deadline() - context.now();
+  }
+
+  private long reserveMillis(ArrivingRequest request) {
+    return streamTimes.reserveMillis(request.service(), request.urgency());
+  }
+
+  private Contention contention(ArrivingRequest request, ServiceSituation situation) {
+    int urgencyClass = classOf(request, situation.firstEventMillis());
+    double ahead = 0;
+    double rivals = 0;
+    Map<Integer, Integer> here =
+        line.countsByClass(
+            request.service(), other -> classOf(other, situation.firstEventMillis()));
+    for (int other = 0; other <= urgencyClass; other++) {
+      double waiting =
+          here.getOrDefault(other, 0)
+              + loads
+                  .othersDemand()
+                  .getOrDefault(DemandKey.waitingFor(request.service(), other), 0.0);
+      if (other < urgencyClass) {
+        ahead += waiting;
+      } else {
+        rivals = waiting;
+      }
+    }
+    double slack = slackMillis(request, situation.firstEventMillis());
+    return new Contention(request, situation, urgencyClass, slack, ahead, rivals);
+  }
+
+  private long drawRetryMillis() {
+    return RETRY_INTERVAL_MILLIS + context.random().nextLong(RETRY_INTERVAL_MILLIS);
+  }
+
+  /**
+   * Draws the time after which the waiting requests ahead will have been served, spread over as
+   * long again.
+   */
+  private long drawRetryAfterMillis(ArrivingRequest request, long missingMillis) {
+    long latest = Math.max(1, remainingMillis(request) / REMAINING_TIME_DIVISOR);
+    long earliest = Math.max(MIN_RETRY_AFTER_MILLIS, missingMillis);
+    return Math.min(latest, earliest) + context.random().nextLong(Math.min(latest, earliest));
+  }
+
+  /**
+   * What a request competes with.
+   *
+   * @param slackMillis the time until the request must be sent to meet its objective
+   * @param ahead how many requests of more urgent classes wait at all hosts
+   * @param rivals how many requests of its own class wait at all hosts, itself included if it waits
+   */
+  private final class Contention {
+    private final ArrivingRequest request;
+    private final ServiceSituation situation;
+    private final int urgencyClass;
+    private final double slackMillis;
+    private final double ahead;
+    private final double rivals;
+    private final double free;
+
+    private Contention(
+        ArrivingRequest request,
+        ServiceSituation situation,
+        int urgencyClass,
+        double slackMillis,
+        double ahead,
+        double rivals) {
+      this.request = request;
+      this.situation = situation;
+      this.urgencyClass = urgencyClass;
+      this.slackMillis = slackMillis;
+      this.ahead = ahead;
+      this.rivals = rivals;
+      boolean first = request.urgency().rank() == 0;
+      this.free = places.free(request, first ? FIRST_RANK_PROMPT_LIMIT : PROMPT_LIMIT);
+    }
+
+    private double rivals() {
+      return rivals;
+    }
+
+    /** Returns the places that more urgent classes leave. */
+    private double room() {
+      double left = free - ahead;
+      return isOverdue()
+          ? Math.max(left, OVERDUE_SHARE * places.free(request, FIRST_RANK_PROMPT_LIMIT))
+          : left;
+    }
+
+    /** Returns the requests that may take the same places before this host learns of it. */
+    private double contenders() {
+      double unknown =
+          request.urgency().rank() == 0 ? 0 : situation.arrivalsPerSecond() * REPORT_AGE_SECONDS;
+      return Math.max(1, rivals + unknown);
+    }
+
+    private double chance() {
+      return room() / contenders() * situation.fairWeight();
+    }
+
+    private boolean isOverdue() {
+      return slackMillis < OVERDUE_SLACK_RATIO * request.objectiveMillis();
+    }
+
+    /** Returns by how much the request would end after its deadline; negative if before. */
+    private long missingMillis() {
+      double queued = Math.max(0, ahead + rivals + 1 - Math.max(0, free));
+      double waitMillis = queued * 1_000 / situation.servedPerSecond();
+      return Math.round(waitMillis) + reserveMillis(request) - remainingMillis(request);
+    }
+
+    private String inputs() {
+      return String.format(
+          Locale.ROOT,
+          "rank=%d class=%d slackMillis=%.0f free=%.1f ahead=%.0f rivals=%.0f asked=%.1f"
+              + " canDo=%.1f weight=%.2f reserveMillis=%d loadsAgeMillis=%d",
+          request.urgency().rank(),
+          urgencyClass,
+          slackMillis,
+          free,
+          ahead,
+          rivals,
+          situation.arrivalsPerSecond(),
+          situation.servedPerSecond(),
+          situation.fairWeight(),
+          reserveMillis(request),
+          loads.oldestReportAgeMillis());
+    }
+  }
+}
