--- a/gatereel-core/src/main/java/org/gatereel/core/forward/AdmissionWait.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/AdmissionWait.java
@@ -15,12 +15,14 @@
   private final ArrivingRequest arrival;
   private TimerQueue.Timer timer;
   private boolean waiting;
+  private Runnable onAdmitted;
 
   AdmissionWait(Forwarder forwarder, Exchange exchange, ExchangeLog log, ArrivingRequest arrival) {
     this.forwarder = forwarder;
     this.exchange = exchange;
     this.log = log;
     this.arrival = arrival;
+    this.onAdmitted = exchange::onAdmitted;
   }
 
   /**
@@ -48,6 +50,19 @@
     return arrival.urgency();
   }
 
+  /**
+   * Submits the request again after a failed attempt, so that it is ordered among those that wait;
+   * continues at once if its service does not order requests by urgency.
+   */
+  void beginAgain(Runnable onceAdmitted) {
+    onAdmitted = onceAdmitted;
+    if (arrival.urgency().isRanked() && !exchange.hasPartialResponse()) {
+      begin(false);
+    } else {
+      onAdmitted.run();
+    }
+  }
+
   private void apply(OverloadDecision verdict) {
     if (verdict instanceof OverloadDecision.Wait wait) {
       timer = forwarder.context().schedule(wait.retryMillis(), this::recheck);
@@ -55,9 +70,12 @@
     }
     end();
     if (verdict instanceof OverloadDecision.Reject rejection) {
-      exchange.reject(Rejection.OVERLOADED, rejection.retryAfterMillis(), rejection.inputs());
+      exchange.failRequest(
+          exchange.rejectionWhenUnserved(Rejection.OVERLOADED),
+          rejection.retryAfterMillis(),
+          rejection.inputs());
     } else {
-      exchange.onAdmitted();
+      onAdmitted.run();
     }
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -195,7 +195,11 @@
       failRequest(rejectionWhenUnserved(Rejection.OVERLOADED));
       return;
     }
-    placement.placeNextAttempt();
+    if (attemptCounter.started() == 0) {
+      placement.placeNextAttempt();
+    } else {
+      admissionWait.beginAgain(placement::placeNextAttempt);
+    }
   }
 
   /** Returns whether the caller has received part of the stream. */
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
@@ -85,7 +85,8 @@
     this.retryDelays = new RetryDelays(context.random());
     this.places = new ServicePlaces(targets, loads, this::isUsable);
     this.urgencyAdmission =
-        new UrgencyAdmission(context, loads, places, streamTimes, this::situation);
+        new UrgencyAdmission(
+            context, loads, places, streamTimes, this::situation, this::firstEventMillis);
     loads.setDemandSource(this::demandToReport);
   }
 
@@ -201,12 +202,14 @@
     Capacity capacity = capacity(request.service());
     double arrivals = perSecond(DemandKey.allOf(request.service()));
     double served = capacity.admittedPerSecond();
-    double expectedMillis =
-        estimates
-            .unloadedMillis(request.service(), request.size())
-            .orElse(capacity.serviceTimeMillis());
-    return new ServiceSituation(
-        arrivals, served, expectedMillis, fairWeight(request, arrivals, served));
+    return new ServiceSituation(arrivals, served, fairWeight(request, arrivals, served));
+  }
+
+  private double firstEventMillis(ArrivingRequest request) {
+    ServiceTimeEstimate observed = serviceTimes.get(request.service());
+    return estimates
+        .unloadedMillis(request.service(), request.size())
+        .orElse(observed == null ? DEFAULT_PROMPT_MILLIS : observed.millis());
   }
 
   /** Returns the account's fair share relative to the ratio of all demand that can be served. */
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/ServiceSituation.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/ServiceSituation.java
@@ -5,9 +5,7 @@
  *
  * @param arrivalsPerSecond the requests per second that arrive
  * @param servedPerSecond the requests per second that can be served
- * @param firstEventMillis the time until a first event at an idle engine
  * @param fairWeight how often the request's account is admitted relative to the other accounts of
  *     its rank; 1 for an account within its share
  */
-record ServiceSituation(
-    double arrivalsPerSecond, double servedPerSecond, double firstEventMillis, double fairWeight) {}
+record ServiceSituation(double arrivalsPerSecond, double servedPerSecond, double fairWeight) {}
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/UrgencyAdmission.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/UrgencyAdmission.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.load.DemandKey;
 import org.gatereel.core.load.LoadExchange;
@@ -29,9 +30,13 @@
   /** A request is overdue once its slack is below this ratio of its objective. */
   private static final double OVERDUE_SLACK_RATIO = 0.25;
 
-  /** The age of load reports, during which hosts admit requests unknown to one another. */
-  private static final double REPORT_AGE_SECONDS = 0.2;
+  /** The least time for which hosts admit requests unknown to one another. */
+  private static final long MIN_REPORT_AGE_MILLIS = 200;
 
+  /** Reports of more than this age are those of hosts that have no change to report. */
+  private static final long MAX_REPORT_AGE_MILLIS = 600;
+
+  private static final double MILLIS_PER_SECOND = 1_000;
   private static final long RETRY_INTERVAL_MILLIS = 200;
 
   private static final long MIN_RETRY_AFTER_MILLIS = 500;
@@ -44,24 +49,28 @@
   private final ServicePlaces places;
   private final StreamTimes streamTimes;
   private final Function<ArrivingRequest, ServiceSituation> situations;
+  private final ToDoubleFunction<ArrivingRequest> firstEventMillis;
   private final WaitingLine line = new WaitingLine();
 
   /**
    * Makes an admission without waiting requests.
    *
    * @param situations returns the situation of a request's service
+   * @param firstEventMillis returns the time until a request's first event at an idle engine
    */
   UrgencyAdmission(
       CoreContext context,
       LoadExchange loads,
       ServicePlaces places,
       StreamTimes streamTimes,
-      Function<ArrivingRequest, ServiceSituation> situations) {
+      Function<ArrivingRequest, ServiceSituation> situations,
+      ToDoubleFunction<ArrivingRequest> firstEventMillis) {
     this.context = context;
     this.loads = loads;
     this.places = places;
     this.streamTimes = streamTimes;
     this.situations = situations;
+    this.firstEventMillis = firstEventMillis;
   }
 
   /**
@@ -147,17 +156,14 @@
    * after that.
    */
   private int classOf(ArrivingRequest request) {
-    return classOf(request, situations.apply(request).firstEventMillis());
-  }
-
-  private int classOf(ArrivingRequest request, double firstEventMillis) {
     Urgency urgency = request.urgency();
-    boolean canMeetObjective = slackMillis(request, firstEventMillis) >= 0;
+    boolean canMeetObjective = slackMillis(request) >= 0;
     return canMeetObjective ? urgency.rank() : urgency.ranks() + urgency.rank();
   }
 
-  private double slackMillis(ArrivingRequest request, double firstEventMillis) {
-    return request.dueAt() - context.now() - firstEventMillis;
+  /** Returns the time until the request must be sent to meet its objective. */
+  private double slackMillis(ArrivingRequest request) {
+    return request.dueAt() - context.now() - firstEventMillis.applyAsDouble(request);
   }
 
   private long remainingMillis(ArrivingRequest request) {
@@ -169,12 +175,10 @@
   }
 
   private Contention contention(ArrivingRequest request, ServiceSituation situation) {
-    int urgencyClass = classOf(request, situation.firstEventMillis());
+    int urgencyClass = classOf(request);
     double ahead = 0;
     double rivals = 0;
-    Map<Integer, Integer> here =
-        line.countsByClass(
-            request.service(), other -> classOf(other, situation.firstEventMillis()));
+    Map<Integer, Integer> here = line.countsByClass(request.service(), this::classOf);
     for (int other = 0; other <= urgencyClass; other++) {
       double waiting =
           here.getOrDefault(other, 0)
@@ -187,8 +191,7 @@
         rivals = waiting;
       }
     }
-    double slack = slackMillis(request, situation.firstEventMillis());
-    return new Contention(request, situation, urgencyClass, slack, ahead, rivals);
+    return new Contention(request, situation, urgencyClass, ahead, rivals);
   }
 
   private long drawRetryMillis() {
@@ -208,7 +211,6 @@
   /**
    * What a request competes with.
    *
-   * @param slackMillis the time until the request must be sent to meet its objective
    * @param ahead how many requests of more urgent classes wait at all hosts
    * @param rivals how many requests of its own class wait at all hosts, itself included if it waits
    */
@@ -225,13 +227,12 @@
         ArrivingRequest request,
         ServiceSituation situation,
         int urgencyClass,
-        double slackMillis,
         double ahead,
         double rivals) {
       this.request = request;
       this.situation = situation;
       this.urgencyClass = urgencyClass;
-      this.slackMillis = slackMillis;
+      this.slackMillis = slackMillis(request);
       this.ahead = ahead;
       this.rivals = rivals;
       boolean first = request.urgency().rank() == 0;
@@ -252,9 +253,14 @@
 
     /** Returns the requests that may take the same places before this host learns of it. */
     private double contenders() {
-      double unknown =
-          request.urgency().rank() == 0 ? 0 : situation.arrivalsPerSecond() * REPORT_AGE_SECONDS;
-      return Math.max(1, rivals + unknown);
+      if (request.urgency().rank() == 0) {
+        return Math.max(1, rivals);
+      }
+      long ageMillis =
+          Math.max(
+              MIN_REPORT_AGE_MILLIS,
+              Math.min(MAX_REPORT_AGE_MILLIS, loads.oldestReportAgeMillis()));
+      return Math.max(1, rivals + situation.arrivalsPerSecond() * ageMillis / MILLIS_PER_SECOND);
     }
 
     private double chance() {
@@ -268,7 +274,7 @@
     /** Returns by how much the request would end after its deadline; negative if before. */
     private long missingMillis() {
       double queued = Math.max(0, ahead + rivals + 1 - Math.max(0, free));
-      double waitMillis = queued * 1_000 / situation.servedPerSecond();
+      double waitMillis = queued * MILLIS_PER_SECOND / situation.servedPerSecond();
       return Math.round(waitMillis) + reserveMillis(request) - remainingMillis(request);
     }
 
