--- a/gatereel-core/src/main/java/org/gatereel/core/forward/AdmissionWait.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/AdmissionWait.java
@@ -1,7 +1,9 @@
 package org.gatereel.core.forward;
 
+import java.util.Set;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.TimerQueue;
+import org.gatereel.core.model.TargetId;
 import org.gatereel.core.overload.ArrivingRequest;
 import org.gatereel.core.overload.OverloadControl;
 import org.gatereel.core.overload.OverloadDecision;
@@ -63,6 +65,11 @@
     }
   }
 
+  /** Returns the targets that other requests need more than this one. */
+  Set<TargetId> reservedTargets() {
+    return exchange.hasPartialResponse() ? Set.of() : forwarder.overload().reservedTargets(arrival);
+  }
+
   private void apply(OverloadDecision verdict) {
     if (verdict instanceof OverloadDecision.Wait wait) {
       timer = forwarder.context().schedule(wait.retryMillis(), this::recheck);
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -97,6 +97,7 @@
                 startedAt,
                 forwarder.urgency(allowed, service),
                 new RequestSize(request.promptTokens(), 0)));
+    search.setReservedTargets(admissionWait::reservedTargets);
   }
 
   /** Rejects a quarantined request; queues any other for admission. */
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.gatereel.core.choice.TargetChoice;
 import org.gatereel.core.choice.TargetQuery;
 import org.gatereel.core.event.TargetFailure;
@@ -26,6 +27,7 @@
   private final CopyTracker copies;
   private final Set<TargetId> triedTargets = new HashSet<>();
   private TargetQuery query;
+  private Supplier<Set<TargetId>> reserved = Set::of;
   private boolean skipsLimitedTargets;
   private boolean currentAttemptIsFirst;
 
@@ -51,6 +53,11 @@
     this.query = new TargetQuery(service, Optional.empty(), fittingRequests);
   }
 
+  /** Sets the source of targets that are kept free for other requests. */
+  void setReservedTargets(Supplier<Set<TargetId>> source) {
+    reserved = source;
+  }
+
   ServiceName service() {
     return service;
   }
@@ -117,7 +124,7 @@
 
   /** Returns the targets without tokens and those backing off. */
   private Set<TargetId> unavailableTargets(boolean urgent) {
-    Set<TargetId> unavailable = targetsWithoutTokens(urgent);
+    Set<TargetId> unavailable = Sets.union(targetsWithoutTokens(urgent), reserved.get());
     Set<TargetId> backingOff = forwarder.backoffs().blockedTargets();
     return backingOff.isEmpty() ? unavailable : Sets.union(unavailable, backingOff);
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/load/DemandKey.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/DemandKey.java
@@ -15,6 +15,9 @@
   private static final int ALL_PRIORITIES = -1;
   private static final int WAITING = -2;
 
+  /** Below the values of all classes of waiting requests. */
+  private static final int RANKED = -1_000;
+
   /**
    * Returns the key of the requests to a service that wait at hosts. Its value is their number, not
    * a rate.
@@ -31,6 +34,11 @@
     return new DemandKey(service, WAITING - 1 - urgencyClass, Optional.empty());
   }
 
+  /** Returns the key of all requests of one rank of urgency, where 0 is the most urgent. */
+  public static DemandKey ofRank(ServiceName service, int rank) {
+    return new DemandKey(service, RANKED - rank, Optional.empty());
+  }
+
   /** Returns the key of all requests to a service. */
   public static DemandKey allOf(ServiceName service) {
     return new DemandKey(service, ALL_PRIORITIES, Optional.empty());
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/Demand.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/Demand.java
@@ -21,6 +21,11 @@
     rate(DemandKey.allOf(key.service())).count(now);
   }
 
+  /** Counts a request under its rank of urgency also. */
+  void countRank(ServiceName service, int rank, long now) {
+    rate(DemandKey.ofRank(service, rank)).count(now);
+  }
+
   private ArrivalRate rate(DemandKey key) {
     return rates.computeIfAbsent(key, any -> new ArrivalRate());
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
 import org.gatereel.core.estimate.FirstEventEstimates;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.load.DemandKey;
@@ -115,6 +117,7 @@
     demand.count(key, context.now());
     Capacity capacity = capacity(request.service());
     if (isOrderedByUrgency(request, capacity)) {
+      demand.countRank(request.service(), request.urgency().rank(), context.now());
       return urgencyAdmission.decide(request, onTurn);
     }
     if (!isOverloaded(request, capacity)) {
@@ -198,6 +201,34 @@
     return request.urgency().isRanked() && capacity.isEngineService() && !capacity.isRateLimited();
   }
 
+  /** Returns the engines that a request is not to be sent to, so that urgent ones find room. */
+  public Set<TargetId> reservedTargets(ArrivingRequest request) {
+    if (!request.urgency().isRanked() || urgencyAdmission.isOverdue(request)) {
+      return Set.of();
+    }
+    List<TargetState> usable =
+        targets.notLeaving(request.service()).stream()
+            .filter(target -> target.description().kind() == TargetKind.ENGINE)
+            .filter(this::isUsable)
+            .toList();
+    Set<TargetId> urgent =
+        UrgentTargets.select(
+            usable, perSecond(DemandKey.ofRank(request.service(), 0)), firstEventMillis(request));
+    if (request.urgency().rank() > 0) {
+      return urgent;
+    }
+    boolean hasFree =
+        usable.stream()
+            .filter(target -> urgent.contains(target.description().id()))
+            .anyMatch(target -> places.promptsAt(target) == 0);
+    return hasFree
+        ? targets.notLeaving(request.service()).stream()
+            .map(target -> target.description().id())
+            .filter(target -> !urgent.contains(target))
+            .collect(Collectors.toSet())
+        : Set.of();
+  }
+
   private ServiceSituation situation(ArrivingRequest request) {
     Capacity capacity = capacity(request.service());
     double arrivals = perSecond(DemandKey.allOf(request.service()));
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/UrgencyAdmission.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/UrgencyAdmission.java
@@ -161,6 +161,11 @@
     return canMeetObjective ? urgency.rank() : urgency.ranks() + urgency.rank();
   }
 
+  /** Returns whether a request has waited for most of the time that its objective allows. */
+  boolean isOverdue(ArrivingRequest request) {
+    return slackMillis(request) < OVERDUE_SLACK_RATIO * request.objectiveMillis();
+  }
+
   /** Returns the time until the request must be sent to meet its objective. */
   private double slackMillis(ArrivingRequest request) {
     return request.dueAt() - context.now() - firstEventMillis.applyAsDouble(request);
@@ -246,7 +251,7 @@
     /** Returns the places that more urgent classes leave. */
     private double room() {
       double left = free - ahead;
-      return isOverdue()
+      return isOverdue(request)
           ? Math.max(left, OVERDUE_SHARE * places.free(request, FIRST_RANK_PROMPT_LIMIT))
           : left;
     }
@@ -267,10 +272,6 @@
       return room() / contenders() * situation.fairWeight();
     }
 
-    private boolean isOverdue() {
-      return slackMillis < OVERDUE_SLACK_RATIO * request.objectiveMillis();
-    }
-
     /** Returns by how much the request would end after its deadline; negative if before. */
     private long missingMillis() {
       double queued = Math.max(0, ahead + rivals + 1 - Math.max(0, free));
