--- a/gatereel-core/src/main/java/org/gatereel/core/forward/AdmissionWait.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/AdmissionWait.java
@@ -17,14 +17,12 @@
   private final ArrivingRequest arrival;
   private TimerQueue.Timer timer;
   private boolean waiting;
-  private Runnable onAdmitted;
 
   AdmissionWait(Forwarder forwarder, Exchange exchange, ExchangeLog log, ArrivingRequest arrival) {
     this.forwarder = forwarder;
     this.exchange = exchange;
     this.log = log;
     this.arrival = arrival;
-    this.onAdmitted = exchange::onAdmitted;
   }
 
   /**
@@ -52,19 +50,6 @@
     return arrival.urgency();
   }
 
-  /**
-   * Submits the request again after a failed attempt, so that it is ordered among those that wait;
-   * continues at once if its service does not order requests by urgency.
-   */
-  void beginAgain(Runnable onceAdmitted) {
-    onAdmitted = onceAdmitted;
-    if (arrival.urgency().isRanked() && !exchange.hasPartialResponse()) {
-      begin(false);
-    } else {
-      onAdmitted.run();
-    }
-  }
-
   /** Returns the targets that other requests need more than this one. */
   Set<TargetId> reservedTargets() {
     return exchange.hasPartialResponse() ? Set.of() : forwarder.overload().reservedTargets(arrival);
@@ -77,12 +62,9 @@
     }
     end();
     if (verdict instanceof OverloadDecision.Reject rejection) {
-      exchange.failRequest(
-          exchange.rejectionWhenUnserved(Rejection.OVERLOADED),
-          rejection.retryAfterMillis(),
-          rejection.inputs());
+      exchange.reject(Rejection.OVERLOADED, rejection.retryAfterMillis(), rejection.inputs());
     } else {
-      onAdmitted.run();
+      exchange.onAdmitted();
     }
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -196,11 +196,7 @@
       failRequest(rejectionWhenUnserved(Rejection.OVERLOADED));
       return;
     }
-    if (attemptCounter.started() == 0) {
-      placement.placeNextAttempt();
-    } else {
-      admissionWait.beginAgain(placement::placeNextAttempt);
-    }
+    placement.placeNextAttempt();
   }
 
   /** Returns whether the caller has received part of the stream. */
