--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Configuration.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/configuration/Configuration.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.configuration;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -8,7 +8,7 @@
 import java.util.Optional;
 import org.gatereel.core.model.AccountId;
 import org.gatereel.core.model.ServiceName;
-import org.gatereel.core.overload.Urgency;
+import org.gatereel.core.scheduling.Urgency;
 
 /** One version of the operators' configuration, indexed for lookups; immutable. */
 public final class Configuration {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/UrgencyRanks.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/configuration/UrgencyRanks.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.forward;
+package org.gatereel.core.configuration;
 
 import java.util.HashMap;
 import java.util.List;
@@ -7,7 +7,7 @@
 import java.util.TreeSet;
 import org.gatereel.core.model.AccountId;
 import org.gatereel.core.model.ServiceName;
-import org.gatereel.core.overload.Urgency;
+import org.gatereel.core.scheduling.Urgency;
 
 /**
  * Ranks the requests of each service by the priorities of accounts and routes.
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/AdmissionWait.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/AdmissionWait.java
@@ -7,7 +7,7 @@
 import org.gatereel.core.overload.ArrivingRequest;
 import org.gatereel.core.overload.OverloadControl;
 import org.gatereel.core.overload.OverloadDecision;
-import org.gatereel.core.overload.Urgency;
+import org.gatereel.core.scheduling.Urgency;
 
 /** Submits one request to {@link OverloadControl} and waits until it is admitted or rejected. */
 final class AdmissionWait {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -3,6 +3,9 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.gatereel.core.choice.TargetChoice;
+import org.gatereel.core.configuration.Route;
+import org.gatereel.core.configuration.RouteKind;
+import org.gatereel.core.configuration.ServiceConfiguration;
 import org.gatereel.core.estimate.RequestSize;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
@@ -12,8 +15,8 @@
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.overload.ArrivingRequest;
-import org.gatereel.core.overload.Urgency;
 import org.gatereel.core.poison.Fingerprint;
+import org.gatereel.core.scheduling.Urgency;
 import org.gatereel.core.target.TargetState;
 
 /**
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/ArrivingRequest.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/ArrivingRequest.java
@@ -5,6 +5,7 @@
 import org.gatereel.core.load.DemandKey;
 import org.gatereel.core.model.AccountId;
 import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.scheduling.Urgency;
 
 /**
  * A request on which {@link OverloadControl} decides.
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/StreamTimes.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/StreamTimes.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.scheduling.Urgency;
 
 /** The time that streams take from being sent to their end, by service and urgency. */
 final class StreamTimes {
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/UrgencyAdmission.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/UrgencyAdmission.java
@@ -9,6 +9,7 @@
 import org.gatereel.core.load.DemandKey;
 import org.gatereel.core.load.LoadExchange;
 import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.scheduling.Urgency;
 
 /**
  * Admits streams to engines in the order of urgency over all hosts, and has the others wait.
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/Urgency.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/scheduling/Urgency.java
@@ -1,4 +1,4 @@
-package org.gatereel.core.overload;
+package org.gatereel.core.scheduling;
 
 /**
  * How urgent a request is among the requests of its service.
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -8,13 +8,13 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.gatereel.core.document.DocumentCache;
+import org.gatereel.core.document.HostDirectory;
+import org.gatereel.core.document.TargetListUpdater;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.forward.ConfigurationHolder;
-import org.gatereel.core.forward.DocumentCache;
 import org.gatereel.core.forward.ForwardPolicy;
 import org.gatereel.core.forward.Forwarder;
-import org.gatereel.core.forward.HostDirectory;
-import org.gatereel.core.forward.TargetListUpdater;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.limit.TokenIssuer;
 import org.gatereel.core.load.LoadExchange;
@@ -23,6 +23,7 @@
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.poison.PoisonControl;
+import org.gatereel.core.retry.RetryLimit;
 import org.gatereel.core.rollout.RolloutControl;
 import org.gatereel.core.table.PolicyTable;
 import org.gatereel.core.target.TargetRegistry;
@@ -131,6 +132,7 @@
             .addPage("/metrics", () -> new StatusServer.Page(200, metrics.scrape()))
             .addPage("/rollouts", this::describeRollouts);
     metrics.gauge("open_requests", forwarder::openExchangeCount);
+    metrics.gauge("waiting_requests", forwarder::waitingRequestCount);
     metrics.gauge("caller_connections", callers::openConnections);
     metrics.gauge("configuration_version", configuration::version);
     metrics.gauge("configuration_age_millis", configuration::ageMillis);
@@ -153,8 +155,7 @@
     return new ForwardPolicy(
         standard.probeTimeoutMillis(),
         standard.firstEventProbeMillis(),
-        new ForwardPolicy.RetryLimit(
-            bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMillis()),
+        new RetryLimit(bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMillis()),
         standard.retryAfterMillis(),
         standard.maxBufferedBytes(),
         settings.features());
