--- a/gatereel-core/src/main/java/org/gatereel/core/forward/AdmissionWait.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/AdmissionWait.java
@@ -1,10 +1,13 @@
 package org.gatereel.core.forward;
 
+import java.util.Set;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.TimerQueue;
+import org.gatereel.core.model.TargetId;
 import org.gatereel.core.overload.ArrivingRequest;
 import org.gatereel.core.overload.OverloadControl;
 import org.gatereel.core.overload.OverloadDecision;
+import org.gatereel.core.scheduling.Urgency;
 
 /** Submits one request to {@link OverloadControl} and waits until it is admitted or rejected. */
 final class AdmissionWait {
@@ -29,7 +32,7 @@
    *     without waiting
    */
   void begin(boolean resumed) {
-    OverloadDecision verdict = forwarder.overload().decide(arrival);
+    OverloadDecision verdict = forwarder.overload().decide(arrival, this::onTurn);
     if (verdict instanceof OverloadDecision.Wait wait) {
       waiting = true;
       log.log(EventCode.REQUEST_QUEUED, wait.inputs());
@@ -37,6 +40,21 @@
     apply(resumed ? new OverloadDecision.Send() : verdict);
   }
 
+  /** Records how long the stream took from being sent to an engine until its end. */
+  void recordStreamTime(long millis) {
+    forwarder.overload().recordStreamTime(arrival, millis);
+  }
+
+  /** Returns the urgency of the request among those of its service. */
+  Urgency urgency() {
+    return arrival.urgency();
+  }
+
+  /** Returns the targets that other requests need more than this one. */
+  Set<TargetId> reservedTargets() {
+    return exchange.hasPartialResponse() ? Set.of() : forwarder.overload().reservedTargets(arrival);
+  }
+
   private void apply(OverloadDecision verdict) {
     if (verdict instanceof OverloadDecision.Wait wait) {
       timer = forwarder.context().schedule(wait.retryMillis(), this::recheck);
@@ -50,6 +68,13 @@
     }
   }
 
+  private void onTurn() {
+    if (waiting) {
+      timer.cancel();
+      recheck();
+    }
+  }
+
   private void recheck() {
     if (forwarder.isStopping()) {
       end();
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -29,6 +29,7 @@
 import org.gatereel.core.retry.StreamRetryTokens;
 import org.gatereel.core.rollout.RolloutControl;
 import org.gatereel.core.scheduling.SchedulingFeature;
+import org.gatereel.core.scheduling.Urgency;
 import org.gatereel.core.speed.TargetSpeeds;
 import org.gatereel.core.statement.FactKind;
 import org.gatereel.core.statement.TargetFact;
@@ -327,6 +328,18 @@
     return announcements;
   }
 
+  /** Returns the urgency of a request among those of its service, if hosts are to regard it. */
+  Urgency urgency(ConfigurationHolder.Lookup.Allowed allowed, ServiceName service) {
+    return policy.has(SchedulingFeature.URGENCY_ORDER)
+        ? allowed.configuration().urgency(service, allowed.route(), allowed.account())
+        : Urgency.UNRANKED;
+  }
+
+  /** Returns how many requests wait for their admission. */
+  public int waitingRequestCount() {
+    return overload.waitingCount();
+  }
+
   OverloadControl overload() {
     return overload;
   }
