Wait at hosts for room at engines: a first, measured form

Cause: engines' queues are lost with engines, and hosts send whether or not a slot and memory are free. Change: CountedRoom counts slots, memory and prompts from load reports; a request without room waits at its host.

--- a/gatereel-core/src/main/java/org/gatereel/core/choice/Candidate.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/Candidate.java
@@ -38,7 +38,10 @@
 
   /** Returns whether the memory of the target is estimated to have no room for one more request. */
   boolean isMemoryFull() {
-    return openRequests() + copies() + 1 > context.fittingRequests();
+    return context
+        .room()
+        .map(hasRoom -> !hasRoom.test(target))
+        .orElseGet(() -> openRequests() + copies() + 1 > context.fittingRequests());
   }
 
   boolean hasPromptCached() {
--- a/gatereel-core/src/main/java/org/gatereel/core/choice/TargetQuery.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/TargetQuery.java
@@ -1,9 +1,11 @@
 package org.gatereel.core.choice;
 
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.rollout.VersionRule;
+import org.gatereel.core.target.TargetState;
 
 /**
  * The requirements of a request on its target.
@@ -11,29 +13,45 @@
  * @param promptCachedAt the engine that has cached the prompt of this request, if known
  * @param fittingRequests how many requests of this size fit into the memory of an engine
  * @param versions the versions of targets that are allowed
+ * @param room tests whether a target has room, in place of {@code fittingRequests}
+ * @param required tests which targets are allowed in addition, of those without a known failure
  */
 public record TargetQuery(
     ServiceName service,
     Optional<TargetId> promptCachedAt,
     int fittingRequests,
-    VersionRule versions) {
+    VersionRule versions,
+    Optional<Predicate<TargetState>> room,
+    Optional<Predicate<TargetState>> required) {
   /** Makes a query that allows any version. */
   public TargetQuery(ServiceName service, Optional<TargetId> readAt, int fitting) {
-    this(service, readAt, fitting, VersionRule.ANY);
+    this(service, readAt, fitting, VersionRule.ANY, Optional.empty(), Optional.empty());
   }
 
   /** Returns a copy without the engine that has cached the prompt. */
   TargetQuery withoutPromptCache() {
-    return new TargetQuery(service, Optional.empty(), fittingRequests, versions);
+    return new TargetQuery(service, Optional.empty(), fittingRequests, versions, room, required);
   }
 
   /** Returns a copy with the engine that has cached the prompt. */
   public TargetQuery promptCachedAt(TargetId target) {
-    return new TargetQuery(service, Optional.of(target), fittingRequests, versions);
+    return new TargetQuery(service, Optional.of(target), fittingRequests, versions, room, required);
   }
 
   /** Returns a copy with other allowed versions. */
   public TargetQuery withVersions(VersionRule rule) {
-    return new TargetQuery(service, promptCachedAt, fittingRequests, rule);
+    return new TargetQuery(service, promptCachedAt, fittingRequests, rule, room, required);
+  }
+
+  /** Returns a copy that tests targets for room. */
+  public TargetQuery withRoom(Predicate<TargetState> hasRoom) {
+    return new TargetQuery(
+        service, promptCachedAt, fittingRequests, versions, Optional.of(hasRoom), required);
+  }
+
+  /** Returns a copy that allows only targets that pass a test and have no known failure. */
+  public TargetQuery requiringRoom(Predicate<TargetState> hasRoom) {
+    return new TargetQuery(
+        service, promptCachedAt, fittingRequests, versions, room, Optional.of(hasRoom));
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Configuration.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Configuration.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.room.EngineLimits;
 
 /** One version of the operators' configuration, indexed for lookups; immutable. */
 public final class Configuration {
@@ -19,6 +20,7 @@
   private final Map<String, List<Route>> routesByHostName;
   private final Map<ServiceName, ServiceConfiguration> services;
   private final Map<String, AccountConfiguration> accountsByKey;
+  private final Map<ServiceName, Long> shortestStreamObjectives;
 
   private Configuration(Builder builder) {
     version = builder.version;
@@ -34,6 +36,17 @@
     for (AccountConfiguration account : builder.accounts) {
       account.keys().forEach(key -> accountsByKey.put(key, account));
     }
+    shortestStreamObjectives = new HashMap<>();
+    for (Route route : builder.routes) {
+      if (route.kind() == RouteKind.STREAM) {
+        route
+            .services()
+            .forEach(
+                weighted ->
+                    shortestStreamObjectives.merge(
+                        weighted.service(), route.objectiveMillis(), Math::min));
+      }
+    }
   }
 
   /** Returns a builder for a configuration of the given version. */
@@ -70,6 +83,19 @@
     return Optional.ofNullable(services.get(name));
   }
 
+  /**
+   * Returns what limits the engines of a service; empty if the memory of its engines is not
+   * configured or no route for streams leads there.
+   */
+  public Optional<EngineLimits> engineLimits(ServiceName name) {
+    Long objectiveMillis = shortestStreamObjectives.get(name);
+    return objectiveMillis == null
+        ? Optional.empty()
+        : service(name)
+            .flatMap(ServiceConfiguration::engine)
+            .map(engine -> new EngineLimits(engine.cacheTokens(), objectiveMillis));
+  }
+
   /** Builds a configuration. */
   public static final class Builder {
     private final long version;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -210,10 +210,10 @@
     attempt = new Attempt(this, target, copyName.isPresent(), context.now());
     forwarder.targets().recordOpened(target);
     versions.recordSent(attempt);
+    Optional<Address> copyTo = search.beginAttempt(target);
     if (route.kind() == RouteKind.STREAM && !search.hasPromptCached(target)) {
       attempt.beginPrefill();
     }
-    Optional<Address> copyTo = search.beginAttempt(target);
     Dispatch dispatch =
         new Dispatch(
             request,
@@ -274,6 +274,7 @@
     forwarder.loads().scheduleReports();
     if (!from.isContinuation()) {
       forwarder.overload().recordServiceTime(service, context.now() - from.startedAt());
+      search.recordFirstEvent(from);
     }
     log.log(EventCode.FIRST_TOKEN, "target=" + from.target().description().id());
   }
@@ -392,7 +393,7 @@
       return;
     }
     stallDetector.stop();
-    search.copies().release();
+    search.endAttempt(closing);
     forwarder.targets().recordClosed(closing.target());
     forwarder.loads().scheduleReports();
   }
@@ -401,6 +402,7 @@
     finished = true;
     deadlineTimer.cancel();
     admissionWait.end();
+    placement.end();
     stallDetector.stop();
     forwarder.onFinished(this);
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardRequest.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardRequest.java
@@ -32,6 +32,11 @@
   /** Returns the number of tokens of the prompt, or 0 without one. */
   long promptTokens();
 
+  /** Returns the caller's estimate of the tokens of the output; empty without one. */
+  default OptionalLong outputEstimate() {
+    return OptionalLong.empty();
+  }
+
   /**
    * Returns the name of the largest part of the prompt.
    *
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -23,6 +23,9 @@
 import org.gatereel.core.poison.PoisonControl;
 import org.gatereel.core.rest.TargetBackoffs;
 import org.gatereel.core.rollout.RolloutControl;
+import org.gatereel.core.room.CountedRoom;
+import org.gatereel.core.room.EngineLimits;
+import org.gatereel.core.scheduling.SchedulingFeature;
 import org.gatereel.core.statement.FactKind;
 import org.gatereel.core.statement.TargetFact;
 import org.gatereel.core.statement.TargetFacts;
@@ -41,6 +44,7 @@
   private final RolloutControl rollouts;
   private final TargetSelector selector;
   private final OverloadControl overload;
+  private final CountedRoom room;
   private final RetryBudgets budgets;
   private final ShutdownPolicy shutdownPolicy;
   private final PromptLocator prompts;
@@ -96,11 +100,18 @@
     this.overload =
         new OverloadControl(
             context, targets, loads, limits.announced()::perSecond, backoffs::isBackingOff);
+    this.room = new CountedRoom(context, targets, loads, this::engineLimits);
     loads.setTargetFacts(facts);
     facts.onChange(this::onTargetFact);
     poison.onQuarantined(this::onQuarantined);
   }
 
+  private Optional<EngineLimits> engineLimits(ServiceName service) {
+    return policy.has(SchedulingFeature.TARGET_ROOM)
+        ? configuration.current().flatMap(current -> current.engineLimits(service))
+        : Optional.empty();
+  }
+
   /** Handles an announcement of a target, received by this host or by another one. */
   private void onTargetFact(TargetFact fact) {
     if (fact.kind() == FactKind.LEAVING) {
@@ -309,6 +320,10 @@
     return overload;
   }
 
+  public CountedRoom room() {
+    return room;
+  }
+
   RetryBudgets budgets() {
     return budgets;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
@@ -39,6 +39,7 @@
   private final Route route;
   private final ExchangeLog log;
   private final long deadline;
+  private final RoomWait roomWait;
   private long waitUntil = Long.MIN_VALUE;
   private int denials;
 
@@ -66,6 +67,7 @@
     this.route = route;
     this.log = log;
     this.deadline = deadline;
+    this.roomWait = new RoomWait(forwarder, exchange, search, route, log);
   }
 
   /** Runs a step after looking up, for a resumed stream, which engine has its prompt cached. */
@@ -100,7 +102,15 @@
   private void choose() {
     search
         .choose(retries.isResumableStream(), exchange.hasPartialResponse())
-        .ifPresentOrElse(choice -> acquireToken(choice, Optional.empty()), this::onNoTarget);
+        .ifPresentOrElse(this::sendWhenRoom, this::onNoTarget);
+  }
+
+  private void sendWhenRoom(TargetChoice sampled) {
+    roomWait
+        .chooseWithRoom(sampled)
+        .ifPresentOrElse(
+            choice -> acquireToken(choice, Optional.empty()),
+            () -> roomWait.begin(this::chooseUnlessFinished));
   }
 
   private void acquireToken(TargetChoice choice, Optional<String> copy) {
@@ -123,6 +133,7 @@
     boolean isJustChosen = place.chosenAt() == forwarder.context().now();
     boolean maySend = !exchange.isFinished() && (isJustChosen || search.mayReceive(place.target()));
     if (granted && maySend) {
+      roomWait.end();
       exchange.send(place.choice(), place.copy());
       return;
     }
@@ -187,6 +198,11 @@
     }
   }
 
+  /** Ends all waiting; safe to call more than once. */
+  void end() {
+    roomWait.end();
+  }
+
   private long maxWaitMillis() {
     return exchange.hasPartialResponse()
         ? MAX_STREAM_PAUSE_MILLIS
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
@@ -8,12 +8,14 @@
 import java.util.function.Consumer;
 import org.gatereel.core.choice.TargetChoice;
 import org.gatereel.core.choice.TargetQuery;
+import org.gatereel.core.estimate.RequestSize;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.rollout.RolloutControl;
 import org.gatereel.core.rollout.VersionRule;
+import org.gatereel.core.room.CountedRoom;
 import org.gatereel.core.target.TargetState;
 
 /** Chooses targets for one request: the requirements on a target, and the targets already tried. */
@@ -25,9 +27,11 @@
   private final boolean copiesMemory;
   private final CopyTracker copies;
   private final Set<TargetId> triedTargets = new HashSet<>();
+  private final RequestSize size;
   private TargetQuery query;
   private boolean skipsLimitedTargets;
   private boolean currentAttemptIsFirst;
+  private boolean currentAttemptIsOnlyPrompt;
 
   /** Creates a search among the targets of {@code service}, which serves the route's request. */
   TargetSearch(
@@ -48,7 +52,11 @@
         engine
             .map(configuration -> configuration.fittingRequests(request.promptTokens()))
             .orElse(Integer.MAX_VALUE);
-    this.query = new TargetQuery(service, Optional.empty(), fittingRequests);
+    CountedRoom room = forwarder.room();
+    this.size = room.expectedSize(route.name(), request.promptTokens(), request.outputEstimate());
+    TargetQuery anyRoom = new TargetQuery(service, Optional.empty(), fittingRequests);
+    this.query =
+        room.isLimited(service) ? anyRoom.withRoom(target -> room.fits(target, size)) : anyRoom;
   }
 
   ServiceName service() {
@@ -59,6 +67,16 @@
     return copies;
   }
 
+  /** Returns the expected size of the request. */
+  RequestSize size() {
+    return size;
+  }
+
+  /** Returns whether a target can start the request at once. */
+  boolean hasRoom(TargetState target) {
+    return forwarder.room().hasRoom(target, size);
+  }
+
   /** Returns whether the request resumes a stream whose prompt an engine may have cached. */
   boolean canLocatePrompt() {
     return copiesMemory && request.lastEventId().isPresent() && request.promptPart().isPresent();
@@ -105,6 +123,15 @@
     return choose(query, unavailable, allowTried);
   }
 
+  /** Chooses among all targets that have room and no known failure. */
+  Optional<TargetChoice> chooseWithRoom() {
+    TargetQuery sampling = query;
+    query = query.requiringRoom(this::hasRoom);
+    Optional<TargetChoice> choice = choose(false, false);
+    query = sampling;
+    return choice;
+  }
+
   /** Excludes targets with limits, because this request has waited long enough for tokens. */
   void skipLimitedTargets() {
     skipsLimitedTargets = true;
@@ -195,16 +222,36 @@
    * memory, if any.
    */
   Optional<Address> beginAttempt(TargetState target) {
+    currentAttemptIsOnlyPrompt = forwarder.room().hasNoPrompts(target);
     currentAttemptIsFirst = isFirstAttempt();
     triedTargets.add(target.description().id());
     forwarder.backoffs().recordSent(target.description().id());
+    forwarder.room().recordOpened(target, size);
     return copiesMemory
         ? copies.chooseHolder(target, query.withVersions(forwarder.rollouts().rule(service)))
         : Optional.empty();
   }
 
+  /** Records the first event of the current attempt. */
+  void recordFirstEvent(Attempt from) {
+    if (currentAttemptIsOnlyPrompt) {
+      forwarder.room().recordPromptMillis(service, forwarder.context().now() - from.startedAt());
+    }
+  }
+
+  /** Records that an attempt has ended, in whatever way. */
+  void endAttempt(Attempt ending) {
+    copies.release();
+    forwarder.room().recordClosed(ending.target(), size);
+  }
+
   /** Updates the target's health from a complete response. */
   void recordResponse(Attempt from, TargetResponse response) {
+    if (from.isEventStream() && triedTargets.size() == 1 && request.lastEventId().isEmpty()) {
+      forwarder
+          .room()
+          .recordOutput(route.name(), from.forwardedEventCount(), request.outputEstimate());
+    }
     if (response.isError()) {
       forwarder.targets().recordErrorResponse(from.target());
     } else {
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/room/CountedRoom.java
@@ -0,0 +1,239 @@
+package org.gatereel.core.room;
+
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Function;
+import org.gatereel.core.estimate.RequestSize;
+import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.load.DemandKey;
+import org.gatereel.core.load.LoadExchange;
+import org.gatereel.core.load.TargetLoad;
+import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.model.TargetId;
+import org.gatereel.core.target.TargetRegistry;
+import org.gatereel.core.target.TargetState;
+
+/**
+ * Counts the room at engines: slots, tokens of memory and prompts to read, less what this host has
+ * there and what other hosts have reported.
+ *
+ * <p>Requests of other hosts and copies count with the usual size of the requests that this host
+ * sends to the service. Services without {@link EngineLimits} have room always.
+ */
+public final class CountedRoom implements TargetRoom {
+  /** The time for which prompts may queue at an engine, as a ratio of the objective. */
+  private static final double QUEUED_TIME_RATIO = 1;
+
+  /** Shorter than the usual age of load reports. */
+  private static final long COUNT_VALIDITY_MILLIS = 50;
+
+  /** Requests that other hosts send within this time are not in their load reports yet. */
+  private static final double REPORT_DELAY_SECONDS = 0.2;
+
+  private final CoreContext context;
+  private final TargetRegistry targets;
+  private final LoadExchange loads;
+  private final Function<ServiceName, Optional<EngineLimits>> limits;
+  private final OutputLengths outputLengths = new OutputLengths();
+  private final Map<TargetId, Long> localTokens = new HashMap<>();
+  private final Map<ServiceName, MovingMean> usualTokens = new HashMap<>();
+  private final Map<ServiceName, PromptTimes> promptTimes = new HashMap<>();
+  private final Map<ServiceName, Integer> waiting = new HashMap<>();
+  private final Map<ServiceName, Count> counts = new HashMap<>();
+
+  /** The free places of a service at some time. */
+  private record Count(RequestSize size, long countedAt, double places) {}
+
+  /**
+   * Makes a room count.
+   *
+   * @param limits returns what limits the engines of a service; empty if nothing does
+   */
+  public CountedRoom(
+      CoreContext context,
+      TargetRegistry targets,
+      LoadExchange loads,
+      Function<ServiceName, Optional<EngineLimits>> limits) {
+    this.context = context;
+    this.targets = targets;
+    this.loads = loads;
+    this.limits = limits;
+  }
+
+  /** Returns whether the engines of a service are limited. */
+  public boolean isLimited(ServiceName service) {
+    return limits.apply(service).isPresent();
+  }
+
+  /** Returns how long an engine of the service takes to read a prompt; 0 if unknown. */
+  public double promptMillis(ServiceName service) {
+    PromptTimes times = promptTimes.get(service);
+    return times == null ? 0 : times.millis();
+  }
+
+  /** Returns the expected size of a request, from its route and its caller's estimate in tokens. */
+  public RequestSize expectedSize(String route, long promptTokens, OptionalLong outputEstimate) {
+    return new RequestSize(
+        promptTokens, outputLengths.expectedTokens(route, promptTokens, outputEstimate));
+  }
+
+  /** Records a complete stream, from which the length of outputs is learnt. */
+  public void recordOutput(String route, long eventCount, OptionalLong outputEstimate) {
+    if (eventCount > 0) {
+      outputLengths.record(route, eventCount, outputEstimate);
+    }
+  }
+
+  /** Returns whether no engine request is known whose prompt the target has yet to read. */
+  public boolean hasNoPrompts(TargetState target) {
+    return target.localPrefills() + othersLoad(target).reading() == 0;
+  }
+
+  /** Records how long an engine without other prompts took until the first event. */
+  public void recordPromptMillis(ServiceName service, long millis) {
+    promptTimes.computeIfAbsent(service, any -> new PromptTimes()).record(millis);
+  }
+
+  private static double mean(
+      Map<ServiceName, MovingMean> means, ServiceName service, double defaultValue) {
+    MovingMean mean = means.get(service);
+    return mean == null ? defaultValue : mean.value();
+  }
+
+  /** Records that this host sends a request to a target. */
+  public void recordOpened(TargetState target, RequestSize size) {
+    ServiceName service = target.description().service();
+    localTokens.merge(target.description().id(), size.totalTokens(), Long::sum);
+    usualTokens.computeIfAbsent(service, any -> new MovingMean()).record(size.totalTokens());
+    counts.computeIfPresent(
+        service, (any, count) -> new Count(count.size(), count.countedAt(), count.places() - 1));
+  }
+
+  /** Records that a request of this host at a target has ended, in whatever way. */
+  public void recordClosed(TargetState target, RequestSize size) {
+    localTokens.computeIfPresent(
+        target.description().id(),
+        (id, tokens) -> tokens > size.totalTokens() ? tokens - size.totalTokens() : null);
+  }
+
+  /** Adds to the number of requests that wait here for room; {@code change} may be negative. */
+  public void adjustWaiting(ServiceName service, int change) {
+    waiting.merge(service, change, Integer::sum);
+  }
+
+  /** Returns how many requests wait here for room. */
+  public int waitingRequests() {
+    return waiting.values().stream().mapToInt(Integer::intValue).sum();
+  }
+
+  @Override
+  public boolean hasRoom(TargetState target, RequestSize size) {
+    Optional<EngineLimits> engine = limits.apply(target.description().service());
+    return engine.isEmpty() || freePlaces(target, size, engine.get()) >= 1;
+  }
+
+  @Override
+  public double freePlaces(ServiceName service, RequestSize size) {
+    Optional<EngineLimits> engine = limits.apply(service);
+    if (engine.isEmpty()) {
+      return Double.POSITIVE_INFINITY;
+    }
+    Count count = counts.get(service);
+    boolean isValid =
+        count != null
+            && count.size().equals(size)
+            && context.now() - count.countedAt() < COUNT_VALIDITY_MILLIS;
+    if (!isValid) {
+      count = new Count(size, context.now(), countPlaces(service, size, engine.get()));
+      counts.put(service, count);
+    }
+    return Math.max(0, count.places());
+  }
+
+  /**
+   * Draws whether a request may take one of the free places of its service, where few targets have
+   * room. All hosts observe the same places, so that each sends with the probability of the free
+   * places divided by the requests that compete for them.
+   */
+  public boolean drawsPlace(ServiceName service, RequestSize size) {
+    double places = freePlaces(service, size);
+    return places >= 1 && context.random().nextDouble() * competing(service) < places;
+  }
+
+  /** Returns what a decision on room depends on as {@code key=value} pairs for the log. */
+  public String inputs(ServiceName service, RequestSize size) {
+    return String.format(
+        Locale.ROOT,
+        "room=none places=%.0f competing=%.0f tokens=%d promptMillis=%.0f loadsAgeMillis=%d",
+        freePlaces(service, size),
+        competing(service),
+        size.totalTokens(),
+        promptMillis(service),
+        loads.oldestReportAgeMillis());
+  }
+
+  private double competing(ServiceName service) {
+    Map<DemandKey, Double> others = loads.othersDemand();
+    return Math.max(1, waiting.getOrDefault(service, 0))
+        + others.getOrDefault(DemandKey.waitingFor(service), 0.0)
+        + REPORT_DELAY_SECONDS * others.getOrDefault(DemandKey.allOf(service), 0.0);
+  }
+
+  private double countPlaces(ServiceName service, RequestSize size, EngineLimits engine) {
+    double places = 0;
+    for (TargetState target : targets.usable(service)) {
+      places += Math.max(0, Math.floor(freePlaces(target, size, engine)));
+    }
+    return places;
+  }
+
+  /** Returns whether the target has a slot and memory for a request, whatever it has to read. */
+  public boolean fits(TargetState target, RequestSize size) {
+    Optional<EngineLimits> engine = limits.apply(target.description().service());
+    return engine.isEmpty() || placesToRun(target, othersLoad(target), size, engine.get()) >= 1;
+  }
+
+  private TargetLoad othersLoad(TargetState target) {
+    return loads.othersLoad(target.description().id());
+  }
+
+  private double freePlaces(TargetState target, RequestSize size, EngineLimits engine) {
+    TargetLoad others = othersLoad(target);
+    int prompts = target.localPrefills() + others.reading();
+    double freePrompts = maxPrompts(target.description().service(), engine) - prompts;
+    return Math.min(freePrompts, placesToRun(target, others, size, engine));
+  }
+
+  private double placesToRun(
+      TargetState target, TargetLoad others, RequestSize size, EngineLimits engine) {
+    double open = target.estimatedLoad(context.now()) + others.open();
+    int copies = target.localCopies() + others.copies();
+    double freeSlots = target.description().slots() - open;
+    return Math.min(freeSlots, placesInMemory(target, size, engine, open, copies));
+  }
+
+  /** An empty engine has a place for any request, since none fits a larger one better. */
+  private double placesInMemory(
+      TargetState target, RequestSize size, EngineLimits engine, double open, int copies) {
+    if (size.totalTokens() == 0) {
+      return Double.POSITIVE_INFINITY;
+    }
+    double usual = mean(usualTokens, target.description().service(), size.totalTokens());
+    double othersOpen = Math.max(0, open - target.localOpenRequests());
+    double used =
+        localTokens.getOrDefault(target.description().id(), 0L) + (othersOpen + copies) * usual;
+    double places = (engine.cacheTokens() - used) / size.totalTokens();
+    return open + copies < 1 ? Math.max(1, places) : places;
+  }
+
+  /** Returns how many prompts an engine reads one after another within the time for a queue. */
+  private double maxPrompts(ServiceName service, EngineLimits engine) {
+    double millis = promptMillis(service);
+    return millis == 0
+        ? Double.POSITIVE_INFINITY
+        : Math.max(1, Math.floor(QUEUED_TIME_RATIO * engine.objectiveMillis() / millis));
+  }
+}
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayReport.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayReport.java
@@ -177,6 +177,21 @@
     return Math.max(0, read - whole * world.prompt());
   }
 
+  /** Returns how many requests waited at targets that ended. */
+  int lostWaiting() {
+    return world.targets().stream().mapToInt(TargetModel::lostWaiting).sum();
+  }
+
+  /** Returns how many requests had a slot and no event at targets that ended. */
+  int lostReading() {
+    return world.targets().stream().mapToInt(TargetModel::lostReading).sum();
+  }
+
+  /** Returns the part of the tries that targets turned away because they were full. */
+  double turnedAway() {
+    return tries == 0 ? 0 : (double) failures("FULL") / tries;
+  }
+
   /** Returns how often engines took memory from a running request. */
   long preemptions() {
     return world.targets().stream()
@@ -289,6 +304,8 @@
     table.put("answers broken off", Integer.toString(count(EventCode.GENERATION_INTERRUPTED)));
     table.put("repeats without budget", Integer.toString(count(EventCode.RETRY_BUDGET_SPENT)));
     table.put("prompt tokens read for nothing", Long.toString(readForNothing()));
+    table.put("lost with a target, waiting, reading", lostWaiting() + ", " + lostReading());
+    table.put("requests that waited at hosts", Integer.toString(count(EventCode.REQUEST_QUEUED)));
     table.put("runs that engines preempted", Long.toString(preemptions()));
     table.put("load reports, targets in them", reports + ", " + reportedTargets);
     table.put("questions for loans", Long.toString(borrowed));
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/TargetModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/TargetModel.java
@@ -22,6 +22,8 @@
   private boolean alive = true;
   private boolean failing;
   private long errors;
+  private int lostWaiting;
+  private int lostReading;
   private Optional<TargetLimit> limit = Optional.empty();
   private Optional<TargetSaying> saying = Optional.empty();
 
@@ -141,10 +143,23 @@
     saying = Optional.empty();
     copies.clear();
     List<Run> broken = List.copyOf(runs);
+    List<Run> worked = List.copyOf(running());
+    lostWaiting += broken.size() - worked.size();
+    lostReading += (int) worked.stream().filter(run -> !run.started).count();
     runs.clear();
     broken.forEach(run -> run.client.reset());
   }
 
+  /** Returns how many requests waited for a slot or memory when it ended. */
+  final int lostWaiting() {
+    return lostWaiting;
+  }
+
+  /** Returns how many requests had a slot and no event when it ended. */
+  final int lostReading() {
+    return lostReading;
+  }
+
   /** Starts again under another name. */
   final void start(TargetDescription next) {
     description = next;
