--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RoomWait.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RoomWait.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.gatereel.core.choice.TargetChoice;
+import org.gatereel.core.configuration.Route;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.TimerQueue;
 import org.gatereel.core.room.CountedRoom;
