Count room at targets and wait for it at hosts, chosen anew from samples

Cause: the first form chose among all targets with room, so that hosts turned to the same few. Copies count in the cost, not in what keeps requests waiting.

--- a/gatereel-core/src/main/java/org/gatereel/core/choice/TargetSelector.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/TargetSelector.java
@@ -112,16 +112,11 @@
             .filter(allowed)
             .map(target -> candidate(target, selectionContext))
             .collect(Collectors.toCollection(ArrayList::new));
-    query.required().ifPresent(required -> candidates.removeIf(isUnfit(required)));
     Optional<Candidate> sampled = lowestCost(sample(candidates));
     boolean healthy = sampled.map(CostTerm::isHealthy).orElse(false);
     return (healthy ? sampled : lowestCost(candidates)).map(TargetChoice::of);
   }
 
-  private static Predicate<Candidate> isUnfit(Predicate<TargetState> required) {
-    return candidate -> !required.test(candidate.target()) || !CostTerm.isHealthy(candidate);
-  }
-
   private double errors(TargetState target) {
     return target.localErrors(context.now()) + loads.othersLoad(target.description().id()).errors();
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/configuration/Configuration.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/configuration/Configuration.java
@@ -20,7 +20,7 @@
   private final Map<String, List<Route>> routesByHostName;
   private final Map<ServiceName, ServiceConfiguration> services;
   private final Map<String, AccountConfiguration> accountsByKey;
-  private final Map<ServiceName, Long> shortestStreamObjectives;
+  private final Map<ServiceName, Long> longestStreamObjectives;
 
   private Configuration(Builder builder) {
     version = builder.version;
@@ -36,15 +36,15 @@
     for (AccountConfiguration account : builder.accounts) {
       account.keys().forEach(key -> accountsByKey.put(key, account));
     }
-    shortestStreamObjectives = new HashMap<>();
+    longestStreamObjectives = new HashMap<>();
     for (Route route : builder.routes) {
       if (route.kind() == RouteKind.STREAM) {
         route
             .services()
             .forEach(
                 weighted ->
-                    shortestStreamObjectives.merge(
-                        weighted.service(), route.objectiveMillis(), Math::min));
+                    longestStreamObjectives.merge(
+                        weighted.service(), route.objectiveMillis(), Math::max));
       }
     }
   }
@@ -88,7 +88,7 @@
    * configured or no route for streams leads there.
    */
   public Optional<EngineLimits> engineLimits(ServiceName name) {
-    Long objectiveMillis = shortestStreamObjectives.get(name);
+    Long objectiveMillis = longestStreamObjectives.get(name);
     return objectiveMillis == null
         ? Optional.empty()
         : service(name)
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
@@ -106,12 +106,12 @@
         .ifPresentOrElse(this::sendWhenRoom, this::onNoTarget);
   }
 
-  private void sendWhenRoom(TargetChoice sampled) {
-    roomWait
-        .chooseWithRoom(sampled)
-        .ifPresentOrElse(
-            choice -> acquireToken(choice, Optional.empty()),
-            () -> roomWait.begin(this::chooseUnlessFinished));
+  private void sendWhenRoom(TargetChoice choice) {
+    if (roomWait.mustWait(choice.target())) {
+      roomWait.begin(this::chooseUnlessFinished);
+    } else {
+      acquireToken(choice, Optional.empty());
+    }
   }
 
   private void acquireToken(TargetChoice choice, Optional<String> copy) {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RoomWait.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RoomWait.java
@@ -1,11 +1,10 @@
 package org.gatereel.core.forward;
 
-import java.util.Optional;
-import org.gatereel.core.choice.TargetChoice;
 import org.gatereel.core.configuration.Route;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.TimerQueue;
 import org.gatereel.core.room.CountedRoom;
+import org.gatereel.core.target.TargetState;
 
 /**
  * Keeps one request at this host while no target has room for it.
@@ -42,28 +41,15 @@
   }
 
   /** Returns whether the request may be sent to a target without room. */
-  boolean isOver() {
+  private boolean isOver() {
     return !room().isLimited(search.service())
         || exchange.hasPartialResponse()
         || forwarder.context().now() >= waitUntil;
   }
 
-  /**
-   * Returns a target with room, which may be {@code sampled}; empty if the request must wait.
-   *
-   * @param sampled a target that was chosen among a sample
-   */
-  Optional<TargetChoice> chooseWithRoom(TargetChoice sampled) {
-    if (isOver() || search.hasRoom(sampled.target())) {
-      return Optional.of(sampled);
-    }
-    return drawAmongAll();
-  }
-
-  private Optional<TargetChoice> drawAmongAll() {
-    return room().drawsPlace(search.service(), search.size())
-        ? search.chooseWithRoom()
-        : Optional.empty();
+  /** Returns whether the request must wait in place of being sent to a chosen target. */
+  boolean mustWait(TargetState target) {
+    return !isOver() && !search.mayTakeRoom(target);
   }
 
   /** Waits until a target has room or the wait is over, then runs {@code search}. */
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
@@ -8,10 +8,10 @@
 import java.util.function.Consumer;
 import org.gatereel.core.choice.TargetChoice;
 import org.gatereel.core.choice.TargetQuery;
-import org.gatereel.core.estimate.RequestSize;
 import org.gatereel.core.configuration.Route;
 import org.gatereel.core.configuration.RouteKind;
 import org.gatereel.core.configuration.ServiceConfiguration;
+import org.gatereel.core.estimate.RequestSize;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.ServiceName;
@@ -75,9 +75,9 @@
     return size;
   }
 
-  /** Returns whether a target can start the request at once. */
-  boolean hasRoom(TargetState target) {
-    return forwarder.room().hasRoom(target, size);
+  /** Returns whether a target has room that the request may take. */
+  boolean mayTakeRoom(TargetState target) {
+    return forwarder.room().mayTake(target, size);
   }
 
   /** Returns whether the request resumes a stream whose prompt an engine may have cached. */
@@ -126,15 +126,6 @@
     return choose(query, unavailable, allowTried);
   }
 
-  /** Chooses among all targets that have room and no known failure. */
-  Optional<TargetChoice> chooseWithRoom() {
-    TargetQuery sampling = query;
-    query = query.requiringRoom(this::hasRoom);
-    Optional<TargetChoice> choice = choose(false, false);
-    query = sampling;
-    return choice;
-  }
-
   /** Excludes targets with limits, because this request has waited long enough for tokens. */
   void skipLimitedTargets() {
     skipsLimitedTargets = true;
--- a/gatereel-core/src/main/java/org/gatereel/core/room/CountedRoom.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/room/CountedRoom.java
@@ -24,8 +24,8 @@
  * sends to the service. Services without {@link EngineLimits} have room always.
  */
 public final class CountedRoom implements TargetRoom {
-  /** The time for which prompts may queue at an engine, as a ratio of the objective. */
-  private static final double QUEUED_TIME_RATIO = 1;
+  /** From this number of places on, a target is taken without a draw. */
+  private static final int MIN_UNCONTESTED_PLACES = 3;
 
   /** Shorter than the usual age of load reports. */
   private static final long COUNT_VALIDITY_MILLIS = 50;
@@ -154,13 +154,23 @@
   }
 
   /**
-   * Draws whether a request may take one of the free places of its service, where few targets have
-   * room. All hosts observe the same places, so that each sends with the probability of the free
-   * places divided by the requests that compete for them.
+   * Returns whether a request may take a place at a target that was chosen for it.
+   *
+   * <p>If the target has few places left, a draw decides: all hosts observe the same places, so
+   * that each sends with the probability of the free places of the service divided by the requests
+   * that compete for them.
    */
-  public boolean drawsPlace(ServiceName service, RequestSize size) {
-    double places = freePlaces(service, size);
-    return places >= 1 && context.random().nextDouble() * competing(service) < places;
+  public boolean mayTake(TargetState target, RequestSize size) {
+    ServiceName service = target.description().service();
+    Optional<EngineLimits> engine = limits.apply(service);
+    if (engine.isEmpty()) {
+      return true;
+    }
+    if (freePlaces(target, size, engine.get()) < 1) {
+      return false;
+    }
+    return placesToRun(target, size, engine.get(), 0) >= MIN_UNCONTESTED_PLACES
+        || context.random().nextDouble() * competing(service) < freePlaces(service, size);
   }
 
   /** Returns what a decision on room depends on as {@code key=value} pairs for the log. */
@@ -190,27 +200,34 @@
     return places;
   }
 
-  /** Returns whether the target has a slot and memory for a request, whatever it has to read. */
+  /**
+   * Returns whether the target has a slot, and memory beside all copies, for a request, whatever it
+   * has to read.
+   */
   public boolean fits(TargetState target, RequestSize size) {
     Optional<EngineLimits> engine = limits.apply(target.description().service());
-    return engine.isEmpty() || placesToRun(target, othersLoad(target), size, engine.get()) >= 1;
+    return engine.isEmpty()
+        || placesToRun(target, size, engine.get(), copies(target)) >= 1;
   }
 
   private TargetLoad othersLoad(TargetState target) {
     return loads.othersLoad(target.description().id());
   }
 
+  private int copies(TargetState target) {
+    return target.localCopies() + othersLoad(target).copies();
+  }
+
+  /** Copies do not keep requests waiting, since most of them are never resumed. */
   private double freePlaces(TargetState target, RequestSize size, EngineLimits engine) {
-    TargetLoad others = othersLoad(target);
-    int prompts = target.localPrefills() + others.reading();
+    int prompts = target.localPrefills() + othersLoad(target).reading();
     double freePrompts = maxPrompts(target.description().service(), engine) - prompts;
-    return Math.min(freePrompts, placesToRun(target, others, size, engine));
+    return Math.min(freePrompts, placesToRun(target, size, engine, 0));
   }
 
   private double placesToRun(
-      TargetState target, TargetLoad others, RequestSize size, EngineLimits engine) {
-    double open = target.estimatedLoad(context.now()) + others.open();
-    int copies = target.localCopies() + others.copies();
+      TargetState target, RequestSize size, EngineLimits engine, int copies) {
+    double open = target.estimatedLoad(context.now()) + othersLoad(target).open();
     double freeSlots = target.description().slots() - open;
     return Math.min(freeSlots, placesInMemory(target, size, engine, open, copies));
   }
@@ -234,6 +251,6 @@
     double millis = promptMillis(service);
     return millis == 0
         ? Double.POSITIVE_INFINITY
-        : Math.max(1, Math.floor(QUEUED_TIME_RATIO * engine.objectiveMillis() / millis));
+        : Math.max(1, Math.floor(engine.objectiveMillis() / millis));
   }
 }
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
@@ -35,6 +35,7 @@
 import org.gatereel.core.poison.PoisonControl;
 import org.gatereel.core.rollout.RolloutBounds;
 import org.gatereel.core.rollout.RolloutControl;
+import org.gatereel.core.scheduling.SchedulingFeature;
 import org.gatereel.core.statement.Announcements;
 import org.gatereel.core.table.PolicyTable;
 import org.gatereel.core.target.TargetRegistry;
@@ -222,7 +223,15 @@
     this(20261202);
   }
 
+  ForwardWorld(Set<SchedulingFeature> features) {
+    this(20261202, features);
+  }
+
   ForwardWorld(long seed) {
+    this(seed, Set.of());
+  }
+
+  private ForwardWorld(long seed, Set<SchedulingFeature> features) {
     context =
         new CoreContext(new HostId("h1"), new DataCentre("north"), new SplittableRandom(seed));
     directory = new HostDirectory(context, new Address("10.0.1.1", 7_215));
@@ -263,7 +272,7 @@
             context,
             targets,
             configurationHolder,
-            ForwardPolicy.STANDARD,
+            ForwardPolicy.STANDARD.withFeatures(features),
             port,
             new IgnoringObserver(),
             directory,
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -132,6 +132,7 @@
             .addPage("/metrics", () -> new StatusServer.Page(200, metrics.scrape()))
             .addPage("/rollouts", this::describeRollouts);
     metrics.gauge("open_requests", forwarder::openExchangeCount);
+    metrics.gauge("requests_waiting_for_room", forwarder.room()::waitingRequests);
     metrics.gauge("caller_connections", callers::openConnections);
     metrics.gauge("configuration_version", configuration::version);
     metrics.gauge("configuration_age_millis", configuration::ageMillis);
--- a/gatereel-forward/src/main/java/org/gatereel/forward/HeaderNames.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/HeaderNames.java
@@ -17,6 +17,7 @@
  * @param leaving present if the target announces that it is draining
  * @param tokenCounts the number of prompt tokens and the maximum number of output tokens, separated
  *     by a comma
+ * @param outputEstimate the caller's estimate of the tokens of the output
  * @param promptParts the parts of the prompt in order, each as name:tokens, separated by commas
  * @param copyTo the address of the engine that stores a copy of the execution
  * @param continueFrom the address of the copy from which the execution continues
@@ -36,6 +37,7 @@
     String limit,
     String leaving,
     String tokenCounts,
+    String outputEstimate,
     String promptParts,
     String copyTo,
     String continueFrom,
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/IncomingRequest.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/IncomingRequest.java
@@ -27,8 +27,11 @@
     OptionalLong remainingMillis,
     OptionalLong lastEventId,
     long promptTokens,
+    OptionalLong outputEstimate,
     Optional<String> promptPart)
     implements ForwardRequest {
+  /** Longer numbers are no estimate of any output. */
+  private static final int MAX_ESTIMATE_DIGITS = 9;
 
   /**
    * Reads a request.
@@ -54,6 +57,7 @@
         number(headers, names.remainingMillis()),
         number(headers, HeaderNames.LAST_EVENT_ID),
         firstNumber(headers, names.tokenCounts()),
+        estimate(headers, names.outputEstimate()),
         PromptParts.largest(headers.get(names.promptParts())));
   }
 
@@ -103,6 +107,15 @@
     return value.isEmpty() ? OptionalLong.empty() : OptionalLong.of(parse(name, value.get()));
   }
 
+  /** Returns an estimate, on which no correctness depends; empty if it cannot be read. */
+  private static OptionalLong estimate(HttpHeaders headers, String name) {
+    String value = headers.get(name, "");
+    boolean isNumber = !value.isEmpty() && value.length() <= MAX_ESTIMATE_DIGITS;
+    return isNumber && value.chars().allMatch(digit -> digit >= '0' && digit <= '9')
+        ? OptionalLong.of(Long.parseLong(value))
+        : OptionalLong.empty();
+  }
+
   private static long firstNumber(HttpHeaders headers, String name)
       throws MalformedRequestException {
     Optional<String> value = single(headers, name);
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
@@ -70,6 +70,7 @@
           "Takes",
           "Leaves",
           "Counts",
+          "Estimate",
           "Parts",
           "Copy-To",
           "Copy-From",
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayReport.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayReport.java
@@ -189,7 +189,8 @@
 
   /** Returns the part of the tries that targets turned away because they were full. */
   double turnedAway() {
-    return tries == 0 ? 0 : (double) failures("FULL") / tries;
+    int turnedAway = world.targets().stream().mapToInt(TargetModel::turnedAway).sum();
+    return tries == 0 ? 0 : (double) turnedAway / tries;
   }
 
   /** Returns how often engines took memory from a running request. */
@@ -305,6 +306,7 @@
     table.put("repeats without budget", Integer.toString(count(EventCode.RETRY_BUDGET_SPENT)));
     table.put("prompt tokens read for nothing", Long.toString(readForNothing()));
     table.put("lost with a target, waiting, reading", lostWaiting() + ", " + lostReading());
+    table.put("part of tries turned away", decimal(turnedAway()));
     table.put("requests that waited at hosts", Integer.toString(count(EventCode.REQUEST_QUEUED)));
     table.put("runs that engines preempted", Long.toString(preemptions()));
     table.put("load reports, targets in them", reports + ", " + reportedTargets);
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayTest.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayTest.java
@@ -8,7 +8,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
 import org.gatereel.core.event.EventCode;
+import org.gatereel.core.scheduling.SchedulingFeature;
 import org.junit.jupiter.api.Test;
 
 /** What each decision on placement and load gains on the load that it answers. */
@@ -25,6 +27,28 @@
     }
   }
 
+  private static ReplayReport playWith(SchedulingFeature feature, String script, long seed)
+      throws IOException {
+    try (InputStream text = Files.newInputStream(Path.of("replays", script + ".json"))) {
+      return new ReplayWorld(Script.read(text).with(Set.of(feature)), seed).play();
+    }
+  }
+
+  /**
+   * Guards against streams that wait in the queues of engines and are lost with them, and against
+   * hosts that all try the few engines that are left.
+   */
+  @Test
+  void fewTriesAreTurnedAwayAndNoneWaitsAtAnEngineThatEnds() throws IOException {
+    for (long seed = 1; seed <= 3; seed++) {
+      ReplayReport report = playWith(SchedulingFeature.TARGET_ROOM, "scarce-engines", seed);
+      String seen = "seed " + seed + ": " + report.table();
+
+      assertTrue(report.turnedAway() < 0.01, seen);
+      assertEquals(0, report.lostWaiting(), seen);
+    }
+  }
+
   @Test
   void aReplayIsTheSameEachTime() throws IOException {
     assertEquals(play("data-centre-cut", 3).table(), play("data-centre-cut", 3).table());
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/TargetModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/TargetModel.java
@@ -22,6 +22,7 @@
   private boolean alive = true;
   private boolean failing;
   private long errors;
+  private int turnedAway;
   private int lostWaiting;
   private int lostReading;
   private Optional<TargetLimit> limit = Optional.empty();
@@ -144,13 +145,19 @@
     copies.clear();
     List<Run> broken = List.copyOf(runs);
     List<Run> worked = List.copyOf(running());
-    lostWaiting += broken.size() - worked.size();
+    lostWaiting +=
+        (int) broken.stream().filter(run -> run.event == 0 && !worked.contains(run)).count();
     lostReading += (int) worked.stream().filter(run -> !run.started).count();
     runs.clear();
     broken.forEach(run -> run.client.reset());
   }
 
-  /** Returns how many requests waited for a slot or memory when it ended. */
+  /** Returns how many requests it turned away because it was full. */
+  final int turnedAway() {
+    return turnedAway;
+  }
+
+  /** Returns how many requests without an event waited for a slot or memory when it ended. */
   final int lostWaiting() {
     return lostWaiting;
   }
@@ -175,6 +182,7 @@
     } else if (saying.filter(TargetSaying::refuses).isPresent()) {
       run.client.head(FULL_STATUS, true, false);
     } else if (runs.size() >= description.slots() + queued) {
+      turnedAway++;
       run.client.head(FULL_STATUS, true, false);
     } else {
       runs.add(run);
