--- a/gatereel-core/src/main/java/org/gatereel/core/room/CountedRoom.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/room/CountedRoom.java
@@ -87,7 +87,7 @@
     }
   }
 
-  /** Returns whether no engine request is known whose prompt the target has yet to read. */
+  /** Returns whether the target is not known to have any prompt to read. */
   public boolean hasNoPrompts(TargetState target) {
     return target.localPrefills() + othersLoad(target).reading() == 0;
   }
@@ -206,8 +206,7 @@
    */
   public boolean fits(TargetState target, RequestSize size) {
     Optional<EngineLimits> engine = limits.apply(target.description().service());
-    return engine.isEmpty()
-        || placesToRun(target, size, engine.get(), copies(target)) >= 1;
+    return engine.isEmpty() || placesToRun(target, size, engine.get(), copies(target)) >= 1;
   }
 
   private TargetLoad othersLoad(TargetState target) {
--- a/gatereel-core/src/test/java/org/gatereel/core/room/CountedRoomTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/room/CountedRoomTest.java
@@ -124,7 +124,9 @@
     assertFalse(host.room.hasRoom(host.target(1), new RequestSize(100, 20)));
   }
 
-  /** Guards against preferring an engine whose memory is filled by copies of executions elsewhere. */
+  /**
+   * Guards against preferring an engine whose memory is filled by copies of executions elsewhere.
+   */
   @Test
   void copiesTakeMemoryButKeepNoRequestWaiting() {
     host.report(4, 0, 5, Map.of());
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
@@ -196,6 +196,7 @@
             OptionalLong.empty(),
             OptionalLong.empty(),
             0,
+            OptionalLong.empty(),
             Optional.empty());
     Dispatch dispatch =
         new Dispatch(
