Have the test of a started stream fail where such a stream waits for room

Cause: the stream went on from its copy, a way without a wait, so the test passed with the condition taken out. Change: the copy is missing, and the stream is placed anew. Seen to fail without the condition (mutant), passes with it.

--- a/gatereel-core/src/test/java/org/gatereel/core/forward/RoomForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/RoomForwardingTest.java
@@ -102,8 +102,12 @@
     reportOpen(FULL, FULL, FULL);
 
     world.fail(first, TargetFailure.RESET);
+    ForwardWorld.SentCall atCopy = world.lastCall();
+    assertTrue(atCopy.dispatch.continueFrom().isPresent());
+    atCopy.rejectNotExecuted(503);
 
-    assertEquals(2, world.sentCalls.size());
+    assertEquals(3, world.sentCalls.size());
+    assertTrue(world.lastCall().dispatch.continueFrom().isEmpty());
   }
 
   /** Guards against a caller who leaves while waiting and is counted, or sent, for ever. */
