--- a/gatereel-core/src/main/java/org/gatereel/core/choice/TargetSelector.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/choice/TargetSelector.java
@@ -109,6 +109,7 @@
             context.now(),
             context.dataCentre(),
             query.fittingRequests(),
+            query.room(),
             dataCentreFailures(query.service()),
             ErrorBaseline.of(eligible, this::errors),
             query.promptCachedAt(),
--- a/gatereel-core/src/main/java/org/gatereel/core/configuration/Configuration.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/configuration/Configuration.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import org.gatereel.core.model.AccountId;
 import org.gatereel.core.model.ServiceName;
+import org.gatereel.core.room.EngineLimits;
 import org.gatereel.core.scheduling.Urgency;
 
 /** One version of the operators' configuration, indexed for lookups; immutable. */
@@ -22,6 +23,7 @@
   private final Map<ServiceName, ServiceConfiguration> services;
   private final Map<String, AccountConfiguration> accountsByKey;
   private final UrgencyRanks urgencyRanks;
+  private final Map<ServiceName, Long> longestStreamObjectives;
 
   private Configuration(Builder builder) {
     version = builder.version;
@@ -38,6 +40,17 @@
       account.keys().forEach(key -> accountsByKey.put(key, account));
     }
     urgencyRanks = new UrgencyRanks(builder.routes, builder.accounts);
+    longestStreamObjectives = new HashMap<>();
+    for (Route route : builder.routes) {
+      if (route.kind() == RouteKind.STREAM) {
+        route
+            .services()
+            .forEach(
+                weighted ->
+                    longestStreamObjectives.merge(
+                        weighted.service(), route.objectiveMillis(), Math::max));
+      }
+    }
   }
 
   /** Returns a builder for a configuration of the given version. */
@@ -79,6 +92,19 @@
     return urgencyRanks.urgency(service, route, account);
   }
 
+  /**
+   * Returns what limits the engines of a service; empty if the memory of its engines is not
+   * configured or no route for streams leads there.
+   */
+  public Optional<EngineLimits> engineLimits(ServiceName name) {
+    Long objectiveMillis = longestStreamObjectives.get(name);
+    return objectiveMillis == null
+        ? Optional.empty()
+        : service(name)
+            .flatMap(ServiceConfiguration::engine)
+            .map(engine -> new EngineLimits(engine.cacheTokens(), objectiveMillis));
+  }
+
   /** Builds a configuration. */
   public static final class Builder {
     private final long version;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -224,10 +224,10 @@
     attempt.setTimer(forwarder.speeds().map(speeds -> speeds.begin(target, tokensToRead(choice))));
     forwarder.targets().recordOpened(target);
     versions.recordSent(attempt);
+    Optional<Address> copyTo = search.beginAttempt(target);
     if (route.kind() == RouteKind.STREAM && !search.hasPromptCached(target)) {
       attempt.beginPrefill();
     }
-    Optional<Address> copyTo = search.beginAttempt(target);
     Dispatch dispatch =
         new Dispatch(
             request,
@@ -299,6 +299,7 @@
     forwarder.loads().scheduleReports();
     if (!from.isContinuation()) {
       forwarder.overload().recordServiceTime(service, context.now() - from.startedAt());
+      search.recordFirstEvent(from);
     }
     log.log(EventCode.FIRST_TOKEN, "target=" + from.target().description().id());
   }
@@ -422,7 +423,7 @@
       return;
     }
     stallDetector.stop();
-    search.copies().release();
+    search.endAttempt(closing);
     forwarder.targets().recordClosed(closing.target());
     forwarder.loads().scheduleReports();
   }
@@ -431,6 +432,7 @@
     finished = true;
     deadlineTimer.cancel();
     admissionWait.end();
+    placement.end();
     stallDetector.stop();
     forwarder.onFinished(this);
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -28,6 +28,8 @@
 import org.gatereel.core.retry.RetryBudgets;
 import org.gatereel.core.retry.StreamRetryTokens;
 import org.gatereel.core.rollout.RolloutControl;
+import org.gatereel.core.room.CountedRoom;
+import org.gatereel.core.room.EngineLimits;
 import org.gatereel.core.scheduling.SchedulingFeature;
 import org.gatereel.core.scheduling.Urgency;
 import org.gatereel.core.speed.TargetSpeeds;
@@ -49,6 +51,7 @@
   private final RolloutControl rollouts;
   private final TargetSelector selector;
   private final OverloadControl overload;
+  private final CountedRoom room;
   private final RetryBudgets budgets;
   private final StreamRetryTokens streamRetries;
   private final ShutdownPolicy shutdownPolicy;
@@ -112,11 +115,19 @@
     this.overload =
         new OverloadControl(
             context, targets, loads, limits.announced()::perSecond, backoffs::isBackingOff);
+    this.room = new CountedRoom(context, targets, loads, this::engineLimits);
+    overload.setSources(estimates(), room);
     loads.setTargetFacts(facts);
     facts.onChange(this::onTargetFact);
     poison.onQuarantined(this::onQuarantined);
   }
 
+  private Optional<EngineLimits> engineLimits(ServiceName service) {
+    return policy.has(SchedulingFeature.TARGET_ROOM)
+        ? configuration.current().flatMap(current -> current.engineLimits(service))
+        : Optional.empty();
+  }
+
   /** Handles an announcement of a target, received by this host or by another one. */
   private void onTargetFact(TargetFact fact) {
     if (fact.kind() == FactKind.LEAVING) {
@@ -354,6 +365,10 @@
     return speeds.<FirstEventEstimates>map(known -> known).orElse(FirstEventEstimates.UNKNOWN);
   }
 
+  public CountedRoom room() {
+    return room;
+  }
+
   RetryBudgets budgets() {
     return budgets;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
@@ -12,12 +12,14 @@
 import org.gatereel.core.configuration.Route;
 import org.gatereel.core.configuration.RouteKind;
 import org.gatereel.core.configuration.ServiceConfiguration;
+import org.gatereel.core.estimate.RequestSize;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.rollout.RolloutControl;
 import org.gatereel.core.rollout.VersionRule;
+import org.gatereel.core.room.CountedRoom;
 import org.gatereel.core.target.TargetState;
 
 /** Chooses targets for one request: the requirements on a target, and the targets already tried. */
@@ -29,10 +31,12 @@
   private final boolean copiesMemory;
   private final CopyTracker copies;
   private final Set<TargetId> triedTargets = new HashSet<>();
+  private final RequestSize size;
   private TargetQuery query;
   private Supplier<Set<TargetId>> reserved = Set::of;
   private boolean skipsLimitedTargets;
   private boolean currentAttemptIsFirst;
+  private boolean currentAttemptIsOnlyPrompt;
 
   /** Creates a search among the targets of {@code service}, which serves the route's request. */
   TargetSearch(
@@ -53,7 +57,11 @@
         engine
             .map(configuration -> configuration.fittingRequests(request.promptTokens()))
             .orElse(Integer.MAX_VALUE);
-    this.query = new TargetQuery(service, Optional.empty(), fittingRequests);
+    CountedRoom room = forwarder.room();
+    this.size = room.expectedSize(route.name(), request.promptTokens(), request.outputEstimate());
+    TargetQuery anyRoom = new TargetQuery(service, Optional.empty(), fittingRequests);
+    this.query =
+        room.isLimited(service) ? anyRoom.withRoom(target -> room.fits(target, size)) : anyRoom;
   }
 
   /** Sets the source of targets that are kept free for other requests. */
@@ -69,6 +77,16 @@
     return copies;
   }
 
+  /** Returns the expected size of the request. */
+  RequestSize size() {
+    return size;
+  }
+
+  /** Returns whether a target has room that the request may take. */
+  boolean mayTakeRoom(TargetState target) {
+    return forwarder.room().mayTake(target, size);
+  }
+
   /** Returns whether the request resumes a stream whose prompt an engine may have cached. */
   boolean canLocatePrompt() {
     return copiesMemory && request.lastEventId().isPresent() && request.promptPart().isPresent();
@@ -205,16 +223,36 @@
    * memory, if any.
    */
   Optional<Address> beginAttempt(TargetState target) {
+    currentAttemptIsOnlyPrompt = forwarder.room().hasNoPrompts(target);
     currentAttemptIsFirst = isFirstAttempt();
     triedTargets.add(target.description().id());
     forwarder.backoffs().recordSent(target.description().id());
+    forwarder.room().recordOpened(target, size);
     return copiesMemory
         ? copies.chooseHolder(target, query.withVersions(forwarder.rollouts().rule(service)))
         : Optional.empty();
   }
 
+  /** Records the first event of the current attempt. */
+  void recordFirstEvent(Attempt from) {
+    if (currentAttemptIsOnlyPrompt) {
+      forwarder.room().recordPromptMillis(service, forwarder.context().now() - from.startedAt());
+    }
+  }
+
+  /** Records that an attempt has ended, in whatever way. */
+  void endAttempt(Attempt ending) {
+    copies.release();
+    forwarder.room().recordClosed(ending.target(), size);
+  }
+
   /** Updates the target's health from a complete response. */
   void recordResponse(Attempt from, TargetResponse response) {
+    if (from.isEventStream() && triedTargets.size() == 1 && request.lastEventId().isEmpty()) {
+      forwarder
+          .room()
+          .recordOutput(route.name(), from.forwardedEventCount(), request.outputEstimate());
+    }
     if (response.isError()) {
       forwarder.targets().recordErrorResponse(from.target());
     } else {
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
@@ -223,6 +223,10 @@
     this(20261202);
   }
 
+  ForwardWorld(Set<SchedulingFeature> features) {
+    this(20261202, features);
+  }
+
   ForwardWorld(long seed) {
     this(seed, Set.of());
   }
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
@@ -70,6 +70,7 @@
           "Takes",
           "Leaves",
           "Counts",
+          "Estimate",
           "Parts",
           "Copy-To",
           "Copy-From",
@@ -195,6 +196,7 @@
             OptionalLong.empty(),
             OptionalLong.empty(),
             0,
+            OptionalLong.empty(),
             Optional.empty());
     Dispatch dispatch =
         new Dispatch(
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayTest.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayTest.java
@@ -37,6 +37,21 @@
     }
   }
 
+  /**
+   * Guards against streams that wait in the queues of engines and are lost with them, and against
+   * hosts that all try the few engines that are left.
+   */
+  @Test
+  void fewTriesAreTurnedAwayAndNoneWaitsAtAnEngineThatEnds() throws IOException {
+    for (long seed = 1; seed <= 3; seed++) {
+      ReplayReport report = play("scarce-engines", seed, Set.of(SchedulingFeature.TARGET_ROOM));
+      String seen = "seed " + seed + ": " + report.table();
+
+      assertTrue(report.turnedAway() < 0.01, seen);
+      assertEquals(0, report.lostWaiting(), seen);
+    }
+  }
+
   @Test
   void aReplayIsTheSameEachTime() throws IOException {
     assertEquals(play("data-centre-cut", 3).table(), play("data-centre-cut", 3).table());
