Mend what a review of the joined parts found

Cause and change, one each: a request was refused as if there were no target when only engines kept free for urgent ones were left (it now takes one); with no usable engine admission divided by zero and refused or sent at random (it sends, as without the feature); a search that is repeated while a request waits for room drew the canary's ratio each time (drawn once a request); one malformed size made all engines seem full for some 150 requests (bounded by an engine's memory); a wait for room used up the wait for a token; an issuer of retries answered other data centres while another host issued for its own, so that a share could be granted twice; the patience of a stream that waits for a retry was checked only between rounds; prompts under 200 tokens were timed as reading. HOST_OVERLOAD, which nothing implements, is no longer a setting; STANDBY_TARGETS is STREAM_RETRIES, after what it does. OperationsPageTest was red since the parts were joined: it did not know the names of features as names of the code. Shown: UrgencyForwardingTest, UrgencyAdmissionTest, CountedRoomTest with new cases and eight more classes pass.

--- a/gatereel-control/src/test/java/org/gatereel/control/OperationsPageTest.java
+++ b/gatereel-control/src/test/java/org/gatereel/control/OperationsPageTest.java
@@ -16,6 +16,7 @@
 import org.gatereel.core.forward.Rejection;
 import org.gatereel.core.forward.ResponseEnd;
 import org.gatereel.core.forward.ResponseEndVerdict;
+import org.gatereel.core.scheduling.SchedulingFeature;
 import org.junit.jupiter.api.Test;
 
 /** Checks that the names on the operations page exist in the code. */
@@ -34,6 +35,7 @@
         Stream.of(
                 names(EventCode.values()),
                 names(Rejection.values()),
+                names(SchedulingFeature.values()),
                 names(TargetFailure.values()),
                 names(ResponseEnd.values()),
                 names(ResponseEndVerdict.values()))
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -6,7 +6,6 @@
 import org.gatereel.core.configuration.Route;
 import org.gatereel.core.configuration.RouteKind;
 import org.gatereel.core.configuration.ServiceConfiguration;
-import org.gatereel.core.estimate.RequestSize;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.internal.CoreContext;
@@ -99,7 +98,7 @@
                 deadline,
                 startedAt,
                 forwarder.urgency(allowed, service),
-                new RequestSize(request.promptTokens(), 0)));
+                search.size()));
     search.setReservedTargets(admissionWait::reservedTargets);
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -248,7 +248,7 @@
     if (subject instanceof TokenRequest.LimitTokens requests) {
       limits.issue(requests, count, callback);
     } else if (subject instanceof TokenRequest.RetryTokens retryTokens) {
-      callback.accept(Optional.of(new TokenGrant(issueRetries(retryTokens.service(), count), 0)));
+      callback.accept(Optional.of(new TokenGrant(issueRetries(retryTokens, count), 0)));
     } else if (subject instanceof TokenRequest.UnusedRetryTokens unused) {
       int lent = budgets.lend(unused.service(), count);
       logLent(unused.service(), count, lent);
@@ -256,8 +256,12 @@
     }
   }
 
-  private int issueRetries(ServiceName service, int count) {
-    int granted = budgets.issue(service, count);
+  private int issueRetries(TokenRequest.RetryTokens request, int count) {
+    ServiceName service = request.service();
+    int granted =
+        request.elsewhere()
+            ? budgets.issueElsewhere(service, count)
+            : budgets.issue(service, count);
     logLent(service, count, granted);
     return granted;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
@@ -108,6 +108,7 @@
 
   private void sendWhenRoom(TargetChoice choice) {
     if (roomWait.mustWait(choice.target())) {
+      waitUntil = forwarder.context().now() + maxWaitMillis();
       roomWait.begin(this::chooseUnlessFinished);
     } else {
       acquireToken(choice, Optional.empty());
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RetryController.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RetryController.java
@@ -63,7 +63,9 @@
   /** Returns whether the route and the deadline allow one more execution. */
   boolean mayExecuteAgain() {
     int executions =
-        hasStandby() ? attemptCounter.executionsAt(this::hasNotEnded) : attemptCounter.executions();
+        usesAllRetries()
+            ? attemptCounter.executionsAt(this::hasNotEnded)
+            : attemptCounter.executions();
     boolean executionsLeft = executions < route.maxAttempts();
     return route.mayRetry() && executionsLeft && forwarder.context().now() < deadline;
   }
@@ -95,7 +97,7 @@
    * another host.
    */
   void retry() {
-    if (hasStandby()) {
+    if (usesAllRetries()) {
       forwarder
           .streamRetries()
           .acquire(service, waitUntil(), () -> !exchange.isFinished(), this::retryIfGranted);
@@ -104,9 +106,9 @@
     }
   }
 
-  /** Returns whether the next place of the stream is chosen before it is needed. */
-  private boolean hasStandby() {
-    return forwarder.policy().has(SchedulingFeature.STANDBY_TARGETS)
+  /** Returns whether the request may use the retries of all hosts. */
+  private boolean usesAllRetries() {
+    return forwarder.policy().has(SchedulingFeature.STREAM_RETRIES)
         && route.kind() == RouteKind.STREAM
         && route.resumable();
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
@@ -17,7 +17,6 @@
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.model.TargetId;
-import org.gatereel.core.rollout.RolloutControl;
 import org.gatereel.core.rollout.VersionRule;
 import org.gatereel.core.room.CountedRoom;
 import org.gatereel.core.target.TargetState;
@@ -34,6 +33,8 @@
   private final RequestSize size;
   private TargetQuery query;
   private Supplier<Set<TargetId>> reserved = Set::of;
+  private VersionRule drawnRule;
+  private VersionRule ruleWhenDrawn;
   private boolean skipsLimitedTargets;
   private boolean currentAttemptIsFirst;
   private boolean currentAttemptIsOnlyPrompt;
@@ -120,11 +121,22 @@
    */
   Optional<TargetChoice> choose(boolean allowTried, boolean urgent) {
     Set<TargetId> unavailable = unavailableTargets(urgent);
-    RolloutControl rollouts = forwarder.rollouts();
-    VersionRule rule = rollouts.rule(service);
+    Set<TargetId> keptFree = reserved.get();
+    if (!keptFree.isEmpty()) {
+      Optional<TargetChoice> chosen =
+          chooseAvailable(allowTried, Sets.union(unavailable, keptFree));
+      if (chosen.isPresent()) {
+        return chosen;
+      }
+    }
+    return chooseAvailable(allowTried, unavailable);
+  }
+
+  private Optional<TargetChoice> chooseAvailable(boolean allowTried, Set<TargetId> unavailable) {
+    VersionRule rule = forwarder.rollouts().rule(service);
     if (isFirstAttempt()) {
-      VersionRule drawnRule = rollouts.ruleForNewRequest(service, route.name());
-      Optional<TargetChoice> chosen = choose(query.withVersions(drawnRule), unavailable, false);
+      Optional<TargetChoice> chosen =
+          choose(query.withVersions(ruleForNewRequest(rule)), unavailable, false);
       if (chosen.isPresent()) {
         return chosen;
       }
@@ -133,6 +145,15 @@
     return choose(query, unavailable, allowTried);
   }
 
+  /** Draws the rule of a new request once, since each draw counts towards the canary's ratio. */
+  private VersionRule ruleForNewRequest(VersionRule rule) {
+    if (drawnRule == null || !rule.equals(ruleWhenDrawn)) {
+      drawnRule = forwarder.rollouts().ruleForNewRequest(service, route.name());
+      ruleWhenDrawn = rule;
+    }
+    return drawnRule;
+  }
+
   /** Excludes targets with limits, because this request has waited long enough for tokens. */
   void skipLimitedTargets() {
     skipsLimitedTargets = true;
@@ -145,7 +166,7 @@
 
   /** Returns the targets without tokens and those backing off. */
   private Set<TargetId> unavailableTargets(boolean urgent) {
-    Set<TargetId> unavailable = Sets.union(targetsWithoutTokens(urgent), reserved.get());
+    Set<TargetId> unavailable = targetsWithoutTokens(urgent);
     Set<TargetId> backingOff = forwarder.backoffs().blockedTargets();
     return backingOff.isEmpty() ? unavailable : Sets.union(unavailable, backingOff);
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/limit/TokenRequest.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/limit/TokenRequest.java
@@ -6,8 +6,17 @@
 
 /** A request of one host to another for tokens, each of which allows one request to a target. */
 public sealed interface TokenRequest {
-  /** Tokens for retries, out of the data centre's part of a service's retry budget. */
-  record RetryTokens(ServiceName service) implements TokenRequest {}
+  /**
+   * Tokens for retries, out of a data centre's part of a service's retry budget.
+   *
+   * @param elsewhere whether the host that asks is in another data centre
+   */
+  record RetryTokens(ServiceName service, boolean elsewhere) implements TokenRequest {
+    /** Makes a request of a host of the same data centre. */
+    public RetryTokens(ServiceName service) {
+      this(service, false);
+    }
+  }
 
   /** Tokens for retries, out of the part of the asked host that it does not use itself. */
   record UnusedRetryTokens(ServiceName service) implements TokenRequest {}
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
@@ -245,7 +245,7 @@
 
   /** Returns the account's fair share relative to the ratio of all demand that can be served. */
   private double fairWeight(ArrivingRequest request, double arrivals, double served) {
-    if (arrivals <= served) {
+    if (arrivals <= served || served == 0) {
       return 1;
     }
     DemandKey key = request.demandKey();
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/UrgencyAdmission.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/UrgencyAdmission.java
@@ -81,6 +81,10 @@
    */
   OverloadDecision decide(ArrivingRequest request, Runnable onTurn) {
     ServiceSituation situation = situations.apply(request);
+    if (situation.servedPerSecond() == 0) {
+      // No engine is usable, so that waiting for a place has no end in sight.
+      return new OverloadDecision.Send();
+    }
     Contention contention = contention(request, situation);
     if (contention.rivals() == 0 && contention.room() >= contention.contenders()) {
       return new OverloadDecision.Send();
@@ -103,7 +107,11 @@
     if (line.isAdmitted(request)) {
       return new OverloadDecision.Send();
     }
-    Contention contention = contention(request, situations.apply(request));
+    ServiceSituation situation = situations.apply(request);
+    if (situation.servedPerSecond() == 0) {
+      return new OverloadDecision.Send();
+    }
+    Contention contention = contention(request, situation);
     long missingMillis = reserveMillis(request) - remainingMillis(request);
     if (missingMillis > 0) {
       return new OverloadDecision.Reject(
--- a/gatereel-core/src/main/java/org/gatereel/core/retry/RetryBudgets.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/retry/RetryBudgets.java
@@ -129,6 +129,14 @@
     return budget(service).issue(count);
   }
 
+  /**
+   * Grants retries to a host of another data centre, unless another host issues them for this one;
+   * returns how many of {@code count}.
+   */
+  public int issueElsewhere(ServiceName service, int count) {
+    return directory.issuer(context.now()).isEmpty() ? issue(service, count) : 0;
+  }
+
   /** Lends unused retries of this host's share; returns how many of {@code count}. */
   public int lend(ServiceName service, int count) {
     return budget(service).lend(count);
--- a/gatereel-core/src/main/java/org/gatereel/core/retry/StreamRetryTokens.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/retry/StreamRetryTokens.java
@@ -70,7 +70,7 @@
     /** Returns whom a round asks, in order: issuers first, then some hosts for what they spare. */
     private Queue<Question> questions() {
       Queue<Question> questions = new ArrayDeque<>();
-      TokenRequest issued = new TokenRequest.RetryTokens(service);
+      TokenRequest issued = new TokenRequest.RetryTokens(service, true);
       TokenRequest unused = new TokenRequest.UnusedRetryTokens(service);
       issuersElsewhere().stream()
           .filter(StreamRetryTokens.this::responds)
@@ -86,6 +86,10 @@
 
     private void askNext(Queue<Question> questions) {
       waiting.removeIf(waiter -> !waiter.isWanted().getAsBoolean());
+      endExpired();
+      while (!questions.isEmpty() && !responds(questions.element().host())) {
+        questions.remove();
+      }
       if (waiting.isEmpty()) {
         inRound = false;
       } else if (questions.isEmpty()) {
@@ -104,6 +108,13 @@
       }
     }
 
+    private void endExpired() {
+      List<Waiter> expired = new ArrayList<>(waiting);
+      expired.removeIf(waiter -> waiter.until() > context.now());
+      waiting.removeAll(expired);
+      expired.forEach(waiter -> waiter.callback().accept(false));
+    }
+
     /** Gives the granted retries to those that have waited longest. */
     private void serve(int granted) {
       List<Waiter> served = new ArrayList<>();
--- a/gatereel-core/src/main/java/org/gatereel/core/room/CountedRoom.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/room/CountedRoom.java
@@ -24,6 +24,9 @@
  * sends to the service. Services without {@link EngineLimits} have room always.
  */
 public final class CountedRoom implements TargetRoom {
+  /** Larger sizes are those of malformed requests. */
+  private static final long MAX_TOKENS = 1L << 32;
+
   /** From this number of places on, a target is taken without a draw. */
   private static final int MIN_UNCONTESTED_PLACES = 3;
 
@@ -76,8 +79,9 @@
 
   /** Returns the expected size of a request, from its route and its caller's estimate in tokens. */
   public RequestSize expectedSize(String route, long promptTokens, OptionalLong outputEstimate) {
-    return new RequestSize(
-        promptTokens, outputLengths.expectedTokens(route, promptTokens, outputEstimate));
+    long prompt = Math.max(0, Math.min(promptTokens, MAX_TOKENS));
+    long output = outputLengths.expectedTokens(route, prompt, outputEstimate);
+    return new RequestSize(prompt, Math.max(0, Math.min(output, MAX_TOKENS)));
   }
 
   /** Records a complete stream, from which the length of outputs is learnt. */
@@ -106,17 +110,27 @@
   /** Records that this host sends a request to a target. */
   public void recordOpened(TargetState target, RequestSize size) {
     ServiceName service = target.description().service();
-    localTokens.merge(target.description().id(), size.totalTokens(), Long::sum);
-    usualTokens.computeIfAbsent(service, any -> new MovingMean()).record(size.totalTokens());
+    long tokens = occupiedTokens(service, size);
+    localTokens.merge(target.description().id(), tokens, Long::sum);
+    usualTokens.computeIfAbsent(service, any -> new MovingMean()).record(tokens);
     counts.computeIfPresent(
         service, (any, count) -> new Count(count.size(), count.countedAt(), count.places() - 1));
   }
 
   /** Records that a request of this host at a target has ended, in whatever way. */
   public void recordClosed(TargetState target, RequestSize size) {
+    long ended = occupiedTokens(target.description().service(), size);
     localTokens.computeIfPresent(
-        target.description().id(),
-        (id, tokens) -> tokens > size.totalTokens() ? tokens - size.totalTokens() : null);
+        target.description().id(), (id, tokens) -> tokens > ended ? tokens - ended : null);
+  }
+
+  /** Returns the memory that a request occupies, which is never more than an engine has. */
+  private long occupiedTokens(ServiceName service, RequestSize size) {
+    long tokens = size.totalTokens();
+    return limits
+        .apply(service)
+        .map(engine -> Math.min(tokens, engine.cacheTokens()))
+        .orElse(tokens);
   }
 
   /** Adds to the number of requests that wait here for room; {@code change} may be negative. */
--- a/gatereel-core/src/main/java/org/gatereel/core/scheduling/SchedulingFeature.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/scheduling/SchedulingFeature.java
@@ -14,9 +14,6 @@
   /** Targets are chosen by the expected time of the first event, learnt from their responses. */
   TARGET_SPEED,
 
-  /** The next target of a stream is chosen before the current one fails. */
-  STANDBY_TARGETS,
-
-  /** A host that is too slow for its requests rejects new ones and reports that it is not ready. */
-  HOST_OVERLOAD
+  /** Streams whose target failed may use the retries of all hosts to go on at another target. */
+  STREAM_RETRIES
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/speed/AttemptTimer.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/speed/AttemptTimer.java
@@ -9,6 +9,9 @@
 
   private static final double TOKENS_PER_UNIT = 1_000;
 
+  /** The time of a shorter prompt is not that of reading it. */
+  private static final long MIN_TIMED_TOKENS = 200;
+
   private final TargetTimer target;
   private final BooleanSupplier isReading;
   private final long promptTokens;
@@ -57,7 +60,7 @@
   }
 
   private void recordFirstEvent(long now) {
-    if (promptTokens > 0) {
+    if (promptTokens >= MIN_TIMED_TOKENS) {
       double units = promptTokens / TOKENS_PER_UNIT;
       target.work().record((now - startedAt) / (units * promptsToRead(promptsAhead)), now);
     }
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/StandbyTargetsTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/StreamRetriesTest.java
@@ -16,13 +16,13 @@
 import org.gatereel.core.scheduling.SchedulingFeature;
 import org.junit.jupiter.api.Test;
 
-/** Streams whose targets end one after another, with {@code STANDBY_TARGETS}. */
-class StandbyTargetsTest {
+/** Streams whose targets end one after another, with {@code STREAM_RETRIES}. */
+class StreamRetriesTest {
   private static final int HOSTS = 60;
   private static final long ROUND_MILLIS = 200;
   private static final long PATIENCE_MILLIS = 5_600;
 
-  private final ForwardWorld world = new ForwardWorld(1, Set.of(SchedulingFeature.STANDBY_TARGETS));
+  private final ForwardWorld world = new ForwardWorld(1, Set.of(SchedulingFeature.STREAM_RETRIES));
   private ForwardWorld.Caller caller;
   private Exchange exchange;
 
--- a/gatereel-core/src/test/java/org/gatereel/core/overload/UrgencyAdmissionTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/overload/UrgencyAdmissionTest.java
@@ -15,6 +15,7 @@
 import java.util.SplittableRandom;
 import org.gatereel.core.document.HostDirectory;
 import org.gatereel.core.estimate.RequestSize;
+import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.load.DemandKey;
 import org.gatereel.core.load.LoadExchange;
@@ -158,6 +159,19 @@
     assertInstanceOf(OverloadDecision.Send.class, overload.decideWaiting(soon));
   }
 
+  /** Requests refused or held for a place, while a failing engine may work again at any moment. */
+  @Test
+  void requestsAreSentWhileNoEngineIsUsable() {
+    receiveReport(2, TARGETS, Map.of());
+    ArrivingRequest waiting = stream(ROUTINE, "a", 10_000);
+    assertInstanceOf(OverloadDecision.Wait.class, overload.decide(waiting));
+
+    targets.all().forEach(target -> targets.recordFailure(target, TargetFailure.TIMEOUT));
+
+    assertInstanceOf(OverloadDecision.Send.class, overload.decideWaiting(waiting));
+    assertInstanceOf(OverloadDecision.Send.class, overload.decide(stream(ROUTINE, "b", 10_000)));
+  }
+
   /** One account with many waiting requests taking every place before the others. */
   @Test
   void accountsOfOneUrgencyTakeTurns() {
--- a/gatereel-core/src/test/java/org/gatereel/core/room/CountedRoomTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/room/CountedRoomTest.java
@@ -103,6 +103,23 @@
         LifeState.LIVE);
   }
 
+  /** Guards against one malformed size that makes all engines seem full for a long time. */
+  @Test
+  void oversizedRequestDoesNotRaiseTheUsualSizeBeyondMemory() {
+    RequestSize oversized =
+        host.room.expectedSize("route", Long.MAX_VALUE, OptionalLong.of(Long.MAX_VALUE));
+    for (int request = 0; request < 100; request++) {
+      host.room.recordOpened(host.target(1), SIZE);
+      host.room.recordClosed(host.target(1), SIZE);
+    }
+    host.room.recordOpened(host.target(2), oversized);
+    host.room.recordClosed(host.target(2), oversized);
+    host.report(3, 0, 0, Map.of());
+
+    assertTrue(oversized.totalTokens() > 0);
+    assertTrue(host.room.hasRoom(host.target(1), SIZE));
+  }
+
   /** Guards against sending a tenth request by slots, where nine fill the memory. */
   @Test
   void memoryLimitsBeforeSlots() {
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/TokenMessages.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/TokenMessages.java
@@ -33,6 +33,7 @@
   private static final String URGENT = "urgent";
   private static final String PASSED_ON = "passedOn";
   private static final String COUNT = "count";
+  private static final String ELSEWHERE = "elsewhere";
   private static final String SEPARATOR = " ";
 
   /** A request for more tokens is malformed. */
@@ -52,6 +53,7 @@
     QueryStringEncoder query = new QueryStringEncoder(PATH);
     if (subject instanceof TokenRequest.RetryTokens retryTokens) {
       query.addParam(SERVICE, retryTokens.service().value());
+      query.addParam(ELSEWHERE, Boolean.toString(retryTokens.elsewhere()));
     } else if (subject instanceof TokenRequest.UnusedRetryTokens unused) {
       query.addParam(LENDER_OF, unused.service().value());
     } else if (subject instanceof TokenRequest.LimitTokens limitTokens) {
@@ -87,7 +89,10 @@
     return unused.or(
         () ->
             text(parameters, SERVICE)
-                .map(name -> new TokenRequest.RetryTokens(new ServiceName(name))));
+                .map(
+                    name ->
+                        new TokenRequest.RetryTokens(
+                            new ServiceName(name), flag(parameters, ELSEWHERE))));
   }
 
   private static Optional<TokenRequest> limitTokens(
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayTest.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/ReplayTest.java
@@ -195,15 +195,15 @@
   }
 
   /**
-   * Without STANDBY_TARGETS streams are interrupted because the retry budget of their host is
-   * spent, while others have retries left.
+   * Without STREAM_RETRIES streams are interrupted because the retry budget of their host is spent,
+   * while others have retries left.
    */
   @Test
   void streamsSurviveEndsInARowAndACutRightAfterAnEnd() throws IOException {
     double whole = 0;
     for (long seed = 1; seed <= 3; seed++) {
       ReplayReport report =
-          play("two-ends-and-a-cut", seed, Set.of(SchedulingFeature.STANDBY_TARGETS));
+          play("two-ends-and-a-cut", seed, Set.of(SchedulingFeature.STREAM_RETRIES));
 
       assertEquals(0, report.count(EventCode.RETRY_BUDGET_SPENT), "seed " + seed);
       whole += report.whole(CallerModel.Kind.STREAM) / 3;
