--- a/gatereel-control/src/test/java/org/gatereel/control/OperationsPageTest.java
+++ b/gatereel-control/src/test/java/org/gatereel/control/OperationsPageTest.java
@@ -11,6 +11,7 @@
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.gatereel.core.choice.CostTerm;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.Rejection;
@@ -36,6 +37,7 @@
                 names(EventCode.values()),
                 names(Rejection.values()),
                 names(SchedulingFeature.values()),
+                names(CostTerm.values()),
                 names(TargetFailure.values()),
                 names(ResponseEnd.values()),
                 names(ResponseEndVerdict.values()))
