Draw the canary rule of a request anew once the rollout has ended

Cause: the rule that a repeated search keeps was also kept after a rollback, when the rule of retries is the same as before; the request then found no target. Change: it is kept only while the rollout runs. Measured: all tests of gatereel-core pass.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
@@ -147,6 +147,10 @@
 
   /** Draws the rule of a new request once, since each draw counts towards the canary's ratio. */
   private VersionRule ruleForNewRequest(VersionRule rule) {
+    if (!forwarder.rollouts().isRunning(service)) {
+      drawnRule = null;
+      return rule;
+    }
     if (drawnRule == null || !rule.equals(ruleWhenDrawn)) {
       drawnRule = forwarder.rollouts().ruleForNewRequest(service, route.name());
       ruleWhenDrawn = rule;
--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
@@ -178,10 +178,16 @@
     }
   }
 
+  /** Returns whether a rollout of the service is running. */
+  public boolean isRunning(ServiceName service) {
+    Rollout rollout = rollouts.get(service);
+    return rollout != null && rollout.isRunning();
+  }
+
   /** Returns the rule for a new request, which may be selected for the canary. */
   public VersionRule ruleForNewRequest(ServiceName service, String route) {
-    Rollout rollout = rollouts.get(service);
-    if (rollout != null && rollout.isRunning()) {
+    if (isRunning(service)) {
+      Rollout rollout = rollouts.get(service);
       RouteTraffic traffic = RouteTraffic.of(route, evidence(rollout));
       double ratio = rollout.newVersionRatio(context.nowIncludingSuspensions(), traffic);
       if (ratio > 0 && ratio < 1 && rollout.sample(route, ratio)) {
