Count room only where the feature asks for it, and give back what was taken

Cause, from reading the change again: sizes, outputs and prompt times were recorded at every request also with TARGET_ROOM off; and a request larger than an engine's memory gave back another size than it had taken if the configuration had changed meanwhile. Change: nothing is recorded for services that are not limited; recordOpened returns what recordClosed takes back. CountedRoomTest and RoomForwardingTest pass; the new pairing has no test of its own.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
@@ -36,6 +36,7 @@
   private VersionRule drawnRule;
   private VersionRule ruleWhenDrawn;
   private boolean skipsLimitedTargets;
+  private long occupiedTokens;
   private boolean currentAttemptIsFirst;
   private boolean currentAttemptIsOnlyPrompt;
 
@@ -121,10 +122,10 @@
    */
   Optional<TargetChoice> choose(boolean allowTried, boolean urgent) {
     Set<TargetId> unavailable = unavailableTargets(urgent);
-    Set<TargetId> keptFree = reserved.get();
-    if (!keptFree.isEmpty()) {
+    Set<TargetId> reservedTargets = reserved.get();
+    if (!reservedTargets.isEmpty()) {
       Optional<TargetChoice> chosen =
-          chooseAvailable(allowTried, Sets.union(unavailable, keptFree));
+          chooseAvailable(allowTried, Sets.union(unavailable, reservedTargets));
       if (chosen.isPresent()) {
         return chosen;
       }
@@ -252,7 +253,7 @@
     currentAttemptIsFirst = isFirstAttempt();
     triedTargets.add(target.description().id());
     forwarder.backoffs().recordSent(target.description().id());
-    forwarder.room().recordOpened(target, size);
+    occupiedTokens = forwarder.room().recordOpened(target, size);
     return copiesMemory
         ? copies.chooseHolder(target, query.withVersions(forwarder.rollouts().rule(service)))
         : Optional.empty();
@@ -268,12 +269,14 @@
   /** Records that an attempt has ended, in whatever way. */
   void endAttempt(Attempt ending) {
     copies.release();
-    forwarder.room().recordClosed(ending.target(), size);
+    forwarder.room().recordClosed(ending.target(), occupiedTokens);
   }
 
   /** Updates the target's health from a complete response. */
   void recordResponse(Attempt from, TargetResponse response) {
-    if (from.isEventStream() && triedTargets.size() == 1 && request.lastEventId().isEmpty()) {
+    boolean isWholeOutput =
+        from.isEventStream() && triedTargets.size() == 1 && request.lastEventId().isEmpty();
+    if (isWholeOutput && forwarder.room().isLimited(service)) {
       forwarder
           .room()
           .recordOutput(route.name(), from.forwardedEventCount(), request.outputEstimate());
--- a/gatereel-core/src/main/java/org/gatereel/core/room/CountedRoom.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/room/CountedRoom.java
@@ -98,6 +98,9 @@
 
   /** Records how long an engine without other prompts took until the first event. */
   public void recordPromptMillis(ServiceName service, long millis) {
+    if (!isLimited(service)) {
+      return;
+    }
     promptTimes.computeIfAbsent(service, any -> new PromptTimes()).record(millis);
   }
 
@@ -107,32 +110,34 @@
     return mean == null ? defaultValue : mean.value();
   }
 
-  /** Records that this host sends a request to a target. */
-  public void recordOpened(TargetState target, RequestSize size) {
+  /**
+   * Records that this host sends a request to a target; returns the tokens of memory to give back
+   * with {@link #recordClosed}, 0 if the service is not limited.
+   */
+  public long recordOpened(TargetState target, RequestSize size) {
     ServiceName service = target.description().service();
-    long tokens = occupiedTokens(service, size);
+    Optional<EngineLimits> engine = limits.apply(service);
+    if (engine.isEmpty()) {
+      return 0;
+    }
+    long tokens = Math.min(size.totalTokens(), engine.get().cacheTokens());
     localTokens.merge(target.description().id(), tokens, Long::sum);
     usualTokens.computeIfAbsent(service, any -> new MovingMean()).record(tokens);
     counts.computeIfPresent(
         service, (any, count) -> new Count(count.size(), count.countedAt(), count.places() - 1));
+    return tokens;
   }
 
-  /** Records that a request of this host at a target has ended, in whatever way. */
-  public void recordClosed(TargetState target, RequestSize size) {
-    long ended = occupiedTokens(target.description().service(), size);
+  /**
+   * Records that a request of this host at a target has ended, in whatever way.
+   *
+   * @param ended the tokens that {@link #recordOpened} returned
+   */
+  public void recordClosed(TargetState target, long ended) {
     localTokens.computeIfPresent(
         target.description().id(), (id, tokens) -> tokens > ended ? tokens - ended : null);
   }
 
-  /** Returns the memory that a request occupies, which is never more than an engine has. */
-  private long occupiedTokens(ServiceName service, RequestSize size) {
-    long tokens = size.totalTokens();
-    return limits
-        .apply(service)
-        .map(engine -> Math.min(tokens, engine.cacheTokens()))
-        .orElse(tokens);
-  }
-
   /** Adds to the number of requests that wait here for room; {@code change} may be negative. */
   public void adjustWaiting(ServiceName service, int change) {
     waiting.merge(service, change, Integer::sum);
--- a/gatereel-core/src/test/java/org/gatereel/core/room/CountedRoomTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/room/CountedRoomTest.java
@@ -52,6 +52,7 @@
     final LoadExchange loads;
     final CountedRoom room;
     long sequence;
+    long opened;
 
     Host(long seed) {
       context =
@@ -88,7 +89,7 @@
 
     void open(int number) {
       targets.recordOpened(target(number));
-      room.recordOpened(target(number), SIZE);
+      opened = room.recordOpened(target(number), SIZE);
     }
   }
 
@@ -109,11 +110,9 @@
     RequestSize oversized =
         host.room.expectedSize("route", Long.MAX_VALUE, OptionalLong.of(Long.MAX_VALUE));
     for (int request = 0; request < 100; request++) {
-      host.room.recordOpened(host.target(1), SIZE);
-      host.room.recordClosed(host.target(1), SIZE);
+      host.room.recordClosed(host.target(1), host.room.recordOpened(host.target(1), SIZE));
     }
-    host.room.recordOpened(host.target(2), oversized);
-    host.room.recordClosed(host.target(2), oversized);
+    host.room.recordClosed(host.target(2), host.room.recordOpened(host.target(2), oversized));
     host.report(3, 0, 0, Map.of());
 
     assertTrue(oversized.totalTokens() > 0);
@@ -198,7 +197,7 @@
     host.open(1);
 
     host.targets.recordClosed(host.target(1));
-    host.room.recordClosed(host.target(1), SIZE);
+    host.room.recordClosed(host.target(1), host.opened);
 
     assertTrue(host.room.hasRoom(host.target(1), SIZE));
   }
