Keep the time to come back of a refusal by urgency within what callers honour

Cause: it was drawn up to two thirds of the caller's remaining time, of which callers honour a third, so that all of them came back earlier than they were told, together. Change: at most a third, spread over its last quarter where the queue takes longer. UrgencyAdmissionTest's upper bound is now the third; before the change the draw began there (8,333 to 16,666 ms), by arithmetic.

--- a/gatereel-core/src/main/java/org/gatereel/core/overload/UrgencyAdmission.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/UrgencyAdmission.java
@@ -42,7 +42,7 @@
 
   private static final long MIN_RETRY_AFTER_MILLIS = 500;
 
-  /** The {@code Retry-After} time is at most the caller's remaining time divided by this. */
+  /** Callers honour a {@code Retry-After} time up to their remaining time divided by this. */
   private static final int REMAINING_TIME_DIVISOR = 3;
 
   private final CoreContext context;
@@ -214,12 +214,14 @@
 
   /**
    * Draws the time after which the waiting requests ahead will have been served, spread over as
-   * long again.
+   * long again; at most the latest time that callers honour, and then over its last quarter.
    */
   private long drawRetryAfterMillis(ArrivingRequest request, long missingMillis) {
     long latest = Math.max(1, remainingMillis(request) / REMAINING_TIME_DIVISOR);
-    long earliest = Math.max(MIN_RETRY_AFTER_MILLIS, missingMillis);
-    return Math.min(latest, earliest) + context.random().nextLong(Math.min(latest, earliest));
+    long servedAfter = Math.max(MIN_RETRY_AFTER_MILLIS, missingMillis);
+    long earliest = Math.min(servedAfter, latest - latest / 4);
+    long spread = Math.min(servedAfter, latest - earliest);
+    return earliest + context.random().nextLong(spread + 1);
   }
 
   /**
--- a/gatereel-core/src/test/java/org/gatereel/core/overload/UrgencyAdmissionTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/overload/UrgencyAdmissionTest.java
@@ -213,7 +213,7 @@
 
     assertInstanceOf(OverloadDecision.Reject.class, decision);
     long retryAfter = ((OverloadDecision.Reject) decision).retryAfterMillis();
-    assertTrue(retryAfter >= 5_000 && retryAfter <= 25_000 * 2 / 3, "retry after: " + retryAfter);
+    assertTrue(retryAfter >= 5_000 && retryAfter <= 25_000 / 3, "retry after: " + retryAfter);
     assertEquals(0, overload.waitingCount());
   }
 
