--- a/gatereel-core/src/main/java/org/gatereel/core/overload/ArrivingRequest.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/ArrivingRequest.java
@@ -15,6 +15,7 @@
  * @param deadline when the caller or the route stops waiting, in milliseconds
  * @param arrivedAt when this host received it, in milliseconds
  * @param urgency its urgency among the requests of its service
+ * @param size its expected size
  */
 public record ArrivingRequest(
     ServiceName service,
--- a/gatereel-core/src/main/java/org/gatereel/core/overload/UrgentTargets.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/UrgentTargets.java
@@ -8,7 +8,7 @@
 import org.gatereel.core.target.TargetState;
 
 /**
- * Selects the engines that are kept free for the most urgent requests of a service.
+ * Selects the engines that are reserved for the most urgent requests of a service.
  *
  * <p>All hosts select the same engines from their identifiers, as many as the most urgent requests
  * occupy on average and a margin. Requests of other ranks choose among the rest, so that hosts that
@@ -18,14 +18,18 @@
   /** Engines in addition to those occupied on average, relative to them. */
   private static final double MARGIN_RATIO = 1.0;
 
+  /** A margin also where urgent requests occupy a fraction of one engine. */
   private static final int MARGIN_TARGETS = 2;
+
+  /** Leaves most engines to the other ranks. */
   private static final double MAX_RATIO = 0.3;
+
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private UrgentTargets() {}
 
   /**
-   * Returns the engines that are kept free.
+   * Returns the engines that are reserved.
    *
    * @param usable the usable engines of the service
    * @param urgentPerSecond how many of the most urgent requests arrive at all hosts
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/Script.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/Script.java
@@ -243,39 +243,20 @@
 
   /** Returns the same load before another number of hosts and engines. */
   Script sized(int newHosts, int newEngines) {
-    return new Script(
-        seconds,
-        dataCentres,
-        newHosts,
-        newEngines,
-        engineSlots,
-        engineQueue,
-        counters,
-        counterSlots,
-        counterQueue,
-        callMillis,
-        prompt,
-        events,
-        streams,
-        calls,
-        accounts,
-        engineSpeed,
-        urgent,
-        streamAimMillis,
-        engineSpeeds,
-        engineNoise,
-        engineMemory,
-        features,
-        trouble);
+    return copy(newHosts, newEngines, features);
   }
 
   /** Returns the same load with other scheduling features. */
   Script with(Set<SchedulingFeature> newFeatures) {
+    return copy(hosts, engines, newFeatures);
+  }
+
+  private Script copy(int newHosts, int newEngines, Set<SchedulingFeature> newFeatures) {
     return new Script(
         seconds,
         dataCentres,
-        hosts,
-        engines,
+        newHosts,
+        newEngines,
         engineSlots,
         engineQueue,
         counters,
