Log how connections to targets fail, with what other hosts report

CONNECTION_LOST (514) says so once for each change of the failure, CONNECTION_REGAINED (515) ends it; the gauge unreachable_targets counts them. No decision changes.

--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -98,6 +98,9 @@
   LEAVING_CONTRADICTED(
       510, "A target no longer announces that it is draining; it still receives no new requests."),
   ENTRY_FIELD_UNKNOWN(511, "Entries of targets have an unknown field."),
+  CONNECTION_LOST(
+      514, "This host can no longer connect to a target; reported when the failure changes."),
+  CONNECTION_REGAINED(515, "This host can connect to a target again."),
   ROLLOUT_ORDERED(520, "The operators requested a rollout of another version of a service."),
   ROLLOUT_STATE(521, "The agreed state of a rollout changed."),
   ROLLOUT_JUDGED(
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -23,6 +23,7 @@
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.HostId;
 import org.gatereel.core.poison.PoisonControl;
+import org.gatereel.core.reach.TargetReachability;
 import org.gatereel.core.retry.RetryLimit;
 import org.gatereel.core.rollout.RolloutControl;
 import org.gatereel.core.table.PolicyTable;
@@ -65,6 +66,7 @@
   private final LoadExchange loadExchange;
   private final PoisonControl poison;
   private final RolloutControl rollouts;
+  private final TargetReachability reachability;
   private final Forwarder forwarder;
   private final ForwardMetrics metrics = new ForwardMetrics();
   private final CallerServer callers;
@@ -112,13 +114,14 @@
     rollouts = new RolloutControl(context, bounds.rollouts());
     rollouts.setOthersEvidence(loadExchange::othersEvidence);
     loadExchange.setEvidenceSource(rollouts::ownEvidence);
+    reachability = new TargetReachability(context, targets, loadExchange::othersLoad);
     forwarder =
         new Forwarder(
             context,
             targets,
             configuration,
             policy(settings),
-            new TargetConnector(control, dialect),
+            new TargetConnector(control, dialect, reachability),
             metrics,
             directory,
             tokenClient,
@@ -142,6 +145,7 @@
     metrics.gauge("load_age_millis", loadExchange::oldestReportAgeMillis);
     metrics.gauge("poison_requests_suspected", poison::suspectedCount);
     metrics.gauge("poison_requests_held", poison::quarantinedCount);
+    metrics.gauge("unreachable_targets", reachability::unreachableCount);
     metrics.gauge("limited_targets", forwarder.limits().announced()::size);
     metrics.gauge("resting_targets", forwarder.backoffs()::size);
     metrics.gauge("leaving_targets", () -> targets.leavingTargets().size());
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -14,6 +15,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.Set;
@@ -24,6 +26,8 @@
 import org.gatereel.core.forward.TargetPort;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.TargetDescription;
+import org.gatereel.core.reach.ConnectOutcome;
+import org.gatereel.core.reach.TargetReachability;
 import org.gatereel.core.statement.Announcements;
 import org.gatereel.forward.ControlThread;
 import org.gatereel.forward.HeaderNames;
@@ -42,10 +46,13 @@
   private final ControlThread control;
   private final TargetDialect dialect;
   private final HeaderNames names;
+  private final TargetReachability reachability;
   private final Bootstrap bootstrap;
 
-  public TargetConnector(ControlThread control, TargetDialect dialect) {
+  public TargetConnector(
+      ControlThread control, TargetDialect dialect, TargetReachability reachability) {
     this.control = control;
+    this.reachability = reachability;
     this.dialect = dialect;
     this.names = dialect.headers();
     this.bootstrap =
@@ -66,8 +73,7 @@
             request.method(),
             listener,
             head -> TargetResponseHead.read(head, request.id(), names));
-    Channel channel =
-        open(dispatch.target().address(), handler, outgoingRequest(request, dispatch));
+    Channel channel = open(dispatch.target(), handler, outgoingRequest(request, dispatch));
     return () -> {
       handler.stopReporting();
       channel.close();
@@ -81,7 +87,7 @@
     request.headers().set(HttpHeaderNames.HOST, target.address().toString());
     request.headers().set(names.expectedTarget(), target.id().value());
     ProbeHandler handler = new ProbeHandler(control, target.id(), dialect, listener);
-    Channel channel = open(target.address(), handler, request);
+    Channel channel = open(target, handler, request);
     control
         .loop()
         .schedule(
@@ -119,7 +125,10 @@
         });
   }
 
-  private Channel open(Address address, TargetResponseHandler handler, FullHttpRequest request) {
+  private Channel open(
+      TargetDescription target, TargetResponseHandler handler, FullHttpRequest request) {
+    Address address = target.address();
+    long startedAtMillis = ControlThread.nowMillis();
     ChannelFuture connecting =
         bootstrap
             .clone()
@@ -133,6 +142,9 @@
             .connect(new InetSocketAddress(address.ip(), address.port()));
     connecting.addListener(
         done -> {
+          long millis = ControlThread.nowMillis() - startedAtMillis;
+          ConnectOutcome outcome = outcome(done.cause());
+          control.run(() -> reachability.recordDirect(target.id(), outcome, millis));
           if (!done.isSuccess()) {
             handler.connectFailed(done.cause());
           } else if (handler.prepareSend()) {
@@ -144,6 +156,16 @@
     return connecting.channel();
   }
 
+  private static ConnectOutcome outcome(Throwable failure) {
+    if (failure == null) {
+      return ConnectOutcome.CONNECTED;
+    }
+    if (failure instanceof ConnectTimeoutException) {
+      return ConnectOutcome.TIMED_OUT;
+    }
+    return failure instanceof ConnectException ? ConnectOutcome.REFUSED : ConnectOutcome.FAILED;
+  }
+
   private FullHttpRequest outgoingRequest(IncomingRequest request, Dispatch dispatch) {
     FullHttpRequest outgoingRequest =
         new DefaultFullHttpRequest(
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
@@ -28,6 +28,7 @@
 import org.gatereel.core.forward.ResponseHead;
 import org.gatereel.core.forward.TargetPort;
 import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.load.TargetLoad;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.HostId;
@@ -36,6 +37,9 @@
 import org.gatereel.core.model.TargetDescription;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.model.TargetKind;
+import org.gatereel.core.reach.TargetReachability;
+import org.gatereel.core.table.PolicyTable;
+import org.gatereel.core.target.TargetRegistry;
 import org.gatereel.forward.ControlThread;
 import org.gatereel.forward.HeaderNames;
 import org.gatereel.forward.TargetDialect;
@@ -158,7 +162,12 @@
     CoreContext context =
         new CoreContext(new HostId("test"), new DataCentre("north"), new SplittableRandom(1));
     ControlThread control = new ControlThread(group.next(), context, log);
-    connector = new TargetConnector(control, new Dialect(NAMES));
+    TargetRegistry targets = new TargetRegistry(context, new PolicyTable());
+    connector =
+        new TargetConnector(
+            control,
+            new Dialect(NAMES),
+            new TargetReachability(context, targets, target -> TargetLoad.NONE));
   }
 
   @AfterEach
