--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -121,7 +121,7 @@
             targets,
             configuration,
             policy(settings),
-            new TargetConnector(control, dialect, reachability),
+            new TargetConnector(control, dialect, reachability, settings::translate),
             metrics,
             directory,
             tokenClient,
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
@@ -21,6 +21,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.Dispatch;
 import org.gatereel.core.forward.TargetPort;
@@ -47,12 +48,23 @@
   private final TargetDialect dialect;
   private final HeaderNames names;
   private final TargetReachability reachability;
+  private final UnaryOperator<Address> translation;
   private final Bootstrap bootstrap;
 
+  /**
+   * Creates a connector.
+   *
+   * @param translation returns the address at which this host reaches a target, from the one that
+   *     the platform lists
+   */
   public TargetConnector(
-      ControlThread control, TargetDialect dialect, TargetReachability reachability) {
+      ControlThread control,
+      TargetDialect dialect,
+      TargetReachability reachability,
+      UnaryOperator<Address> translation) {
     this.control = control;
     this.reachability = reachability;
+    this.translation = translation;
     this.dialect = dialect;
     this.names = dialect.headers();
     this.bootstrap =
@@ -105,7 +117,7 @@
       long timeoutMillis,
       Consumer<Announcements> announcementListener,
       Consumer<Optional<Set<String>>> result) {
-    DocumentClient client = new DocumentClient(control.loop(), target.address());
+    DocumentClient client = new DocumentClient(control.loop(), translation.apply(target.address()));
     client.get(
         dialect.promptsPath(),
         timeoutMillis,
@@ -127,7 +139,7 @@
 
   private Channel open(
       TargetDescription target, TargetResponseHandler handler, FullHttpRequest request) {
-    Address address = target.address();
+    Address address = translation.apply(target.address());
     long startedAtMillis = ControlThread.nowMillis();
     ChannelFuture connecting =
         bootstrap
--- a/gatereel-forward/src/main/java/org/gatereel/forward/settings/ForwardSettings.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/settings/ForwardSettings.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.rollout.RolloutBounds;
@@ -29,6 +30,8 @@
  * @param platform IP:PORT of the platform's store
  * @param bounds the limits that operators guarantee to users
  * @param features the scheduling features that are enabled; none if absent
+ * @param targetAddresses the addresses, as IP:PORT, at which this host reaches targets that the
+ *     platform lists under other addresses; none if absent
  */
 public record ForwardSettings(
     @JsonProperty(required = true) String host,
@@ -39,7 +42,8 @@
     @JsonProperty(required = true) String peers,
     @JsonProperty(required = true) String platform,
     @JsonProperty(required = true) Bounds bounds,
-    Set<SchedulingFeature> features) {
+    Set<SchedulingFeature> features,
+    Map<String, String> targetAddresses) {
 
   private static final ObjectMapper MAPPER =
       JsonMapper.builder()
@@ -54,6 +58,7 @@
 
   public ForwardSettings {
     features = features == null ? Set.of() : Set.copyOf(features);
+    targetAddresses = targetAddresses == null ? Map.of() : Map.copyOf(targetAddresses);
   }
 
   /**
@@ -126,6 +131,12 @@
     return settings;
   }
 
+  /** Returns the address at which this host reaches a target that is listed under an address. */
+  public Address translate(Address listed) {
+    String reached = targetAddresses.get(listed.toString());
+    return reached == null ? listed : address(reached);
+  }
+
   /** Parses an address of validated settings. */
   public static Address address(String text) {
     int colon = text.lastIndexOf(':');
@@ -141,6 +152,11 @@
     checkAddress(errors, "metrics", metrics);
     checkAddress(errors, "peers", peers);
     checkAddress(errors, "platform", platform);
+    targetAddresses.forEach(
+        (listed, reached) -> {
+          checkAddress(errors, "targetAddresses", listed);
+          checkAddress(errors, "targetAddresses." + listed, reached);
+        });
     if (bounds == null) {
       errors.add("bounds: missing");
       return errors;
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.Dispatch;
 import org.gatereel.core.forward.ProbeResult;
@@ -167,7 +168,8 @@
         new TargetConnector(
             control,
             new Dialect(NAMES),
-            new TargetReachability(context, targets, target -> TargetLoad.NONE));
+            new TargetReachability(context, targets, target -> TargetLoad.NONE),
+            UnaryOperator.identity());
   }
 
   @AfterEach
