Relay connections to targets through hosts that reach them

Cause: a host took its own view for the truth. It had no way to a target but its own connections, and a connection that failed counted against the target. Evidence: 982 attempts without a connection at six hosts, none at the other three, at the same targets in the same seconds.

All decisions stay with the host that has the caller: limits, retries, rest, draining and verdicts count once. The relaying host connects directly or says no, so there is one hop at the most. Nothing of a request is sent before the connection stands, so "not run" stays true. The relayed connection is reset unless the target closed its own in order, also if the relaying process dies, so that a cut answer never looks whole. Once another host connected where this one could not, the path counts as lost: connections are relayed at once, and a probe apart from callers' requests tests the direct path. Failures that the own links caused are taken back and no more told to other hosts; probes go the same way, so that a lost link no longer looks like the end of a target. Silent streams whose connection is older than the loss move on.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/HostDirectory.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/HostDirectory.java
@@ -17,6 +17,8 @@
 import org.gatereel.core.load.GathererDirectory;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
+import org.gatereel.core.reach.RelayDirectory;
+import org.gatereel.core.reach.RelayPeer;
 
 /**
  * Tracks the other hosts by their entries in the platform's store.
@@ -25,7 +27,8 @@
  * approximate data suffices for both. A host rewrites its entry once a minute. An older entry is
  * soon ignored, and later removed by the next host that writes its own.
  */
-public final class HostDirectory implements GathererDirectory, HostCount, IssuerDirectory {
+public final class HostDirectory
+    implements GathererDirectory, HostCount, IssuerDirectory, RelayDirectory {
   /** Assumed until all hosts that start together have had time to write their entries. */
   private static final int MIN_HOSTS_AT_START = 16;
 
@@ -58,6 +61,7 @@
   private List<Entry> localReaders = List.of();
   private Optional<Entry> globalReader = Optional.empty();
   private List<List<Address>> readersElsewhere = List.of();
+  private List<RelayPeer> relayPeers = List.of();
   private int readings;
   private long changes;
   private long writtenAt = Long.MIN_VALUE / 2;
@@ -105,6 +109,7 @@
     logChange(previous.size(), ranked);
     localReaders = ranked;
     readersElsewhere = rankElsewhere();
+    relayPeers = findRelayPeers();
     globalReader = findGlobalReader();
     if (isOwnFresh(entries, storeMillis) || storeMillis - writtenAt < MIN_REWRITE_INTERVAL_MILLIS) {
       return Optional.empty();
@@ -137,6 +142,13 @@
         .toList();
   }
 
+  private List<RelayPeer> findRelayPeers() {
+    return liveEntries.stream()
+        .filter(entry -> !entry.host().equals(self) && !entry.address().equals(address))
+        .map(entry -> new RelayPeer(entry.address(), entry.dataCentre()))
+        .toList();
+  }
+
   private void logChange(int previousCount, List<Entry> ranked) {
     String first = firstOf(ranked);
     if (liveEntries.size() != previousCount || !first.equals(firstOf(localReaders))) {
@@ -231,6 +243,11 @@
     return readersElsewhere;
   }
 
+  @Override
+  public List<RelayPeer> relayPeers() {
+    return relayPeers;
+  }
+
   @Override
   public List<Address> rankedIssuers(DataCentre dataCentre, String key) {
     List<Entry> all = new ArrayList<>(liveEntries);
--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -101,6 +101,12 @@
   CONNECTION_LOST(
       514, "This host can no longer connect to a target; reported when the failure changes."),
   CONNECTION_REGAINED(515, "This host can connect to a target again."),
+  RELAY_BEGUN(
+      516,
+      "Connections to a target are relayed by other hosts: they can connect, this host cannot."),
+  RELAY_OPENED(517, "This host relays a connection of another host to a target."),
+  RELAY_REJECTED(518, "This host does not relay a connection to a target for another host."),
+  RELAY_CLOSED(519, "A relayed connection ended."),
   ROLLOUT_ORDERED(520, "The operators requested a rollout of another version of a service."),
   ROLLOUT_STATE(521, "The agreed state of a rollout changed."),
   ROLLOUT_JUDGED(
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
@@ -25,7 +25,7 @@
   private ResponseEnd end;
   private long endedAt;
   private boolean probed;
-  private boolean sent;
+  private OptionalLong sentAt = OptionalLong.empty();
   private boolean closed;
   private long forwardedEventCount;
   private OptionalLong lastReceivedEventId = OptionalLong.empty();
@@ -76,7 +76,12 @@
 
   /** Returns whether the target may have started to execute the request. */
   boolean mayHaveExecuted() {
-    return sent;
+    return sentAt.isPresent();
+  }
+
+  /** Returns whether the request was sent over a connection established before a time. */
+  boolean wasSentBefore(long time) {
+    return sentAt.isPresent() && sentAt.getAsLong() < time;
   }
 
   boolean isClosed() {
@@ -235,7 +240,7 @@
   @Override
   public void onSent() {
     if (acceptsCallbacks()) {
-      sent = true;
+      sentAt = OptionalLong.of(exchange.now());
     }
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -160,6 +160,10 @@
     return mayHaveExecuted ? Rejection.TARGET_FAILED : ifNotExecuted;
   }
 
+  long now() {
+    return context.now();
+  }
+
   Attempt attempt() {
     return attempt;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -212,6 +212,7 @@
           probing.remove(id);
           if (result.isResponse()) {
             targets.recordResponse(target);
+            moveFromLostPath(target, probedAt);
           } else {
             onTargetUnreachable(target, probedAt);
           }
@@ -223,11 +224,31 @@
     context.logEvent(EventCode.TARGET_UNREACHABLE, target.description().id().toString(), "");
     targets.recordFailure(target, TargetFailure.TIMEOUT);
     loads.scheduleReports();
+    moveSilentStreams(target, probedAt, Long.MAX_VALUE);
+  }
+
+  /**
+   * Moves silent streams whose connection was opened before the direct path to the target was lost.
+   * The target itself responds through another host.
+   */
+  private void moveFromLostPath(TargetState target, long probedAt) {
+    TargetId id = target.description().id();
+    port.pathLostAt(id)
+        .ifPresent(
+            lostAt -> {
+              moveSilentStreams(target, probedAt, lostAt);
+              targets.retractFailures(id);
+            });
+  }
+
+  /** Moves the streams that were sent to a target before a time and are silent since another. */
+  private void moveSilentStreams(TargetState target, long silentSince, long sentBefore) {
     for (Exchange exchange : List.copyOf(exchanges)) {
       boolean isAffected =
           exchange.canMove()
               && exchange.currentTarget().isPresent()
-              && StallDetector.isSilentSince(exchange.attempt(), target, probedAt);
+              && exchange.attempt().wasSentBefore(sentBefore)
+              && StallDetector.isSilentSince(exchange.attempt(), target, silentSince);
       if (isAffected) {
         exchange.onTargetLost(TargetFailure.TIMEOUT);
       }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ObservingTargetPort.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ObservingTargetPort.java
@@ -1,10 +1,12 @@
 package org.gatereel.core.forward;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.TargetDescription;
+import org.gatereel.core.model.TargetId;
 import org.gatereel.core.statement.Announcements;
 
 /**
@@ -63,4 +65,9 @@
         },
         callback);
   }
+
+  @Override
+  public OptionalLong pathLostAt(TargetId target) {
+    return port.pathLostAt(target);
+  }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetPort.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetPort.java
@@ -1,10 +1,12 @@
 package org.gatereel.core.forward;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.model.TargetDescription;
+import org.gatereel.core.model.TargetId;
 import org.gatereel.core.statement.Announcements;
 
 /** Sends requests and probes to targets. */
@@ -28,6 +30,15 @@
       Consumer<Announcements> announcementListener,
       Consumer<Optional<Set<String>>> callback);
 
+  /**
+   * Returns when connections to a target began to be relayed by other hosts, in milliseconds; empty
+   * if this host connects to it directly. Connections that were open before may have broken
+   * silently.
+   */
+  default OptionalLong pathLostAt(TargetId target) {
+    return OptionalLong.empty();
+  }
+
   /** A request in progress at a target. */
   interface Call {
     /** Closes the connection at once; the listener is not called any more. */
--- a/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
@@ -292,6 +292,11 @@
     target.recordError(context.now());
   }
 
+  /** Forgets failures of a target that this host's own network caused. */
+  public void retractFailures(TargetId id) {
+    find(id).ifPresent(TargetState::retractFailures);
+  }
+
   /** Records a failure; marks the target as leaving if the failure announces that. */
   public void recordFailure(TargetState target, TargetFailure failure) {
     TargetId id = target.description().id();
--- a/gatereel-core/src/main/java/org/gatereel/core/target/TargetState.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/target/TargetState.java
@@ -205,6 +205,12 @@
     return lastFailureAt;
   }
 
+  /** Forgets failures that this host's own network caused. */
+  void retractFailures() {
+    recordResponse();
+    lastFailureAt = Long.MIN_VALUE;
+  }
+
   /** Records a response, which ends the backoff; returns whether the target was failing. */
   boolean recordResponse() {
     boolean recovered = failing;
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CloseMode.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/CloseMode.java
@@ -1,4 +1,4 @@
-package org.gatereel.forward.http;
+package org.gatereel.forward;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
@@ -9,7 +9,7 @@
  * <p>To a caller without chunk support, a graceful close marks the end of a complete response. The
  * operating system applies the mode even if this process is killed.
  */
-final class CloseMode {
+public final class CloseMode {
   /** With a linger time of zero, a close discards unsent bytes and resets the connection. */
   private static final int RESET_LINGER_SECONDS = 0;
 
@@ -19,12 +19,12 @@
   private CloseMode() {}
 
   /** Makes the end of a connection a reset, which discards unsent bytes. */
-  static void resetOnClose(Channel channel) {
+  public static void resetOnClose(Channel channel) {
     setLinger(channel, RESET_LINGER_SECONDS);
   }
 
   /** Makes the end of a connection a graceful close after all bytes are sent. */
-  static void closeGracefully(Channel channel) {
+  public static void closeGracefully(Channel channel) {
     setLinger(channel, LINGER_DISABLED);
   }
 
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -34,6 +34,7 @@
 import org.gatereel.forward.log.ForwardLog;
 import org.gatereel.forward.peer.LoadClient;
 import org.gatereel.forward.peer.TokenClient;
+import org.gatereel.forward.relay.RelayServer;
 import org.gatereel.forward.settings.ForwardSettings;
 
 /** A forwarding host: connects the core to its servers and clients, and starts and stops them. */
@@ -67,6 +68,7 @@
   private final PoisonControl poison;
   private final RolloutControl rollouts;
   private final TargetReachability reachability;
+  private final RelayServer relayServer;
   private final Forwarder forwarder;
   private final ForwardMetrics metrics = new ForwardMetrics();
   private final CallerServer callers;
@@ -114,7 +116,9 @@
     rollouts = new RolloutControl(context, bounds.rollouts());
     rollouts.setOthersEvidence(loadExchange::othersEvidence);
     loadExchange.setEvidenceSource(rollouts::ownEvidence);
-    reachability = new TargetReachability(context, targets, loadExchange::othersLoad);
+    reachability = new TargetReachability(context, targets, loadExchange::othersLoad, directory);
+    reachability.onLostPath(targets::retractFailures);
+    relayServer = new RelayServer(control, context, reachability, settings::translate);
     forwarder =
         new Forwarder(
             context,
@@ -146,6 +150,9 @@
     metrics.gauge("poison_requests_suspected", poison::suspectedCount);
     metrics.gauge("poison_requests_held", poison::quarantinedCount);
     metrics.gauge("unreachable_targets", reachability::unreachableCount);
+    metrics.gauge("lost_paths", reachability::lostPathCount);
+    metrics.gauge("relayed_by_others", reachability::relayedConnections);
+    metrics.gauge("relayed_for_others", relayServer::openCount);
     metrics.gauge("limited_targets", forwarder.limits().announced()::size);
     metrics.gauge("resting_targets", forwarder.backoffs()::size);
     metrics.gauge("leaving_targets", () -> targets.leavingTargets().size());
@@ -228,6 +235,11 @@
     return rollouts;
   }
 
+  /** Returns the server that relays connections of other hosts to targets. */
+  public RelayServer relayServer() {
+    return relayServer;
+  }
+
   /** Returns the directory of all hosts. */
   public HostDirectory directory() {
     return directory;
@@ -294,6 +306,7 @@
             () -> {
               stopping = true;
               callers.drain();
+              relayServer.drain();
               log.event(
                   EventCode.HOST_DRAINING,
                   settings.host(),
@@ -310,7 +323,8 @@
     if (nowMillis >= balancerDeadlineMillis) {
       callers.closeIdleConnections();
     }
-    boolean done = nowMillis >= balancerDeadlineMillis && forwarder.openExchangeCount() == 0;
+    boolean isIdle = forwarder.openExchangeCount() == 0 && relayServer.openCount() == 0;
+    boolean done = nowMillis >= balancerDeadlineMillis && isIdle;
     if (done || nowMillis >= deadlineMillis) {
       callers.stopListening();
       control.run(forwarder::stopAll);
@@ -331,6 +345,7 @@
   @Override
   public void close() {
     callers.close();
+    relayServer.close();
     tokenClient.close();
     loadClient.close();
     status.close();
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerResponseWriter.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerResponseWriter.java
@@ -24,6 +24,7 @@
 import org.gatereel.core.forward.CallerPort;
 import org.gatereel.core.forward.Rejection;
 import org.gatereel.core.forward.ResponseHead;
+import org.gatereel.forward.CloseMode;
 
 /**
  * Writes the response to one request of a caller's connection.
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/ProbeHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/ProbeHandler.java
@@ -1,11 +1,9 @@
 package org.gatereel.forward.http;
 
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.ByteArrayOutputStream;
-import java.net.ConnectException;
 import java.util.OptionalLong;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.ProbeResult;
@@ -54,10 +52,9 @@
    * causes a timeout.
    */
   @Override
-  void connectFailed(Throwable cause) {
-    connectionRefused =
-        cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
-    super.connectFailed(cause);
+  void connectFailed(boolean targetRefused) {
+    connectionRefused = targetRefused;
+    super.connectFailed(targetRefused);
   }
 
   @Override
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/StatusServer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/StatusServer.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -24,6 +25,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -43,6 +45,7 @@
   private final EventLoop loop;
   private final Map<String, AsyncPage> pages = new LinkedHashMap<>();
   private final Map<String, Function<byte[], Page>> receivers = new HashMap<>();
+  private BiConsumer<FullHttpRequest, Channel> connectHandler;
   private Channel listener;
 
   /** A page with its HTTP status. */
@@ -80,6 +83,14 @@
     return this;
   }
 
+  /**
+   * Sets the handler of {@code CONNECT} requests, which responds to them and then owns the channel.
+   */
+  public StatusServer setConnectHandler(BiConsumer<FullHttpRequest, Channel> handler) {
+    connectHandler = handler;
+    return this;
+  }
+
   /** Begins to listen; fails if the address cannot be bound. */
   public void start(Address address) {
     listener =
@@ -113,6 +124,10 @@
   private final class PageHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+      if (connectHandler != null && request.method().equals(HttpMethod.CONNECT)) {
+        connectHandler.accept(request, context.channel());
+        return;
+      }
       boolean keepAlive = HttpUtil.isKeepAlive(request);
       respond(request, page -> write(context, page, keepAlive));
     }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
@@ -1,13 +1,7 @@
 package org.gatereel.forward.http;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -15,24 +9,27 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import java.net.ConnectException;
-import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.Dispatch;
+import org.gatereel.core.forward.ProbeResult;
 import org.gatereel.core.forward.TargetPort;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.TargetDescription;
-import org.gatereel.core.reach.ConnectOutcome;
+import org.gatereel.core.model.TargetId;
 import org.gatereel.core.reach.TargetReachability;
 import org.gatereel.core.statement.Announcements;
 import org.gatereel.forward.ControlThread;
 import org.gatereel.forward.HeaderNames;
 import org.gatereel.forward.TargetDialect;
+import org.gatereel.forward.relay.RelayClient;
+import org.gatereel.forward.relay.TargetDialer;
 
 /**
  * Sends requests to targets, each on a new connection.
@@ -42,14 +39,15 @@
  * proves that the target did not receive the request. Requests are not retried by this class.
  */
 public final class TargetConnector implements TargetPort {
-  private static final int CONNECT_TIMEOUT_MILLIS = 250;
+  private static final String PROBE_ID = "probe";
+  private static final long DIRECT_PROBE_TIMEOUT_MILLIS = 250;
 
   private final ControlThread control;
   private final TargetDialect dialect;
   private final HeaderNames names;
-  private final TargetReachability reachability;
   private final UnaryOperator<Address> translation;
-  private final Bootstrap bootstrap;
+  private final TargetReachability reachability;
+  private final TargetDialer dialer;
 
   /**
    * Creates a connector.
@@ -63,17 +61,12 @@
       TargetReachability reachability,
       UnaryOperator<Address> translation) {
     this.control = control;
-    this.reachability = reachability;
-    this.translation = translation;
     this.dialect = dialect;
     this.names = dialect.headers();
-    this.bootstrap =
-        new Bootstrap()
-            .group(control.loop())
-            .channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+    this.translation = translation;
+    this.reachability = reachability;
+    this.dialer = new TargetDialer(control, reachability, translation);
+    reachability.setDirectProbe(this::probeDirectly);
   }
 
   @Override
@@ -85,32 +78,71 @@
             request.method(),
             listener,
             head -> TargetResponseHead.read(head, request.id(), names));
-    Channel channel = open(dispatch.target(), handler, outgoingRequest(request, dispatch));
+    long dispatchedAtMillis = ControlThread.nowMillis();
+    TargetDialer.Dial dial =
+        dialer.dial(
+            new RelayClient.RelayRequest(
+                dispatch.target(), request.id(), dispatch.remainingMillis()),
+            new DialListener(
+                handler,
+                () ->
+                    outgoingRequest(
+                        request, dispatch, ControlThread.nowMillis() - dispatchedAtMillis)));
     return () -> {
       handler.stopReporting();
-      channel.close();
+      dial.close();
     };
   }
 
   @Override
   public void probe(TargetDescription target, long timeoutMillis, ProbeListener listener) {
-    FullHttpRequest request =
-        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, dialect.probePath());
-    request.headers().set(HttpHeaderNames.HOST, target.address().toString());
-    request.headers().set(names.expectedTarget(), target.id().value());
     ProbeHandler handler = new ProbeHandler(control, target.id(), dialect, listener);
-    Channel channel = open(target, handler, request);
+    TargetDialer.Dial dial =
+        dialer.dial(
+            new RelayClient.RelayRequest(target, PROBE_ID, timeoutMillis),
+            new DialListener(handler, () -> probeRequest(target)));
+    failAfter(handler, timeoutMillis, dial::close);
+  }
+
+  private void failAfter(TargetResponseHandler handler, long timeoutMillis, Runnable close) {
     control
         .loop()
         .schedule(
             () -> {
               handler.fail(TargetFailure.TIMEOUT);
-              channel.close();
+              close.run();
             },
             timeoutMillis,
             TimeUnit.MILLISECONDS);
   }
 
+  private FullHttpRequest probeRequest(TargetDescription target) {
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, dialect.probePath());
+    request.headers().set(HttpHeaderNames.HOST, target.address().toString());
+    request.headers().set(names.expectedTarget(), target.id().value());
+    return request;
+  }
+
+  @Override
+  public OptionalLong pathLostAt(TargetId target) {
+    return reachability.pathLostAt(target);
+  }
+
+  /** Probes a target over a direct connection, whether its path is lost or not. */
+  private void probeDirectly(TargetDescription target, Consumer<Boolean> callback) {
+    ProbeHandler handler =
+        new ProbeHandler(
+            control,
+            target.id(),
+            dialect,
+            result ->
+                callback.accept(result == ProbeResult.ALIVE || result == ProbeResult.ANSWERED));
+    Channel channel =
+        dialer.dialDirectly(target, new DialListener(handler, () -> probeRequest(target)));
+    failAfter(handler, DIRECT_PROBE_TIMEOUT_MILLIS, channel::close);
+  }
+
   @Override
   public void listPrompts(
       TargetDescription target,
@@ -137,48 +169,27 @@
         });
   }
 
-  private Channel open(
-      TargetDescription target, TargetResponseHandler handler, FullHttpRequest request) {
-    Address address = translation.apply(target.address());
-    long startedAtMillis = ControlThread.nowMillis();
-    ChannelFuture connecting =
-        bootstrap
-            .clone()
-            .handler(
-                new ChannelInitializer<Channel>() {
-                  @Override
-                  protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(ResponseFraming.codec()).addLast(handler);
-                  }
-                })
-            .connect(new InetSocketAddress(address.ip(), address.port()));
-    connecting.addListener(
-        done -> {
-          long millis = ControlThread.nowMillis() - startedAtMillis;
-          ConnectOutcome outcome = outcome(done.cause());
-          control.run(() -> reachability.recordDirect(target.id(), outcome, millis));
-          if (!done.isSuccess()) {
-            handler.connectFailed(done.cause());
-          } else if (handler.prepareSend()) {
-            connecting.channel().writeAndFlush(request);
-          } else {
-            connecting.channel().close();
-          }
-        });
-    return connecting.channel();
-  }
-
-  private static ConnectOutcome outcome(Throwable failure) {
-    if (failure == null) {
-      return ConnectOutcome.CONNECTED;
+  /** Sends a request over a connection once it is established. */
+  private record DialListener(TargetResponseHandler handler, Supplier<FullHttpRequest> request)
+      implements TargetDialer.Listener {
+    @Override
+    public void onConnected(Channel channel) {
+      channel.pipeline().addLast(ResponseFraming.codec()).addLast(handler);
+      if (handler.prepareSend()) {
+        channel.writeAndFlush(request.get());
+      } else {
+        channel.close();
+      }
     }
-    if (failure instanceof ConnectTimeoutException) {
-      return ConnectOutcome.TIMED_OUT;
+
+    @Override
+    public void onFailed(boolean targetRefused) {
+      handler.connectFailed(targetRefused);
     }
-    return failure instanceof ConnectException ? ConnectOutcome.REFUSED : ConnectOutcome.FAILED;
   }
 
-  private FullHttpRequest outgoingRequest(IncomingRequest request, Dispatch dispatch) {
+  private FullHttpRequest outgoingRequest(
+      IncomingRequest request, Dispatch dispatch, long elapsedMillis) {
     FullHttpRequest outgoingRequest =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -190,7 +201,7 @@
     if (hasBody(request)) {
       headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
     }
-    headers.set(names.remainingMillis(), dispatch.remainingMillis());
+    headers.set(names.remainingMillis(), Math.max(1, dispatch.remainingMillis() - elapsedMillis));
     headers.set(names.expectedTarget(), dispatch.target().id().value());
     dispatch.account().ifPresent(account -> headers.set(names.account(), account.value()));
     dispatch
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetResponseHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetResponseHandler.java
@@ -49,8 +49,13 @@
 
   abstract void onFailure(TargetFailure failure);
 
-  /** Called when the connection could not be established. */
-  void connectFailed(Throwable cause) {
+  /**
+   * Called when the connection could not be established.
+   *
+   * @param targetRefused whether the target's address refused connections, so that no process
+   *     listens there
+   */
+  void connectFailed(boolean targetRefused) {
     fail(TargetFailure.NOT_CONNECTED);
   }
 
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerServer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerServer.java
@@ -1,5 +1,8 @@
 package org.gatereel.forward.peer;
 
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.gatereel.core.document.DocumentCache;
@@ -41,13 +44,15 @@
    * @param context the clock for the age of documents
    * @param issuer issues retry and limit tokens to other hosts
    * @param loadReceiver processes a load report; returns false if the full report is needed
+   * @param relay relays connections of other hosts to targets
    */
   public PeerServer(
       ControlThread control,
       DocumentCache documentCache,
       CoreContext context,
       TokenIssuer issuer,
-      Predicate<LoadReport> loadReceiver) {
+      Predicate<LoadReport> loadReceiver,
+      BiConsumer<FullHttpRequest, Channel> relay) {
     this.control = control;
     this.documentCache = documentCache;
     this.context = context;
@@ -57,7 +62,8 @@
         new StatusServer(control.loop())
             .addQueryPage(PeerDocuments.PATH, this::serveDocuments)
             .addAsyncPage(TokenMessages.PATH, this::issueTokens)
-            .addReceiver(LoadMessages.PATH, this::receiveLoadReport);
+            .addReceiver(LoadMessages.PATH, this::receiveLoadReport)
+            .setConnectHandler(relay);
   }
 
   public void start(Address address) {
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
@@ -13,6 +13,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -168,7 +169,7 @@
         new TargetConnector(
             control,
             new Dialect(NAMES),
-            new TargetReachability(context, targets, target -> TargetLoad.NONE),
+            new TargetReachability(context, targets, target -> TargetLoad.NONE, List::of),
             UnaryOperator.identity());
   }
 
