--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ExchangeLog.java
@@ -1,5 +1,6 @@
 package org.gatereel.core.forward;
 
+import com.google.common.base.Ascii;
 import java.util.OptionalLong;
 import org.gatereel.core.choice.TargetChoice;
 import org.gatereel.core.configuration.Route;
@@ -10,6 +11,9 @@
 
 /** Logs the events of one request, each with its inputs and the request's progress. */
 final class ExchangeLog {
+  /** Callers choose the names of the parts, which must not fill a log. */
+  private static final int MAX_PARTS_LENGTH = 120;
+
   private final Forwarder forwarder;
   private final Exchange exchange;
   private final ForwardRequest request;
@@ -124,6 +128,8 @@
         attempt.headAt().isPresent() ? Long.toString(now - attempt.headAt().getAsLong()) : "-";
     return " request="
         + exchange.poison().fingerprint()
+        + " parts="
+        + Ascii.truncate(String.join(",", request.sharedPromptParts()), MAX_PARTS_LENGTH, "...")
         + " sinceSentMillis="
         + (now - attempt.startedAt())
         + " sinceHeadMillis="
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardRequest.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardRequest.java
@@ -1,6 +1,7 @@
 package org.gatereel.core.forward;
 
 import com.google.common.hash.HashCode;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -45,6 +46,14 @@
    */
   Optional<String> promptPart();
 
+  /**
+   * Returns the names of the parts of the prompt in order, without the last one, which belongs to
+   * this request or its session alone.
+   */
+  default List<String> sharedPromptParts() {
+    return List.of();
+  }
+
   /**
    * Returns a digest of method, path with query, and body. It is computed on each call, in time
    * proportional to the body.
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/IncomingRequest.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/IncomingRequest.java
@@ -28,7 +28,8 @@
     OptionalLong lastEventId,
     long promptTokens,
     OptionalLong outputEstimate,
-    Optional<String> promptPart)
+    Optional<String> promptPart,
+    List<String> sharedPromptParts)
     implements ForwardRequest {
   /** Longer numbers are no estimate of any output. */
   private static final int MAX_ESTIMATE_DIGITS = 9;
@@ -58,7 +59,8 @@
         number(headers, HeaderNames.LAST_EVENT_ID),
         firstNumber(headers, names.tokenCounts()),
         estimate(headers, names.outputEstimate()),
-        PromptParts.largest(headers.get(names.promptParts())));
+        PromptParts.largest(headers.get(names.promptParts())),
+        PromptParts.shared(headers.get(names.promptParts())));
   }
 
   @Override
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/PromptParts.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/PromptParts.java
@@ -2,6 +2,8 @@
 
 import com.google.common.base.Splitter;
 import com.google.common.primitives.Longs;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -14,8 +16,29 @@
   private static final Splitter PARTS = Splitter.on(',').trimResults().omitEmptyStrings();
   private static final char SEPARATOR = ':';
 
+  /** Prompts have a few parts; further ones are ignored. */
+  private static final int MAX_SHARED_PARTS = 16;
+
   private PromptParts() {}
 
+  /**
+   * Returns the names of the parts in order, without the last one.
+   *
+   * @param list may be null
+   */
+  static List<String> shared(String list) {
+    if (list == null) {
+      return List.of();
+    }
+    List<String> names = new ArrayList<>();
+    for (String part : PARTS.split(list)) {
+      int separator = part.indexOf(SEPARATOR);
+      names.add(separator < 0 ? part : part.substring(0, separator));
+    }
+    int sharedCount = Math.min(MAX_SHARED_PARTS, names.size() - 1);
+    return sharedCount <= 0 ? List.of() : List.copyOf(names.subList(0, sharedCount));
+  }
+
   /**
    * Returns the name of the part with the most tokens; of several with as many, the last one.
    *
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
@@ -209,7 +209,8 @@
             OptionalLong.empty(),
             0,
             OptionalLong.empty(),
-            Optional.empty());
+            Optional.empty(),
+            List.of());
     Dispatch dispatch =
         new Dispatch(
             request,
