Tell a lost link from an ended target by a connection to another target

What was seen: PoisonRequestTest failed on the relay of connections (7 engines ended where 6 may; once no third end was recorded within 10 s). Two idle hosts that each knew two ended targets took themselves for cut off, and neither believed the other one's word that a target refuses connections.

A host that cannot tell now connects to a target whose last connection did not fail. If that works, its network works, and the failed target has failed. Targets that another host could not reach either no longer count as a sign of a lost link.

--- a/gatereel-core/src/main/java/org/gatereel/core/reach/TargetReachability.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/reach/TargetReachability.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -48,7 +49,13 @@
   /** Until when each target is known to be unreachable for other hosts as well. */
   private final Map<TargetId, Long> unreachableUntil = new HashMap<>();
 
-  /** The targets to which connections failed since the last one that was established. */
+  /** The failed targets to which another host could not connect either. */
+  private final Set<TargetId> failedElsewhere = new HashSet<>();
+
+  /**
+   * The targets to which connections failed since the last one that was established, without those
+   * to which another host could not connect either.
+   */
   private final Set<TargetId> failedSinceConnected = new HashSet<>();
 
   private DirectProbe directProbe = (target, callback) -> callback.accept(false);
@@ -85,6 +92,7 @@
   public void recordDirect(TargetId target, ConnectOutcome outcome, long millis) {
     if (outcome == ConnectOutcome.CONNECTED) {
       failedSinceConnected.clear();
+      failedElsewhere.remove(target);
       boolean wasRelayed = lostPaths.remove(target) != null;
       if (failures.remove(target) != null) {
         context.logEvent(
@@ -94,14 +102,21 @@
       }
       return;
     }
-    failures.keySet().removeIf(known -> targets.find(known).isEmpty());
-    failedSinceConnected.removeIf(known -> targets.find(known).isEmpty());
-    failedSinceConnected.add(target);
+    removeUnlisted();
+    if (!failedElsewhere.contains(target)) {
+      failedSinceConnected.add(target);
+    }
     if (failures.put(target, outcome) != outcome) {
       logLost(target, outcome, millis);
     }
   }
 
+  private void removeUnlisted() {
+    failures.keySet().removeIf(known -> targets.find(known).isEmpty());
+    failedElsewhere.removeIf(known -> targets.find(known).isEmpty());
+    failedSinceConnected.removeIf(known -> targets.find(known).isEmpty());
+  }
+
   /** Logs a failure with what other hosts report, to tell a failed target from a failed link. */
   private void logLost(TargetId target, ConnectOutcome outcome, long millis) {
     TargetLoad others = othersLoad.apply(target);
@@ -128,6 +143,11 @@
     if (outcome == RelayOutcome.TARGET_UNREACHABLE) {
       unreachableUntil.values().removeIf(until -> until <= context.now());
       unreachableUntil.put(target, context.now() + UNREACHABLE_MILLIS);
+      failedElsewhere.add(target);
+      failedSinceConnected.remove(target);
+    }
+    if (outcome == RelayOutcome.CONNECTED) {
+      failedElsewhere.remove(target);
     }
     boolean isPathLost = outcome == RelayOutcome.CONNECTED && failures.containsKey(target);
     if (isPathLost && lostPaths.putIfAbsent(target, context.now()) == null) {
@@ -176,7 +196,23 @@
    */
   public boolean isFailureOfTarget(TargetId target) {
     boolean othersFail = failedSinceConnected.stream().anyMatch(failed -> !failed.equals(target));
-    return isUnreachableForOthers(target) || !othersFail;
+    return failedElsewhere.contains(target) || !othersFail;
+  }
+
+  /**
+   * Returns a target whose last connection did not fail, to find out whether this host's network
+   * works; empty if there is none.
+   */
+  public Optional<TargetDescription> chooseControlTarget() {
+    List<TargetDescription> working =
+        targets.all().stream()
+            .filter(target -> !target.isLeaving())
+            .map(TargetState::description)
+            .filter(target -> !failures.containsKey(target.id()))
+            .toList();
+    return working.isEmpty()
+        ? Optional.empty()
+        : Optional.of(working.get(context.random().nextInt(working.size())));
   }
 
   /**
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -35,6 +35,7 @@
 import org.gatereel.forward.peer.LoadClient;
 import org.gatereel.forward.peer.TokenClient;
 import org.gatereel.forward.relay.RelayServer;
+import org.gatereel.forward.relay.TargetDialer;
 import org.gatereel.forward.settings.ForwardSettings;
 
 /** A forwarding host: connects the core to its servers and clients, and starts and stops them. */
@@ -118,14 +119,15 @@
     loadExchange.setEvidenceSource(rollouts::ownEvidence);
     reachability = new TargetReachability(context, targets, loadExchange::othersLoad, directory);
     reachability.onLostPath(targets::retractFailures);
-    relayServer = new RelayServer(control, context, reachability, settings::translate);
+    TargetDialer dialer = new TargetDialer(control, reachability, settings::translate);
+    relayServer = new RelayServer(control, context, reachability, dialer, settings::translate);
     forwarder =
         new Forwarder(
             context,
             targets,
             configuration,
             policy(settings),
-            new TargetConnector(control, dialect, reachability, settings::translate),
+            new TargetConnector(control, dialect, reachability, dialer, settings::translate),
             metrics,
             directory,
             tokenClient,
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
@@ -59,13 +59,14 @@
       ControlThread control,
       TargetDialect dialect,
       TargetReachability reachability,
+      TargetDialer dialer,
       UnaryOperator<Address> translation) {
     this.control = control;
     this.dialect = dialect;
     this.names = dialect.headers();
     this.translation = translation;
     this.reachability = reachability;
-    this.dialer = new TargetDialer(control, reachability, translation);
+    this.dialer = dialer;
     reachability.setDirectProbe(this::probeDirectly);
   }
 
--- a/gatereel-forward/src/main/java/org/gatereel/forward/relay/RelayServer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/relay/RelayServer.java
@@ -47,6 +47,7 @@
   private final ControlThread control;
   private final CoreContext context;
   private final TargetReachability reachability;
+  private final TargetDialer dialer;
   private final UnaryOperator<Address> translation;
   private final Bootstrap bootstrap;
   private final Set<Tunnel> tunnels = new LinkedHashSet<>();
@@ -70,10 +71,12 @@
       ControlThread control,
       CoreContext context,
       TargetReachability reachability,
+      TargetDialer dialer,
       UnaryOperator<Address> translation) {
     this.control = control;
     this.context = context;
     this.reachability = reachability;
+    this.dialer = dialer;
     this.translation = translation;
     this.bootstrap =
         new Bootstrap()
@@ -102,7 +105,7 @@
     Optional<Refusal> refusal = refusal();
     Optional<TargetDescription> known = reachability.findRelayTarget(target);
     if (refusal.isPresent() || known.isEmpty()) {
-      reject(origin, requestId, target, refusal.orElse(Refusal.NO_DIRECT_PATH));
+      reject(origin, requestId, target, refusal.orElse(Refusal.NO_DIRECT_PATH), false);
       return;
     }
     long remainingMillis =
@@ -135,7 +138,15 @@
           if (done.isSuccess()) {
             join(subject, origin, connecting.channel());
           } else {
-            reject(origin, subject.requestId(), target.id(), Refusal.CONNECT_FAILED);
+            dialer.verifyFailure(
+                target.id(),
+                hasFailed ->
+                    reject(
+                        origin,
+                        subject.requestId(),
+                        target.id(),
+                        Refusal.CONNECT_FAILED,
+                        hasFailed));
           }
         });
   }
@@ -172,9 +183,8 @@
     }
   }
 
-  private void reject(Channel origin, String requestId, TargetId target, Refusal refusal) {
-    boolean isTargetFailed =
-        refusal == Refusal.CONNECT_FAILED && reachability.isFailureOfTarget(target);
+  private void reject(
+      Channel origin, String requestId, TargetId target, Refusal refusal, boolean isTargetFailed) {
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
@@ -186,7 +196,14 @@
     log(
         EventCode.RELAY_REJECTED,
         requestId,
-        "target=" + target + " reason=" + refusal + " open=" + tunnels.size());
+        "target="
+            + target
+            + " reason="
+            + refusal
+            + " targetFailed="
+            + isTargetFailed
+            + " open="
+            + tunnels.size());
   }
 
   private void log(EventCode code, String subject, String detail) {
--- a/gatereel-forward/src/main/java/org/gatereel/forward/relay/TargetDialer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/relay/TargetDialer.java
@@ -11,9 +11,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.TargetDescription;
+import org.gatereel.core.model.TargetId;
 import org.gatereel.core.reach.ConnectOutcome;
 import org.gatereel.core.reach.RelayOutcome;
 import org.gatereel.core.reach.TargetReachability;
@@ -102,6 +104,36 @@
     return connecting.channel();
   }
 
+  /**
+   * Finds out whether a failure to connect to a target shows that the target has failed. If this
+   * host's network may be the cause, another target is connected to for comparison.
+   *
+   * @param callback receives the result, possibly at once
+   */
+  void verifyFailure(TargetId target, Consumer<Boolean> callback) {
+    Optional<TargetDescription> control =
+        reachability.isFailureOfTarget(target)
+            ? Optional.empty()
+            : reachability.chooseControlTarget();
+    if (control.isEmpty()) {
+      callback.accept(reachability.isFailureOfTarget(target));
+      return;
+    }
+    long startedAtMillis = ControlThread.nowMillis();
+    ChannelFuture connecting = connect(control.get());
+    connecting.addListener(
+        done -> {
+          connecting.channel().close();
+          recordDirect(control.get().id(), ConnectOutcomes.of(done.cause()), startedAtMillis);
+          callback.accept(reachability.isFailureOfTarget(target));
+        });
+  }
+
+  private void recordDirect(TargetId target, ConnectOutcome outcome, long startedAtMillis) {
+    long millis = ControlThread.nowMillis() - startedAtMillis;
+    control.run(() -> reachability.recordDirect(target, outcome, millis));
+  }
+
   private ChannelFuture connect(TargetDescription target) {
     Address address = translation.apply(target.address());
     return bootstrap.connect(new InetSocketAddress(address.ip(), address.port()));
@@ -118,6 +150,7 @@
     private long startedAtMillis;
     private boolean directPending;
     private boolean finished;
+    private boolean closed;
 
     private Dial(RelayClient.RelayRequest request, Listener listener) {
       this.request = request;
@@ -163,7 +196,7 @@
         return;
       }
       ConnectOutcome outcome = ConnectOutcomes.of(cause);
-      recordDirect(outcome);
+      recordDirect(target().id(), outcome, startedAtMillis);
       if (outcome == ConnectOutcome.CONNECTED) {
         establish(channel);
         return;
@@ -172,11 +205,6 @@
       askPeer();
     }
 
-    private void recordDirect(ConnectOutcome outcome) {
-      long millis = ControlThread.nowMillis() - startedAtMillis;
-      control.run(() -> reachability.recordDirect(target().id(), outcome, millis));
-    }
-
     private void askPeer() {
       if (finished) {
         return;
@@ -211,7 +239,7 @@
       }
       if (outcome == RelayOutcome.CONNECTED && directPending) {
         directFailure = Optional.of(ConnectOutcome.TIMED_OUT);
-        recordDirect(ConnectOutcome.TIMED_OUT);
+        recordDirect(target().id(), ConnectOutcome.TIMED_OUT, startedAtMillis);
       }
       long millis = ControlThread.nowMillis() - askedAtMillis;
       control.run(() -> reachability.recordRelayed(target().id(), peer, outcome, millis));
@@ -233,10 +261,20 @@
     }
 
     private void failIfNothingPending() {
-      if (pending.isEmpty()) {
-        finished = true;
-        boolean isRefused = directFailure.equals(Optional.of(ConnectOutcome.REFUSED));
-        listener.onFailed(isRefused && reachability.isFailureOfTarget(target().id()));
+      if (!pending.isEmpty()) {
+        return;
+      }
+      finished = true;
+      if (directFailure.equals(Optional.of(ConnectOutcome.REFUSED))) {
+        verifyFailure(target().id(), this::reportFailure);
+      } else {
+        reportFailure(false);
+      }
+    }
+
+    private void reportFailure(boolean targetRefused) {
+      if (!closed) {
+        listener.onFailed(targetRefused);
       }
     }
 
@@ -248,6 +286,7 @@
     /** Closes the connection, or stops opening it; the listener is not called any more. */
     public void close() {
       finished = true;
+      closed = true;
       closePending();
       if (established != null) {
         established.close();
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
@@ -47,6 +47,7 @@
 import org.gatereel.forward.TargetDialect;
 import org.gatereel.forward.TargetReport;
 import org.gatereel.forward.log.ForwardLog;
+import org.gatereel.forward.relay.TargetDialer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -165,11 +166,14 @@
         new CoreContext(new HostId("test"), new DataCentre("north"), new SplittableRandom(1));
     ControlThread control = new ControlThread(group.next(), context, log);
     TargetRegistry targets = new TargetRegistry(context, new PolicyTable());
+    TargetReachability reachability =
+        new TargetReachability(context, targets, target -> TargetLoad.NONE, List::of);
     connector =
         new TargetConnector(
             control,
             new Dialect(NAMES),
-            new TargetReachability(context, targets, target -> TargetLoad.NONE, List::of),
+            reachability,
+            new TargetDialer(control, reachability, UnaryOperator.identity()),
             UnaryOperator.identity());
   }
 
