Charge the ends of targets to parts of prompts as well as whole requests

Cause: the unit of blame was fixed beforehand, the whole request.

Change: a request has features, its content and each part of its prompt but the last. An end is charged to all of them; a response that was completed on a part absolves it at all hosts, also if it came up to a minute before. A part with four ends that no single request explains is held. Parts with the same ends cannot be told apart: after one more, all but the one that most requests share are held, and the next success with one of them releases it everywhere. An error response says nothing of parts. A request whose second try broke as it began waits for the probe of its target before the next one.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -14,7 +14,7 @@
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.ServiceName;
 import org.gatereel.core.overload.ArrivingRequest;
-import org.gatereel.core.poison.Fingerprint;
+import org.gatereel.core.poison.RequestFeatures;
 import org.gatereel.core.scheduling.Urgency;
 import org.gatereel.core.target.TargetState;
 
@@ -62,7 +62,9 @@
     this.route = allowed.route();
     this.account = allowed.account();
     this.poison =
-        new PoisonDetector(forwarder, () -> Fingerprint.of(account, request.contentDigest()));
+        new PoisonDetector(
+            forwarder,
+            RequestFeatures.of(account, request::contentDigest, request.sharedPromptParts()));
     this.service = route.chooseService(context.random().nextDouble());
     this.search =
         new TargetSearch(
@@ -329,7 +331,11 @@
     }
     search.recordResponse(from, response);
     versions.recordCompleteResponse(from, response);
-    poison.recordSuccess();
+    if (response.isError()) {
+      poison.recordErrorResponse();
+    } else {
+      poison.recordSuccess();
+    }
     if (response.isError() && !callerResponse.hasBegun() && retries.mayExecuteAgain()) {
       callerResponse.holdError(response);
       log.log(
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -258,9 +258,9 @@
   /**
    * Ends the exchanges of a quarantined request, except streams that are already being delivered.
    */
-  private void onQuarantined(Fingerprint request) {
+  private void onQuarantined(Fingerprint feature) {
     List.copyOf(exchanges).stream()
-        .filter(exchange -> exchange.poison().fingerprint().equals(request))
+        .filter(exchange -> exchange.poison().has(feature))
         .forEach(Exchange::onQuarantined);
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/PoisonDetector.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/PoisonDetector.java
@@ -1,11 +1,9 @@
 package org.gatereel.core.forward;
 
-import com.google.common.base.Supplier;
-import com.google.common.base.Suppliers;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.poison.Fingerprint;
 import org.gatereel.core.poison.PoisonControl;
-import org.gatereel.core.poison.PoisonFact;
+import org.gatereel.core.poison.RequestFeatures;
 
 /**
  * Reports to {@link PoisonControl} whether targets crash under one request.
@@ -24,33 +22,41 @@
   /** A request that executes for this long after the response head is not a poison request. */
   static final long MIN_HARMLESS_MILLIS = 1_000;
 
+  /** A second failure just after the start is rarely a coincidence. */
+  private static final int FAILURES_BEFORE_WAIT = 2;
+
   private final Forwarder forwarder;
   private final PoisonControl poison;
-  private final Supplier<Fingerprint> fingerprint;
+  private final RequestFeatures request;
   private boolean harmless;
+  private int suspiciousFailures;
 
-  /**
-   * Creates a detector.
-   *
-   * @param fingerprint computes the request's fingerprint; called at most once
-   */
-  PoisonDetector(Forwarder forwarder, Supplier<Fingerprint> fingerprint) {
+  PoisonDetector(Forwarder forwarder, RequestFeatures request) {
     this.forwarder = forwarder;
     this.poison = forwarder.poison();
-    this.fingerprint = Suppliers.memoize(fingerprint);
+    this.request = request;
   }
 
+  /** Returns the fingerprint of the whole request. */
   Fingerprint fingerprint() {
-    return fingerprint.get();
+    return request.content();
+  }
+
+  /** Returns whether the request has a feature. */
+  boolean has(Fingerprint feature) {
+    return feature.isPart() ? request.parts().contains(feature) : feature.equals(fingerprint());
   }
 
   boolean isQuarantined() {
-    return poison.isQuarantined(fingerprint);
+    return poison.findQuarantined(request).isPresent();
   }
 
   /** Returns the reason for the quarantine as {@code key=value} pairs for the log. */
   String reason() {
-    return "request=" + fingerprint() + " ends=" + poison.endCount(fingerprint());
+    return poison
+        .findQuarantined(request)
+        .map(feature -> "request=" + feature + " ends=" + poison.endCount(feature))
+        .orElse("");
   }
 
   /** Records that an attempt has received another event. */
@@ -60,10 +66,20 @@
     }
   }
 
-  /** Records that the request is harmless to its targets. */
+  /** Records that the request, with all its parts, is harmless to its targets. */
   void recordSuccess() {
     harmless = true;
-    poison.recordSuccess(fingerprint);
+    poison.recordSuccess(request);
+    poison.recordHarmlessParts(request);
+  }
+
+  /**
+   * Records an error response: the request is harmless, but its parts may crash a target that
+   * begins to answer on them.
+   */
+  void recordErrorResponse() {
+    harmless = true;
+    poison.recordSuccess(request);
   }
 
   /**
@@ -73,7 +89,8 @@
    */
   void recordFailure(Attempt attempt, TargetFailure failure, boolean mayHaveExecuted) {
     if (mayHaveExecuted && mayHaveCrashedTarget(attempt, failure)) {
-      forwarder.exitDetector().recordFailure(attempt.target(), fingerprint(), attempt.startedAt());
+      suspiciousFailures++;
+      forwarder.exitDetector().recordFailure(attempt.target(), request, attempt.startedAt());
     }
   }
 
@@ -81,11 +98,7 @@
   void recordTargetGone(Attempt attempt) {
     if (!harmless && executionMillis(attempt, attempt.endedAt()) <= MAX_CRASH_DELAY_MILLIS) {
       poison.recordEnd(
-          PoisonFact.end(
-              fingerprint(),
-              attempt.target().description().id(),
-              attempt.startedAt(),
-              attempt.endedAt()));
+          request, attempt.target().description().id(), attempt.startedAt(), attempt.endedAt());
     }
   }
 
@@ -101,11 +114,11 @@
   }
 
   /**
-   * Runs a step now; but if one more crash could quarantine the request, only after a probe of the
-   * last target.
+   * Runs a step now; but if the request may have crashed several targets, or one more crash could
+   * quarantine it, only after a probe of the last target.
    */
   void beforeNextAttempt(Attempt lastAttempt, Runnable step) {
-    if (poison.isNearQuarantine(fingerprint)) {
+    if (suspiciousFailures >= FAILURES_BEFORE_WAIT || poison.isNearQuarantine(request)) {
       forwarder.exitDetector().afterFirstProbe(lastAttempt.target(), step);
     } else {
       step.run();
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetExitDetector.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetExitDetector.java
@@ -2,14 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.TargetId;
-import org.gatereel.core.poison.Fingerprint;
 import org.gatereel.core.poison.PoisonControl;
-import org.gatereel.core.poison.PoisonFact;
+import org.gatereel.core.poison.RequestFeatures;
 import org.gatereel.core.target.TargetState;
 
 /**
@@ -31,10 +29,13 @@
   private final long probeTimeoutMillis;
   private final Map<TargetId, ExitCheck> pendingChecks = new HashMap<>();
 
+  /** An execution that failed just after its start. */
+  private record BrokenExecution(RequestFeatures request, long sentAt, long brokenAt) {}
+
   /** Checks whether one incarnation of a target has ended. */
   private final class ExitCheck {
     private final TargetState target;
-    private final Map<Fingerprint, PoisonFact> requests = new LinkedHashMap<>();
+    private final List<BrokenExecution> executions = new ArrayList<>();
     private List<Runnable> waiters = new ArrayList<>();
     private boolean probed;
 
@@ -63,11 +64,15 @@
         pendingChecks.remove(id());
       }
       if (result == ProbeResult.GONE) {
-        requests.values().forEach(poison::recordEnd);
+        executions.forEach(this::recordEnd);
       }
       releaseWaiters();
     }
 
+    private void recordEnd(BrokenExecution execution) {
+      poison.recordEnd(execution.request(), id(), execution.sentAt(), execution.brokenAt());
+    }
+
     /** Waiters are released after the first probe, since the request may be harmless. */
     private void releaseWaiters() {
       probed = true;
@@ -91,17 +96,17 @@
   }
 
   /** Records that an execution sent at {@code sentAt} failed just after its start. */
-  void recordFailure(TargetState target, Fingerprint request, long sentAt) {
+  void recordFailure(TargetState target, RequestFeatures request, long sentAt) {
     TargetId id = target.description().id();
-    PoisonFact end = PoisonFact.end(request, id, sentAt, context.now());
     ExitCheck check = pendingChecks.get(id);
-    if (check == null) {
+    boolean isFirst = check == null;
+    if (isFirst) {
       check = new ExitCheck(target);
       pendingChecks.put(id, check);
-      check.requests.put(request, end);
+    }
+    check.executions.add(new BrokenExecution(request, sentAt, context.now()));
+    if (isFirst) {
       check.probe(0);
-    } else {
-      check.requests.put(request, end);
     }
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/poison/Fingerprint.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/poison/Fingerprint.java
@@ -7,18 +7,20 @@
 import org.gatereel.core.model.AccountId;
 
 /**
- * Identifies a request by its content and client account, across request ids and hosts.
+ * Identifies a feature of requests that may crash targets, across request ids and hosts: a whole
+ * request by its content and client account, or one part of a prompt.
  *
  * <p>It is made with a collision-resistant hash, so that an account cannot make its requests match
- * those of another one.
+ * those of another one. A part of a prompt may be shared by accounts.
  *
- * @param value 32 hexadecimal digits
+ * @param value 32 characters: hexadecimal digits, for a part after a prefix
  */
 public record Fingerprint(String value) {
   /** 128 bits: the probability that two of a million requests share one is below 10^-26. */
   private static final int DIGITS = 32;
 
   private static final int LOGGED_DIGITS = 12;
+  private static final String PART_PREFIX = "part-";
 
   /**
    * Makes the fingerprint of a request.
@@ -36,7 +38,22 @@
     return new Fingerprint(hash.substring(0, DIGITS));
   }
 
-  /** Returns the first digits, for logs. */
+  /**
+   * Makes the fingerprint of a part of a prompt.
+   *
+   * @param name the name of the part
+   */
+  public static Fingerprint ofPart(String name) {
+    String hash = Hashing.sha256().hashString(name, StandardCharsets.UTF_8).toString();
+    return new Fingerprint(PART_PREFIX + hash.substring(0, DIGITS - PART_PREFIX.length()));
+  }
+
+  /** Returns whether this is a part of a prompt, which different requests may share. */
+  public boolean isPart() {
+    return value.startsWith(PART_PREFIX);
+  }
+
+  /** Returns the first characters, for logs. */
   @Override
   public String toString() {
     return value.length() <= LOGGED_DIGITS ? value : value.substring(0, LOGGED_DIGITS);
--- a/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonControl.java
@@ -2,15 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.internal.GossipFacts;
+import org.gatereel.core.model.TargetId;
 
 /**
- * Quarantines requests under which targets crash repeatedly.
+ * Quarantines requests, and parts of prompts, under which targets crash repeatedly.
  *
  * <p>Hosts share their observations, and each decides on its own. Fingerprints are computed only
  * while there are observations of any request.
@@ -21,8 +22,12 @@
   /** One end less than is needed for quarantine. */
   private static final int NEAR_QUARANTINE_END_COUNT = PoisonLedger.QUARANTINE_END_COUNT - 1;
 
+  private static final int NEAR_PART_QUARANTINE_END_COUNT =
+      PoisonLedger.PART_QUARANTINE_END_COUNT - 1;
+
   private final CoreContext context;
   private final PoisonLedger ledger = new PoisonLedger();
+  private final HarmlessParts harmlessParts = new HarmlessParts();
   private final List<BiConsumer<PoisonFact, Source>> factListeners = new ArrayList<>();
   private final List<Consumer<Fingerprint>> quarantineListeners = new ArrayList<>();
   private boolean expiryScheduled;
@@ -51,17 +56,24 @@
     quarantineListeners.add(listener);
   }
 
-  /** Returns whether a request must not be sent to any target. */
-  public boolean isQuarantined(Supplier<Fingerprint> request) {
-    return !ledger.isEmpty() && ledger.isQuarantined(request.get());
+  /** Returns the feature for which a request must not be sent to any target, if there is one. */
+  public Optional<Fingerprint> findQuarantined(RequestFeatures request) {
+    return ledger.isEmpty()
+        ? Optional.empty()
+        : request.all().stream().filter(ledger::isQuarantined).findFirst();
   }
 
   /**
    * Returns whether one more end may be enough for quarantine. The next attempt of such a request
    * waits until it is known whether the target ended.
    */
-  public boolean isNearQuarantine(Supplier<Fingerprint> request) {
-    return !ledger.isEmpty() && ledger.endCount(request.get()) >= NEAR_QUARANTINE_END_COUNT;
+  public boolean isNearQuarantine(RequestFeatures request) {
+    if (ledger.isEmpty()) {
+      return false;
+    }
+    return ledger.endCount(request.content()) >= NEAR_QUARANTINE_END_COUNT
+        || request.parts().stream()
+            .anyMatch(part -> ledger.endCount(part) >= NEAR_PART_QUARANTINE_END_COUNT);
   }
 
   /** Returns how many targets ended during a request. */
@@ -79,18 +91,45 @@
     return ledger.suspectedCount();
   }
 
-  /** Records that a target ended while it began to execute a request. */
-  public void recordEnd(PoisonFact end) {
-    learn(List.of(end), Source.HERE);
+  /**
+   * Records that a target ended while it began to execute a request.
+   *
+   * @param sentAt when the request was sent, in milliseconds
+   * @param at when the end was observed, in milliseconds
+   */
+  public void recordEnd(RequestFeatures request, TargetId target, long sentAt, long at) {
+    List<PoisonFact> facts =
+        request.all().stream()
+            .filter(feature -> !harmlessParts.contains(feature, at))
+            .map(feature -> PoisonFact.end(feature, target, sentAt, at))
+            .toList();
+    learn(facts, Source.HERE);
   }
 
   /** Records a successful execution; has no effect unless targets ended during the request. */
-  public void recordSuccess(Supplier<Fingerprint> request) {
-    if (!ledger.isEmpty() && ledger.endCount(request.get()) > 0) {
-      learn(List.of(PoisonFact.clearing(request.get(), context.now())), Source.HERE);
+  public void recordSuccess(RequestFeatures request) {
+    if (!ledger.isEmpty()) {
+      clear(List.of(request.content()));
     }
   }
 
+  /** Records that a target has executed requests with these parts without a fault. */
+  public void recordHarmlessParts(RequestFeatures request) {
+    request.parts().forEach(part -> harmlessParts.record(part, context.now()));
+    if (!ledger.isEmpty()) {
+      clear(request.parts());
+    }
+  }
+
+  private void clear(List<Fingerprint> features) {
+    List<PoisonFact> facts =
+        features.stream()
+            .filter(feature -> ledger.endCount(feature) > 0)
+            .map(feature -> PoisonFact.clearing(feature, context.now()))
+            .toList();
+    learn(facts, Source.HERE);
+  }
+
   @Override
   public List<Numbered<PoisonFact>> after(long number, int maxCount) {
     return ledger.after(number, maxCount);
@@ -99,6 +138,11 @@
   @Override
   public void merge(List<PoisonFact> facts) {
     learn(facts, Source.OTHER_HOST);
+    clear(facts.stream().map(PoisonFact::request).filter(this::isHarmless).distinct().toList());
+  }
+
+  private boolean isHarmless(Fingerprint feature) {
+    return harmlessParts.contains(feature, context.now());
   }
 
   /** Merges facts; known ones have no effect. */
--- a/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonLedger.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonLedger.java
@@ -2,24 +2,33 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.gatereel.core.internal.GossipFacts;
 import org.gatereel.core.model.TargetId;
 
 /**
- * The facts known about requests during which targets ended, and which of these are quarantined.
+ * The facts known about requests and parts of prompts during which targets ended, and which of
+ * these are quarantined.
  *
  * <p>When a target ends, all its requests end with it, but only one of them may be the cause. An
  * end is therefore attributed to the request with the most ends, and to none of them if several
  * have the most. A request with {@link #QUARANTINE_END_COUNT} attributed ends is quarantined;
- * simultaneous ends count once. The order in which facts are merged matters only where a request
- * was quarantined before a fact was known that would have caused a tie.
+ * simultaneous ends count once.
+ *
+ * <p>A part of a prompt is charged with the ends of all requests that contain it, whether these are
+ * quarantined or not; it is quarantined after {@link #PART_QUARANTINE_END_COUNT} ends that no
+ * single request explains. Parts with the same ends cannot be told apart; after one more end all of
+ * them but the one recorded last are quarantined, which is the one that most requests share.
+ *
+ * <p>The order in which facts are merged matters only where parts cannot be told apart, or where a
+ * request was quarantined before a fact was known that would have caused a tie.
  */
 final class PoisonLedger {
   /**
@@ -28,19 +37,31 @@
    */
   static final int QUARANTINE_END_COUNT = 3;
 
+  /**
+   * One more than for a whole request, since harmless requests may share the part, and below the
+   * five crashes that callers are promised at most.
+   */
+  static final int PART_QUARANTINE_END_COUNT = 4;
+
   /** Longer than callers take to retry. */
   private static final long SUSPECTED_TIMEOUT_MILLIS = 3_600_000;
 
   /** A day. After it the request may end three more targets. */
   private static final long QUARANTINE_TIMEOUT_MILLIS = 24 * SUSPECTED_TIMEOUT_MILLIS;
 
+  /** Shorter than for a whole request, because a part may be shared by harmless requests. */
+  private static final long PART_QUARANTINE_TIMEOUT_MILLIS = SUSPECTED_TIMEOUT_MILLIS;
+
+  /** A part that was harmless may become poison, for example with a new version of the model. */
+  private static final long PART_CLEARED_TIMEOUT_MILLIS = 60_000;
+
   /**
    * 1.3 MB of heap, at 1,285 bytes for a case of four ends. Beyond it, cases are evicted: suspected
    * before quarantined ones, the oldest first.
    */
   private static final int MAX_CASES = 1_000;
 
-  private final Map<Fingerprint, PoisonCase> cases = new HashMap<>();
+  private final Map<Fingerprint, PoisonCase> cases = new LinkedHashMap<>();
   private final TreeMap<Long, PoisonFact> facts = new TreeMap<>();
   private long number;
 
@@ -89,35 +110,80 @@
   /** Removes cases whose last fact is too old. */
   void expire(long now) {
     for (var entry : Map.copyOf(cases).entrySet()) {
-      long timeoutMillis =
-          entry.getValue().isQuarantined() ? QUARANTINE_TIMEOUT_MILLIS : SUSPECTED_TIMEOUT_MILLIS;
+      long timeoutMillis = timeoutMillis(entry.getKey(), entry.getValue());
       if (now - entry.getValue().lastFactAt() > timeoutMillis) {
         remove(entry.getKey());
       }
     }
   }
 
-  /** Quarantines the requests with enough attributed ends; returns them. */
+  private static long timeoutMillis(Fingerprint request, PoisonCase poisonCase) {
+    if (request.isPart() && poisonCase.isCleared()) {
+      return PART_CLEARED_TIMEOUT_MILLIS;
+    }
+    if (!poisonCase.isQuarantined()) {
+      return SUSPECTED_TIMEOUT_MILLIS;
+    }
+    return request.isPart() ? PART_QUARANTINE_TIMEOUT_MILLIS : QUARANTINE_TIMEOUT_MILLIS;
+  }
+
+  /** Quarantines the requests and parts with enough attributed ends; returns them. */
   List<Fingerprint> quarantineDue() {
     List<Fingerprint> found = new ArrayList<>();
     // The ends of a quarantined request are not attributed to others, which may resolve a tie.
-    for (Optional<Fingerprint> next = findNext(); next.isPresent(); next = findNext()) {
-      cases.get(next.get()).quarantine();
-      found.add(next.get());
+    for (List<Fingerprint> next = findNext(); !next.isEmpty(); next = findNext()) {
+      next.forEach(due -> cases.get(due).quarantine());
+      found.addAll(next);
     }
     return found;
   }
 
-  private Optional<Fingerprint> findNext() {
-    Set<TargetId> explained = new HashSet<>();
-    cases.values().stream()
-        .filter(PoisonCase::isQuarantined)
-        .forEach(quarantined -> explained.addAll(quarantined.ends()));
-    Map<Fingerprint, Set<TargetId>> unexplained = new HashMap<>();
-    cases.forEach(
-        (request, poisonCase) ->
-            unexplainedEnds(poisonCase, explained)
-                .ifPresent(ends -> unexplained.put(request, ends)));
+  private List<Fingerprint> findNext() {
+    List<Fingerprint> parts = findNextParts();
+    return parts.isEmpty() ? findNextRequest().stream().toList() : parts;
+  }
+
+  /** The ends of quarantined requests are still charged to parts, which may be their cause. */
+  private List<Fingerprint> findNextParts() {
+    Map<Set<TargetId>, List<Fingerprint>> partsByEnds = new LinkedHashMap<>();
+    unexplainedEnds(Fingerprint::isPart, Fingerprint::isPart)
+        .forEach(
+            (part, ends) -> partsByEnds.computeIfAbsent(ends, any -> new ArrayList<>()).add(part));
+    List<Map.Entry<Set<TargetId>, List<Fingerprint>>> byEndCount =
+        partsByEnds.entrySet().stream()
+            .sorted(Comparator.comparingInt(each -> -each.getKey().size()))
+            .toList();
+    Set<TargetId> ofEarlierParts = new HashSet<>();
+    for (Map.Entry<Set<TargetId>, List<Fingerprint>> each : byEndCount) {
+      Set<TargetId> attributed = new HashSet<>(each.getKey());
+      attributed.removeAll(ofEarlierParts);
+      ofEarlierParts.addAll(each.getKey());
+      if (isDue(each.getValue(), attributed)) {
+        return withoutMostShared(each.getValue());
+      }
+    }
+    return List.of();
+  }
+
+  private boolean isDue(List<Fingerprint> parts, Set<TargetId> ends) {
+    int needed = PART_QUARANTINE_END_COUNT + (parts.size() == 1 ? 0 : 1);
+    return cases.get(parts.get(0)).countOccasions(ends) >= needed && !isExplainedByOneRequest(ends);
+  }
+
+  /** Of parts that cannot be told apart, the first one of the prompt is in most requests. */
+  private static List<Fingerprint> withoutMostShared(List<Fingerprint> parts) {
+    return parts.size() == 1 ? parts : parts.subList(0, parts.size() - 1);
+  }
+
+  private boolean isExplainedByOneRequest(Set<TargetId> ends) {
+    return cases.entrySet().stream()
+        .filter(each -> !each.getKey().isPart())
+        .anyMatch(each -> each.getValue().ends().containsAll(ends));
+  }
+
+  private Optional<Fingerprint> findNextRequest() {
+    Map<Fingerprint, Set<TargetId>> unexplained =
+        unexplainedEnds(request -> !request.isPart(), any -> true);
     return unexplained.entrySet().stream()
         .filter(each -> each.getValue().size() >= QUARANTINE_END_COUNT)
         .filter(
@@ -125,17 +191,33 @@
                 countAttributed(each.getKey(), each.getValue(), unexplained)
                     >= QUARANTINE_END_COUNT)
         .map(Map.Entry::getKey)
-        .findFirst();
+        .min(Comparator.comparing(Fingerprint::value));
   }
 
-  private static Optional<Set<TargetId>> unexplainedEnds(
-      PoisonCase poisonCase, Set<TargetId> explained) {
-    if (poisonCase.isQuarantined() || poisonCase.ends().isEmpty()) {
-      return Optional.empty();
-    }
-    Set<TargetId> ends = new HashSet<>(poisonCase.ends());
-    ends.removeAll(explained);
-    return Optional.of(ends);
+  /**
+   * Returns the ends of each case that is not quarantined, without those that a quarantined case
+   * explains, in the order in which the cases were recorded.
+   */
+  private Map<Fingerprint, Set<TargetId>> unexplainedEnds(
+      Predicate<Fingerprint> wanted, Predicate<Fingerprint> explaining) {
+    Set<TargetId> explained = new HashSet<>();
+    cases.forEach(
+        (request, poisonCase) -> {
+          if (poisonCase.isQuarantined() && explaining.test(request)) {
+            explained.addAll(poisonCase.ends());
+          }
+        });
+    Map<Fingerprint, Set<TargetId>> unexplained = new LinkedHashMap<>();
+    cases.forEach(
+        (request, poisonCase) -> {
+          if (wanted.test(request) && !poisonCase.isQuarantined()) {
+            Set<TargetId> ends = new HashSet<>(poisonCase.ends());
+            ends.removeAll(explained);
+            unexplained.put(request, ends);
+          }
+        });
+    unexplained.values().removeIf(Set::isEmpty);
+    return unexplained;
   }
 
   private int countAttributed(
--- a/gatereel-core/src/test/java/org/gatereel/core/load/PoisonSpreadTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/load/PoisonSpreadTest.java
@@ -3,15 +3,17 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.hash.HashCode;
 import java.util.List;
+import java.util.Optional;
 import org.gatereel.core.model.TargetId;
-import org.gatereel.core.poison.Fingerprint;
-import org.gatereel.core.poison.PoisonFact;
+import org.gatereel.core.poison.RequestFeatures;
 import org.junit.jupiter.api.Test;
 
 /** Load reports carry facts about poison requests to all hosts. */
 class PoisonSpreadTest {
-  private static final Fingerprint POISON = new Fingerprint("00112233445566778899aabbccddeeff");
+  private static final RequestFeatures POISON =
+      RequestFeatures.of(Optional.empty(), () -> HashCode.fromInt(1), List.of());
 
   /** Enough for a report over several hops; the requirement is 3 s. */
   private static final long REPORTED_MILLIS = 300;
@@ -21,7 +23,7 @@
 
   private static void recordEnd(LoadWorld.Host host, String target) {
     long now = host.context.now();
-    host.poison.recordEnd(PoisonFact.end(POISON, new TargetId(target), now - 100, now));
+    host.poison.recordEnd(POISON, new TargetId(target), now - 100, now);
     host.loads.scheduleReports();
   }
 
--- a/gatereel-core/src/test/java/org/gatereel/core/poison/PoisonRecordsTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/poison/PoisonRecordsTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.hash.HashCode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.gatereel.core.internal.CoreContext;
@@ -16,7 +18,9 @@
 
 /** When facts about poison requests are written to the store and read from it. */
 class PoisonRecordsTest {
-  private static final Fingerprint POISON = new Fingerprint("fatal");
+  private static final RequestFeatures REQUEST =
+      RequestFeatures.of(Optional.empty(), () -> HashCode.fromInt(1), List.of());
+  private static final Fingerprint POISON = REQUEST.content();
 
   private final CoreContext context =
       new CoreContext(new HostId("h"), new DataCentre("north"), new SplittableRandom(1));
@@ -38,7 +42,8 @@
   }
 
   private void recordEnd(String target) {
-    control.recordEnd(end(target));
+    PoisonFact end = end(target);
+    control.recordEnd(REQUEST, new TargetId(target), end.sentAt(), end.at());
   }
 
   private void pass(long millis) {
@@ -106,7 +111,7 @@
   void requestsAreQuarantinedByTheRowsReadAtStart() {
     records.onRowsRead(List.of(end("a"), end("b"), end("c")), context.now());
 
-    assertTrue(control.isQuarantined(() -> POISON));
+    assertTrue(control.findQuarantined(REQUEST).isPresent());
     assertEquals(List.of(), written);
   }
 
@@ -115,7 +120,7 @@
     recordEnd("a");
     recordEnd("b");
     pendingWrites.get(0).accept(true);
-    control.recordSuccess(() -> POISON);
+    control.recordSuccess(REQUEST);
 
     assertEquals(1, written.get(1).size());
     assertTrue(written.get(1).get(0).isClearing());
