Find links that reset established connections by a probe through a peer

A link may accept connections and reset them, which looks like the end of each request's target: such requests may have run, so that calls which may not be repeated fail, for as long as the cut lasts. A probe whose established direct connection breaks without a response is now sent through another host; if the target responds there, the direct path is lost and later requests are relayed.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ProbeResult.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ProbeResult.java
@@ -14,7 +14,7 @@
   UNKNOWN;
 
   /** Returns whether a target with this id responded. */
-  boolean isResponse() {
+  public boolean isResponse() {
     return this == ALIVE || this == ANSWERED;
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/reach/TargetReachability.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/reach/TargetReachability.java
@@ -149,12 +149,26 @@
     if (outcome == RelayOutcome.CONNECTED) {
       failedElsewhere.remove(target);
     }
-    boolean isPathLost = outcome == RelayOutcome.CONNECTED && failures.containsKey(target);
-    if (isPathLost && lostPaths.putIfAbsent(target, context.now()) == null) {
+    if (outcome == RelayOutcome.CONNECTED && failures.containsKey(target)) {
+      recordLostPath(target, "peer=" + peer + " millis=" + millis);
+    }
+  }
+
+  /**
+   * Records that direct connections to a target are established but break at once, while the target
+   * responds through another host.
+   */
+  public void recordBrokenPath(TargetId target) {
+    failures.put(target, ConnectOutcome.FAILED);
+    recordLostPath(target, "broken after it was established");
+  }
+
+  private void recordLostPath(TargetId target, String inputs) {
+    if (lostPaths.putIfAbsent(target, context.now()) == null) {
       context.logEvent(
           EventCode.RELAY_BEGUN,
           target.toString(),
-          "peer=" + peer + " direct=" + failures.get(target) + " millis=" + millis);
+          "direct=" + failures.get(target) + " " + inputs);
       lostPathListener.accept(target);
       probeLostPaths();
     }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
@@ -97,11 +97,71 @@
 
   @Override
   public void probe(TargetDescription target, long timeoutMillis, ProbeListener listener) {
-    ProbeHandler handler = new ProbeHandler(control, target.id(), dialect, listener);
-    TargetDialer.Dial dial =
+    DirectProbeListener directListener =
+        new DirectProbeListener(target, ControlThread.nowMillis() + timeoutMillis, listener);
+    ProbeHandler handler = new ProbeHandler(control, target.id(), dialect, directListener);
+    directListener.dial =
         dialer.dial(
             new RelayClient.RelayRequest(target, PROBE_ID, timeoutMillis),
             new DialListener(handler, () -> probeRequest(target)));
+    failAfter(handler, timeoutMillis, directListener.dial::close);
+  }
+
+  /** Probes again through another host if the direct connection broke without a response. */
+  private final class DirectProbeListener implements ProbeListener {
+    private final TargetDescription target;
+    private final long deadlineMillis;
+    private final ProbeListener listener;
+    private TargetDialer.Dial dial;
+
+    private DirectProbeListener(
+        TargetDescription target, long deadlineMillis, ProbeListener listener) {
+      this.target = target;
+      this.deadlineMillis = deadlineMillis;
+      this.listener = listener;
+    }
+
+    @Override
+    public void onAnnouncements(Announcements announcements) {
+      listener.onAnnouncements(announcements);
+    }
+
+    @Override
+    public void onResult(ProbeResult result) {
+      long remainingMillis = deadlineMillis - ControlThread.nowMillis();
+      if (result == ProbeResult.UNKNOWN && dial.isDirect() && remainingMillis > 0) {
+        probeThroughPeer(target, remainingMillis, listener);
+      } else {
+        listener.onResult(result);
+      }
+    }
+  }
+
+  private void probeThroughPeer(
+      TargetDescription target, long timeoutMillis, ProbeListener listener) {
+    ProbeHandler handler =
+        new ProbeHandler(
+            control,
+            target.id(),
+            dialect,
+            new ProbeListener() {
+              @Override
+              public void onAnnouncements(Announcements announcements) {
+                listener.onAnnouncements(announcements);
+              }
+
+              @Override
+              public void onResult(ProbeResult result) {
+                if (result.isResponse()) {
+                  reachability.recordBrokenPath(target.id());
+                }
+                listener.onResult(result);
+              }
+            });
+    TargetDialer.Dial dial =
+        dialer.dialThroughPeer(
+            new RelayClient.RelayRequest(target, PROBE_ID, timeoutMillis),
+            new DialListener(handler, () -> probeRequest(target)));
     failAfter(handler, timeoutMillis, dial::close);
   }
 
@@ -134,11 +194,7 @@
   private void probeDirectly(TargetDescription target, Consumer<Boolean> callback) {
     ProbeHandler handler =
         new ProbeHandler(
-            control,
-            target.id(),
-            dialect,
-            result ->
-                callback.accept(result == ProbeResult.ALIVE || result == ProbeResult.ANSWERED));
+            control, target.id(), dialect, result -> callback.accept(result.isResponse()));
     Channel channel =
         dialer.dialDirectly(target, new DialListener(handler, () -> probeRequest(target)));
     failAfter(handler, DIRECT_PROBE_TIMEOUT_MILLIS, channel::close);
--- a/gatereel-forward/src/main/java/org/gatereel/forward/relay/TargetDialer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/relay/TargetDialer.java
@@ -90,6 +90,13 @@
     return dial;
   }
 
+  /** Opens a connection through another host, whatever is known of the direct path. */
+  public Dial dialThroughPeer(RelayClient.RelayRequest request, Listener listener) {
+    Dial dial = new Dial(request, listener);
+    control.loop().execute(dial::askPeer);
+    return dial;
+  }
+
   /** Opens a direct connection, whatever is known of the path; the outcome is not recorded. */
   public Channel dialDirectly(TargetDescription target, Listener listener) {
     ChannelFuture connecting = connect(target);
@@ -151,6 +158,7 @@
     private boolean directPending;
     private boolean finished;
     private boolean closed;
+    private boolean direct;
 
     private Dial(RelayClient.RelayRequest request, Listener listener) {
       this.request = request;
@@ -198,6 +206,7 @@
       ConnectOutcome outcome = ConnectOutcomes.of(cause);
       recordDirect(target().id(), outcome, startedAtMillis);
       if (outcome == ConnectOutcome.CONNECTED) {
+        direct = true;
         establish(channel);
         return;
       }
@@ -283,6 +292,11 @@
       pending.clear();
     }
 
+    /** Returns whether a direct connection was established. */
+    public boolean isDirect() {
+      return direct;
+    }
+
     /** Closes the connection, or stops opening it; the listener is not called any more. */
     public void close() {
       finished = true;
