--- a/gatereel-core/src/main/java/org/gatereel/core/forward/PoisonDetector.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/PoisonDetector.java
@@ -22,7 +22,10 @@
   /** A request that executes for this long after the response head is not a poison request. */
   static final long MIN_HARMLESS_MILLIS = 1_000;
 
-  /** A second failure just after the start is rarely a coincidence. */
+  /**
+   * A second failure just after the start is rarely a coincidence. A stream that has delivered
+   * events is not delayed.
+   */
   private static final int FAILURES_BEFORE_WAIT = 2;
 
   private final Forwarder forwarder;
@@ -89,7 +92,7 @@
    */
   void recordFailure(Attempt attempt, TargetFailure failure, boolean mayHaveExecuted) {
     if (mayHaveExecuted && mayHaveCrashedTarget(attempt, failure)) {
-      suspiciousFailures++;
+      suspiciousFailures += attempt.hasReceivedEvents() ? 0 : 1;
       forwarder.exitDetector().recordFailure(attempt.target(), request, attempt.startedAt());
     }
   }
