Reset a relayed connection unless all bytes have left this host

Found while reading: the connection to the other host was set to close in order before its last bytes were written, so that the end of this process at that moment would have looked like the end of a whole response; and a connection whose reader stopped was kept beyond its deadline after an orderly end. The mode changes after the last byte now, and the deadline resets in all cases. No test of its own: the moment cannot be hit from outside.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/relay/Tunnel.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/relay/Tunnel.java
@@ -58,7 +58,7 @@
     origin.closeFuture().addListener(closed -> close());
     target.closeFuture().addListener(closed -> close());
     timeout =
-        target.eventLoop().schedule(this::close, subject.remainingMillis(), TimeUnit.MILLISECONDS);
+        target.eventLoop().schedule(this::abort, subject.remainingMillis(), TimeUnit.MILLISECONDS);
     origin.read();
     target.read();
   }
@@ -77,17 +77,27 @@
     closeListener.accept(this);
   }
 
+  /** Resets the origin's connection, also if it has not read all bytes of an orderly end. */
+  private void abort() {
+    endedInOrder = false;
+    CloseMode.resetOnClose(origin);
+    close();
+  }
+
   /** Closes the origin's connection in order, after all bytes of the target were written. */
   private void endInOrder() {
     if (closed) {
       return;
     }
     endedInOrder = true;
-    CloseMode.closeGracefully(origin);
     origin
         .writeAndFlush(Unpooled.EMPTY_BUFFER)
         .addListener(
             written -> {
+              if (written.isSuccess()) {
+                // Not before: if this process ended now, the rest would be missing unnoticed.
+                CloseMode.closeGracefully(origin);
+              }
               origin.close();
               target.close();
             });
