--- a/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonLedger.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonLedger.java
@@ -37,10 +37,7 @@
    */
   static final int QUARANTINE_END_COUNT = 3;
 
-  /**
-   * One more than for a whole request, since harmless requests may share the part, and below the
-   * five crashes that callers are promised at most.
-   */
+  /** One more than for a whole request, since harmless requests may share the part. */
   static final int PART_QUARANTINE_END_COUNT = 4;
 
   /** Longer than callers take to retry. */
