--- a/gatereel-control/src/test/java/org/gatereel/control/OperationsPageTest.java
+++ b/gatereel-control/src/test/java/org/gatereel/control/OperationsPageTest.java
@@ -17,6 +17,7 @@
 import org.gatereel.core.forward.Rejection;
 import org.gatereel.core.forward.ResponseEnd;
 import org.gatereel.core.forward.ResponseEndVerdict;
+import org.gatereel.core.reach.RelayRefusal;
 import org.gatereel.core.scheduling.SchedulingFeature;
 import org.junit.jupiter.api.Test;
 
@@ -40,7 +41,8 @@
                 names(CostTerm.values()),
                 names(TargetFailure.values()),
                 names(ResponseEnd.values()),
-                names(ResponseEndVerdict.values()))
+                names(ResponseEndVerdict.values()),
+                names(RelayRefusal.values()))
             .flatMap(all -> all)
             .collect(Collectors.toCollection(TreeSet::new));
     known.addAll(OTHER_NAMES);
--- a/gatereel-forward/src/main/java/org/gatereel/forward/relay/RelayServer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/relay/RelayServer.java
@@ -26,6 +26,7 @@
 import org.gatereel.core.model.TargetDescription;
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.reach.ConnectOutcome;
+import org.gatereel.core.reach.RelayRefusal;
 import org.gatereel.core.reach.TargetReachability;
 import org.gatereel.forward.CloseMode;
 import org.gatereel.forward.ControlThread;
@@ -53,14 +54,6 @@
   private final Set<Tunnel> tunnels = new LinkedHashSet<>();
   private boolean stopping;
 
-  /** Why a connection is not relayed. */
-  private enum Refusal {
-    STOPPING,
-    BUSY,
-    NO_DIRECT_PATH,
-    CONNECT_FAILED
-  }
-
   /**
    * Creates a server without connections.
    *
@@ -102,10 +95,10 @@
             headers.get(RelayHeaders.TARGET, ""),
             number(headers, RelayHeaders.TARGET_START, TargetId.UNKNOWN_START));
     String requestId = headers.get(RelayHeaders.REQUEST, "-");
-    Optional<Refusal> refusal = refusal();
+    Optional<RelayRefusal> refusal = refusal();
     Optional<TargetDescription> known = reachability.findRelayTarget(target);
     if (refusal.isPresent() || known.isEmpty()) {
-      reject(origin, requestId, target, refusal.orElse(Refusal.NO_DIRECT_PATH), false);
+      reject(origin, requestId, target, refusal.orElse(RelayRefusal.NO_DIRECT_PATH), false);
       return;
     }
     long remainingMillis =
@@ -113,11 +106,11 @@
     connectTarget(new Tunnel.Subject(requestId, target, remainingMillis), known.get(), origin);
   }
 
-  private Optional<Refusal> refusal() {
+  private Optional<RelayRefusal> refusal() {
     if (stopping) {
-      return Optional.of(Refusal.STOPPING);
+      return Optional.of(RelayRefusal.STOPPING);
     }
-    return tunnels.size() >= MAX_CONNECTIONS ? Optional.of(Refusal.BUSY) : Optional.empty();
+    return tunnels.size() >= MAX_CONNECTIONS ? Optional.of(RelayRefusal.BUSY) : Optional.empty();
   }
 
   private void connectTarget(Tunnel.Subject subject, TargetDescription target, Channel origin) {
@@ -145,7 +138,7 @@
                         origin,
                         subject.requestId(),
                         target.id(),
-                        Refusal.CONNECT_FAILED,
+                        RelayRefusal.CONNECT_FAILED,
                         hasFailed));
           }
         });
@@ -184,7 +177,11 @@
   }
 
   private void reject(
-      Channel origin, String requestId, TargetId target, Refusal refusal, boolean isTargetFailed) {
+      Channel origin,
+      String requestId,
+      TargetId target,
+      RelayRefusal refusal,
+      boolean isTargetFailed) {
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
