--- a/review/standins/Client.java
+++ b/review/standins/Client.java
@@ -11,19 +11,22 @@
 public final class Client implements AutoCloseable {
   private static final int CONNECT_MILLIS = 1_000;
   private static final int ANSWER_MILLIS = 30_000;
+  private static final int WINDOW_BYTES = 65_536;
 
   private final Socket socket = new Socket();
   private final BufferedInputStream input;
 
   public Client(String address) throws IOException {
-    this(address, 0);
+    input = new BufferedInputStream(connect(address).getInputStream());
   }
 
-  /** Opens a connection; a receive buffer of 0 bytes leaves the size to the system. */
-  public Client(String address, int receiveBufferBytes) throws IOException {
-    if (receiveBufferBytes > 0) {
-      socket.setReceiveBufferSize(receiveBufferBytes);
-    }
+  /** Opens a connection over a link of the given bandwidth. */
+  public Client(String address, int bytesPerSecond) throws IOException {
+    socket.setReceiveBufferSize(WINDOW_BYTES);
+    input = new BufferedInputStream(new SlowInput(connect(address).getInputStream(), bytesPerSecond));
+  }
+
+  private Socket connect(String address) throws IOException {
     int colon = address.indexOf(':');
     socket.connect(
         new InetSocketAddress(
@@ -31,7 +34,7 @@
         CONNECT_MILLIS);
     socket.setTcpNoDelay(true);
     socket.setSoTimeout(ANSWER_MILLIS);
-    input = new BufferedInputStream(socket.getInputStream());
+    return socket;
   }
 
   public void send(String head, byte[] body) throws IOException {
@@ -53,10 +56,6 @@
     return answer;
   }
 
-  public BufferedInputStream input() {
-    return input;
-  }
-
   @Override
   public void close() throws IOException {
     socket.close();
--- a/review/standins/HttpMessage.java
+++ b/review/standins/HttpMessage.java
@@ -23,12 +23,6 @@
     return new HttpMessage(firstLine, headers, body(input, headers));
   }
 
-  /** Reads the head of a message and returns its headers; the body is left in the input. */
-  public static Map<String, String> headersOf(InputStream input) throws IOException {
-    line(input);
-    return headers(input);
-  }
-
   private static Map<String, String> headers(InputStream input) throws IOException {
     Map<String, String> headers = new TreeMap<>();
     for (String line = line(input); !"".equals(line); line = line(input)) {
