Review, case 2: a planned stop cuts off answers that are not yet written

The requests are unsafe and have run.

Code at fault: CallerResponseWriter.completeWhenWritten reports an answer as complete before it is written; CallerConnection.closeIfIdle and ForwardHost.checkDrained then close the connection and end the process.

--- a/review/standins/Client.java
+++ b/review/standins/Client.java
@@ -11,7 +11,7 @@
 public final class Client implements AutoCloseable {
   private static final int CONNECT_MILLIS = 1_000;
   private static final int ANSWER_MILLIS = 30_000;
-  private static final int WINDOW_BYTES = 65_536;
+  private static final int SMALL_WINDOW_BYTES = 4_096;
 
   private final Socket socket = new Socket();
   private final BufferedInputStream input;
@@ -20,9 +20,9 @@
     input = new BufferedInputStream(connect(address).getInputStream());
   }
 
-  /** Opens a connection over a link of the given bandwidth. */
+  /** Opens a connection over a link of the given bandwidth, with a small window. */
   public Client(String address, int bytesPerSecond) throws IOException {
-    socket.setReceiveBufferSize(WINDOW_BYTES);
+    socket.setReceiveBufferSize(SMALL_WINDOW_BYTES);
     input = new BufferedInputStream(new SlowInput(connect(address).getInputStream(), bytesPerSecond));
   }
 
