--- a/review/standins/EntryHost.java
+++ b/review/standins/EntryHost.java
@@ -113,9 +113,10 @@
     return process.isAlive();
   }
 
-  /** Sends SIGTERM. */
+  /** Sends SIGTERM and records when the process ends. */
   public void terminate() {
     record.say(name, "SIGTERM");
+    process.onExit().thenAccept(ended -> record.say(name, "the process has ended"));
     process.destroy();
   }
 
