--- a/review/2/PlannedStopCase.java
+++ b/review/2/PlannedStopCase.java
@@ -73,8 +73,8 @@
     return judge();
   }
 
-  private byte[] run(Engine engine, HttpMessage request) {
-    return new byte[request.target().endsWith("/large") ? ANSWER_BYTES : 1];
+  private Engine.Answer run(Engine engine, HttpMessage request) {
+    return Engine.Answer.ok(new byte[request.target().endsWith("/large") ? ANSWER_BYTES : 1]);
   }
 
   private void askForLargeAnswer(EntryHost host, String id) {
--- a/review/standins/Engine.java
+++ b/review/standins/Engine.java
@@ -24,9 +24,16 @@
   private volatile boolean ended;
   private long sequence;
 
-  /** Makes the body of the answer to one request. */
+  /** Makes the answer to one request. */
   public interface Work {
-    byte[] run(Engine engine, HttpMessage request);
+    Answer run(Engine engine, HttpMessage request);
+  }
+
+  /** What an engine answers to a request that it has run. */
+  public record Answer(String status, byte[] body) {
+    public static Answer ok(byte[] body) {
+      return new Answer("200 OK", body);
+    }
   }
 
   public Engine(
@@ -52,6 +59,10 @@
     return service;
   }
 
+  public String version() {
+    return version;
+  }
+
   private void heartbeat() {
     while (!ended) {
       Threads.sleep(HEARTBEAT_MILLIS);
@@ -105,12 +116,12 @@
       return;
     }
     record.write(id, "runs " + attempt);
-    byte[] body = work.run(this, request);
+    Answer answer = work.run(this, request);
     send(
         output,
-        "200 OK",
+        answer.status(),
         "X-Attempt-Id: " + attempt + "\r\nX-Response-Signature: " + id + "." + attempt + "\r\n",
-        body);
+        answer.body());
   }
 
   private static void send(OutputStream output, String status, String headers, byte[] body)
--- a/review/standins/EntryHost.java
+++ b/review/standins/EntryHost.java
@@ -17,7 +17,8 @@
 
   private final String name;
   private final CaseRecord record;
-  private final Process process;
+  private final Path folder;
+  private Process process;
   private final String front;
   private final String ready;
 
@@ -26,6 +27,7 @@
       throws IOException {
     this.name = name;
     this.record = record;
+    this.folder = folder;
     front = freeAddress();
     ready = freeAddress();
     Map<String, String> fields = new TreeMap<>(bounds);
@@ -37,13 +39,22 @@
     fields.put("internal_ports.0", portOf(freeAddress()));
     fields.put("internal_ports.1", portOf(freeAddress()));
     fields.put("platform.address", store.address());
-    Path settings = folder.resolve(name + ".json");
-    Files.writeString(settings, fill(Files.readString(Path.of("deploy/host.json")), fields));
+    Files.writeString(settings(), fill(Files.readString(Path.of("deploy/host.json")), fields));
+    start();
+  }
+
+  private Path settings() {
+    return folder.resolve(name + ".json");
+  }
+
+  /** Starts the process, again with the same settings if it has ended. */
+  public void start() throws IOException {
     ProcessBuilder builder = new ProcessBuilder(command().split(" "));
-    builder.environment().put("GATEREEL_BOOT", settings.toString());
-    builder.redirectErrorStream(true).redirectOutput(folder.resolve(name + ".log").toFile());
+    builder.environment().put("GATEREEL_BOOT", settings().toString());
+    Path output = folder.resolve(name + ".log");
+    builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()));
     process = builder.start();
-    record.write(name, "started as process " + process.pid());
+    record.say(name, "started as process " + process.pid());
   }
 
   private static String command() throws IOException {
@@ -120,7 +131,9 @@
     process.destroy();
   }
 
+  /** Sends SIGKILL. */
   public void kill() {
+    record.say(name, "SIGKILL");
     process.destroyForcibly();
   }
 
