--- a/review/standins/EntryHost.java
+++ b/review/standins/EntryHost.java
@@ -6,7 +6,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -14,6 +17,9 @@
 /** An entry host as a process of its own, started with the command and template of the deploy file. */
 public final class EntryHost implements AutoCloseable {
   private static final long START_TIMEOUT_MILLIS = 20_000;
+  private static final int FIRST_PORT = 20_000;
+  private static final int LAST_PORT = 32_000;
+  private static final Set<Integer> TAKEN_PORTS = ConcurrentHashMap.newKeySet();
 
   private final String name;
   private final CaseRecord record;
@@ -64,9 +70,21 @@
     return run.group(1);
   }
 
-  private static String freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return "127.0.0.1:" + socket.getLocalPort();
+  /** Returns an address that nothing uses, below the ports that the system gives to connections. */
+  private static String freeAddress() {
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+      if (TAKEN_PORTS.add(port) && isFree(port)) {
+        return "127.0.0.1:" + port;
+      }
+    }
+  }
+
+  private static boolean isFree(int port) {
+    try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+      return socket.isBound();
+    } catch (IOException e) {
+      return false;
     }
   }
 
