--- a/review/standins/EntryHost.java
+++ b/review/standins/EntryHost.java
@@ -17,6 +17,7 @@
 /** An entry host as a process of its own, started with the command and template of the deploy file. */
 public final class EntryHost implements AutoCloseable {
   private static final long START_TIMEOUT_MILLIS = 20_000;
+  private static final int SHOWN_OUTPUT = 2_000;
   private static final int FIRST_PORT = 20_000;
   private static final int LAST_PORT = 32_000;
   private static final Set<Integer> TAKEN_PORTS = ConcurrentHashMap.newKeySet();
@@ -132,12 +133,21 @@
     long until = Threads.nowMillis() + START_TIMEOUT_MILLIS;
     while (!isReady()) {
       if (Threads.nowMillis() > until) {
-        throw new IllegalStateException(name + " did not become ready");
+        throw new IllegalStateException(name + " did not become ready: " + lastOutput());
       }
       Threads.sleep(50);
     }
   }
 
+  private String lastOutput() {
+    try {
+      String output = Files.readString(folder.resolve(name + ".log"));
+      return output.substring(Math.max(0, output.length() - SHOWN_OUTPUT));
+    } catch (IOException e) {
+      return "no output";
+    }
+  }
+
   public boolean isAlive() {
     return process.isAlive();
   }
