Log and count the closes of callers' connections, by reason and state

A connection that a host closed left no trace unless it had an open exchange: closes while a request arrives, waits behind another one, or is answered and not yet written could not be told from closes at rest. Each close now has a typed reason, and the connection a state. Closes of connections that are owed something are event 217 with the last request's id and ages; all closes are counted by reason and state. An exception in a connection's pipeline is logged before it closes the connection. No decision changes.

--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -30,6 +30,9 @@
   TAKEOVER_DONE(214, "This host is now the owner of the generation."),
   TAKEOVER_FAILED(215, "No responding host holds the generation."),
   OWNER_FENCED(216, "This host is no longer the owner of the generation and removes it."),
+  CALLER_CONNECTION_CLOSED(
+      217,
+      "This host closed a caller's connection that was in use; the detail contains its state."),
   COPY_OPENED(220, "A peer holds a copy of the generation."),
   COPY_LOST(221, "The copy holder does not respond; another one is chosen."),
   COPY_ABSENT(222, "No peer is reachable; tokens are released without a copy."),
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ControlThread.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ControlThread.java
@@ -78,6 +78,11 @@
     }
   }
 
+  /** Logs an internal error. */
+  public void logFailure(String message, Throwable cause) {
+    log.failure(message, cause);
+  }
+
   private void logPendingEvents() {
     for (Action action : context.takeActions()) {
       if (action instanceof Action.LogEvent note) {
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -29,6 +29,8 @@
 import org.gatereel.core.table.PolicyTable;
 import org.gatereel.core.target.TargetRegistry;
 import org.gatereel.forward.http.CallerServer;
+import org.gatereel.forward.http.CloseReason;
+import org.gatereel.forward.http.ConnectionState;
 import org.gatereel.forward.http.StatusServer;
 import org.gatereel.forward.http.TargetConnector;
 import org.gatereel.forward.log.ForwardLog;
@@ -134,7 +136,9 @@
             loadExchange,
             rollouts,
             poison);
-    callers = new CallerServer(control, configuration, forwarder, dialect.headers());
+    callers =
+        new CallerServer(
+            control, configuration, forwarder, dialect.headers(), this::recordConnectionClosed);
     status = new StatusServer(loop).addPage(readyPath, this::readiness);
     metricsServer =
         new StatusServer(loop)
@@ -184,6 +188,16 @@
         settings.features());
   }
 
+  /** Logs each connection that was closed while this host owed its caller something. */
+  private void recordConnectionClosed(CloseReason reason, ConnectionState state, String detail) {
+    metrics.recordConnectionClosed(reason, state);
+    boolean isOwed =
+        state == ConnectionState.NEW ? reason != CloseReason.CALLER : state != ConnectionState.IDLE;
+    if (isOwed) {
+      log.event(EventCode.CALLER_CONNECTION_CLOSED, reason.name(), "state=" + state + " " + detail);
+    }
+  }
+
   public ControlThread control() {
     return control;
   }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardMetrics.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardMetrics.java
@@ -14,6 +14,8 @@
 import org.gatereel.core.configuration.RouteKind;
 import org.gatereel.core.forward.ForwardObserver;
 import org.gatereel.core.forward.Rejection;
+import org.gatereel.forward.http.CloseReason;
+import org.gatereel.forward.http.ConnectionState;
 
 /** Counters and latency histograms of forwarded requests, in Prometheus' text format. */
 public final class ForwardMetrics implements ForwardObserver {
@@ -77,6 +79,16 @@
     interruptedCounters.get(route.kind()).increment();
   }
 
+  /** Counts a closed connection of a caller. */
+  public void recordConnectionClosed(CloseReason reason, ConnectionState state) {
+    Counter.builder("gatereel_forward_caller_connections_closed")
+        .description("closed connections of callers, by reason and state")
+        .tag("reason", reason.name())
+        .tag("state", state.name())
+        .register(registry)
+        .increment();
+  }
+
   /** Adds a gauge whose value is read on each scrape. */
   public void gauge(String name, Supplier<Number> value) {
     Gauge.builder("gatereel_forward_" + name, value).register(registry);
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
@@ -10,10 +10,12 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.gatereel.core.forward.Exchange;
 import org.gatereel.core.forward.Rejection;
+import org.gatereel.forward.ControlThread;
 
 /**
  * A caller's connection, whose requests are handled one at a time in the order received.
@@ -27,8 +29,15 @@
   private final Channel channel;
   private final RequestHeadTimeoutHandler headTimeout;
   private final PipelineQueue<FullHttpRequest> requests = new PipelineQueue<>();
+  private final long openedAtMillis = ControlThread.nowMillis();
   private Optional<Exchange> currentExchange = Optional.empty();
   private ScheduledFuture<?> idleTimer;
+  private CloseReason closeReason = CloseReason.CALLER;
+  private String lastRequestId = "none";
+  private long receivedAtMillis = openedAtMillis;
+  private boolean hasReceivedRequest;
+  private boolean hasLastResponse;
+  private int unwrittenResponses;
 
   CallerConnection(CallerServer server, Channel channel, RequestHeadTimeoutHandler headTimeout) {
     this.server = server;
@@ -44,6 +53,8 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+    hasReceivedRequest = true;
+    receivedAtMillis = ControlThread.nowMillis();
     if (requests.offer(request)) {
       handle(request);
       return;
@@ -70,6 +81,7 @@
     }
     try {
       IncomingRequest incoming = IncomingRequest.read(request, server.names());
+      lastRequestId = incoming.id();
       server.control().run(() -> currentExchange = accept(incoming, response));
     } catch (MalformedRequestException e) {
       response.reject(Rejection.MALFORMED, 0);
@@ -108,6 +120,7 @@
   void onResponseComplete(boolean keepAlive) {
     currentExchange = Optional.empty();
     if (!keepAlive) {
+      hasLastResponse = true;
       return;
     }
     startIdleTimer();
@@ -135,6 +148,29 @@
     }
   }
 
+  /** Called before the last part of a response is written. */
+  void onWriteStarted() {
+    unwrittenResponses++;
+  }
+
+  /** Called when the last part of a response was written to the socket, or could not be. */
+  void onWriteEnded() {
+    unwrittenResponses--;
+  }
+
+  private ConnectionState state() {
+    if (hasPendingResponse() && !(hasLastResponse && requests.size() == 0)) {
+      return ConnectionState.WAITING;
+    }
+    if (headTimeout.isReceiving()) {
+      return ConnectionState.RECEIVING;
+    }
+    if (unwrittenResponses > 0) {
+      return ConnectionState.WRITING;
+    }
+    return hasReceivedRequest ? ConnectionState.IDLE : ConnectionState.NEW;
+  }
+
   /** Returns whether a request awaits its response. */
   boolean hasPendingResponse() {
     return !requests.isIdle();
@@ -144,21 +180,45 @@
     return server.isDraining();
   }
 
-  void closeIfIdle() {
+  void closeIfIdle(CloseReason reason) {
     if (requests.isIdle()) {
-      channel.close();
+      close(reason);
     }
   }
 
   /** Closes the connection; a response being written is truncated. */
-  void close() {
+  void close(CloseReason reason) {
+    recordCloseReason(reason);
     channel.close();
   }
 
+  /** Records why the connection is about to be closed; the first reason counts. */
+  void recordCloseReason(CloseReason reason) {
+    if (closeReason == CloseReason.CALLER) {
+      closeReason = reason;
+      server.observer().recordClosed(reason, state(), detail());
+    }
+  }
+
+  private String detail() {
+    long nowMillis = ControlThread.nowMillis();
+    return "openMillis="
+        + (nowMillis - openedAtMillis)
+        + " sinceRequestMillis="
+        + (nowMillis - receivedAtMillis)
+        + " queued="
+        + requests.size()
+        + " lastRequest="
+        + lastRequestId;
+  }
+
   private void startIdleTimer() {
     stopIdleTimer();
     long millis = server.limits().idleTimeoutMillis();
-    idleTimer = channel.eventLoop().schedule(this::closeIfIdle, millis, TimeUnit.MILLISECONDS);
+    idleTimer =
+        channel
+            .eventLoop()
+            .schedule(() -> closeIfIdle(CloseReason.IDLE_TIMEOUT), millis, TimeUnit.MILLISECONDS);
   }
 
   private void stopIdleTimer() {
@@ -172,6 +232,9 @@
   public void channelInactive(ChannelHandlerContext context) throws Exception {
     stopIdleTimer();
     server.removeConnection(this);
+    if (closeReason == CloseReason.CALLER) {
+      server.observer().recordClosed(CloseReason.CALLER, state(), detail());
+    }
     requests.drain().forEach(FullHttpRequest::release);
     currentExchange.ifPresent(current -> server.control().run(current::onCallerDisconnected));
     currentExchange = Optional.empty();
@@ -180,6 +243,9 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    context.close();
+    if (!(cause instanceof IOException)) {
+      server.control().logFailure("a caller's connection is closed by an exception", cause);
+    }
+    close(CloseReason.EXCEPTION);
   }
 }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerResponseWriter.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerResponseWriter.java
@@ -194,7 +194,7 @@
   @Override
   public void abort() {
     finished = true;
-    channel.close();
+    connection.close(CloseReason.BROKEN_RESPONSE);
   }
 
   @Override
@@ -229,9 +229,18 @@
 
   private void completeWhenWritten(ChannelFuture written) {
     boolean keepOpen = isKeptOpen();
-    // If the end was not written, the caller would read the next response as part of this one.
-    written.addListener(
-        keepOpen ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
+    connection.onWriteStarted();
+    written.addListener(end -> onWritten(end, keepOpen));
     connection.onResponseComplete(keepOpen);
   }
+
+  private void onWritten(Future<? super Void> end, boolean keepOpen) {
+    connection.onWriteEnded();
+    if (!end.isSuccess()) {
+      // If the end was not written, the caller would read the next response as part of this one.
+      connection.close(CloseReason.BROKEN_RESPONSE);
+    } else if (!keepOpen) {
+      connection.close(CloseReason.LAST_RESPONSE);
+    }
+  }
 }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerServer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerServer.java
@@ -28,6 +28,7 @@
   private final ConfigurationHolder configuration;
   private final Forwarder forwarder;
   private final HeaderNames names;
+  private final ConnectionObserver observer;
   private final Set<CallerConnection> connections = new LinkedHashSet<>();
   private Channel listener;
   private boolean draining;
@@ -36,11 +37,13 @@
       ControlThread control,
       ConfigurationHolder configuration,
       Forwarder forwarder,
-      HeaderNames names) {
+      HeaderNames names,
+      ConnectionObserver observer) {
     this.control = control;
     this.configuration = configuration;
     this.forwarder = forwarder;
     this.names = names;
+    this.observer = observer;
   }
 
   /**
@@ -109,6 +112,10 @@
     return names;
   }
 
+  ConnectionObserver observer() {
+    return observer;
+  }
+
   /** Returns whether connections close after their current response. */
   boolean isDraining() {
     return draining;
@@ -125,7 +132,7 @@
 
   /** Closes the connections without a request. */
   public void closeIdleConnections() {
-    List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+    List.copyOf(connections).forEach(connection -> connection.closeIfIdle(CloseReason.DRAINING));
   }
 
   /** Returns the number of open connections. */
@@ -150,6 +157,11 @@
   @Override
   public void close() {
     stopListening();
-    control.loop().execute(() -> List.copyOf(connections).forEach(CallerConnection::close));
+    control
+        .loop()
+        .execute(
+            () ->
+                List.copyOf(connections)
+                    .forEach(connection -> connection.close(CloseReason.SHUTDOWN)));
   }
 }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/RequestHeadTimeoutHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/RequestHeadTimeoutHandler.java
@@ -84,6 +84,11 @@
     }
   }
 
+  /** Returns whether part of a request has been received. */
+  boolean isReceiving() {
+    return timer != null || readingBody;
+  }
+
   private void onHeadComplete() {
     readingBody = true;
     cancelTimer();
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/CallerResponseWriterTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/CallerResponseWriterTest.java
@@ -42,7 +42,8 @@
         new CoreContext(new HostId("test"), new DataCentre("north"), new SplittableRandom(1));
     ConfigurationHolder configuration =
         new ConfigurationHolder(context, new ConfigurationHolder.Bounds(true, 5_000, 2_000));
-    CallerServer server = new CallerServer(null, configuration, null, null);
+    CallerServer server =
+        new CallerServer(null, configuration, null, null, (reason, state, detail) -> {});
     CallerConnection connection =
         new CallerConnection(server, channel, new RequestHeadTimeoutHandler(400));
     FullHttpRequest request = new DefaultFullHttpRequest(version, method, "/");
