Decide from one state per connection when it may be closed

Callers saw answers cut off by a planned stop although the engine had sent them whole; pipelined requests, half received uploads and requests of new connections that ended without an answer while a host drained; and uploads that the idle timer cut off.

Cause: what a host owes was counted in exchanges. An exchange begins with a whole request and ends when its response is handed to the network library, but the debt begins with the first byte of a request and ends when the last byte of the response is written. The drain, the end of the process and the idle timer closed connections between these moments, and stopping the listener reset what was in its backlog or had been accepted in the 100 ms before the exit.

Now each connection has one state: new, idle, receiving, waiting, writing, ending. Only connections at rest are closed, after the event loop has read their sockets once more; a draining host closes new ones after a second, others 300 ms after their last response. A response says that it is the last one only if no further request has been received, and a connection whose response did not say so stays open until it is at rest. The host accepts its backlog before it stops listening, and exits when no connection is left; at the deadline it rejects half received requests and writes the last responses for up to 200 ms.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -5,7 +5,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.gatereel.core.document.DocumentCache;
@@ -42,17 +41,10 @@
 
 /** A forwarding host: connects the core to its servers and clients, and starts and stops them. */
 public final class ForwardHost implements AutoCloseable {
-  /** For this time after readiness is withdrawn, the load balancer may still send callers. */
-  private static final long BALANCER_DELAY_MILLIS = 2_600;
-
-  /** The part of the grace period that is reserved for the exit of the process. */
-  private static final long EXIT_RESERVE_MILLIS = 900;
-
   /** Callers time out connecting after one second; a rejection must reach them before. */
   private static final long MAX_ACCEPT_DELAY_MILLIS = 800;
 
   private static final long ACCEPT_CHECK_INTERVAL_MILLIS = 20;
-  private static final long DRAIN_CHECK_INTERVAL_MILLIS = 100;
 
   private final ForwardSettings settings;
   private final ForwardLog log;
@@ -77,8 +69,7 @@
   private final CallerServer callers;
   private final StatusServer status;
   private final StatusServer metricsServer;
-  private final CountDownLatch drained = new CountDownLatch(1);
-  private boolean stopping;
+  private volatile boolean stopping;
 
   /**
    * Makes a host; no address is bound before {@link #start}.
@@ -191,9 +182,7 @@
   /** Logs each connection that was closed while this host owed its caller something. */
   private void recordConnectionClosed(CloseReason reason, ConnectionState state, String detail) {
     metrics.recordConnectionClosed(reason, state);
-    boolean isOwed =
-        state == ConnectionState.NEW ? reason != CloseReason.CALLER : state != ConnectionState.IDLE;
-    if (isOwed) {
+    if (state.owesResponse() || (state == ConnectionState.NEW && reason != CloseReason.CALLER)) {
       log.event(EventCode.CALLER_CONNECTION_CLOSED, reason.name(), "state=" + state + " " + detail);
     }
   }
@@ -313,50 +302,13 @@
                     () -> context.logEvent(EventCode.SETTINGS_RELOADED, settings.host(), outcome)));
   }
 
-  /** Withdraws readiness and waits until all requests have ended or the grace period expires. */
+  /**
+   * Withdraws readiness and waits until all callers have their responses or the grace period
+   * expires.
+   */
   public void drain() throws InterruptedException {
-    long deadlineMillis =
-        ControlThread.nowMillis() + settings.bounds().graceMillis() - EXIT_RESERVE_MILLIS;
-    control
-        .loop()
-        .execute(
-            () -> {
-              stopping = true;
-              callers.drain();
-              relayServer.drain();
-              log.event(
-                  EventCode.HOST_DRAINING,
-                  settings.host(),
-                  "openRequests=" + forwarder.openExchangeCount());
-              long balancerDeadlineMillis = ControlThread.nowMillis() + BALANCER_DELAY_MILLIS;
-              forwarder.beginShutdown(balancerDeadlineMillis, deadlineMillis);
-              checkDrained(balancerDeadlineMillis, deadlineMillis);
-            });
-    drained.await(settings.bounds().graceMillis(), TimeUnit.MILLISECONDS);
-  }
-
-  private void checkDrained(long balancerDeadlineMillis, long deadlineMillis) {
-    long nowMillis = ControlThread.nowMillis();
-    if (nowMillis >= balancerDeadlineMillis) {
-      callers.closeIdleConnections();
-    }
-    boolean isIdle = forwarder.openExchangeCount() == 0 && relayServer.openCount() == 0;
-    boolean done = nowMillis >= balancerDeadlineMillis && isIdle;
-    if (done || nowMillis >= deadlineMillis) {
-      callers.stopListening();
-      control.run(forwarder::stopAll);
-      log.event(EventCode.HOST_STOPPED, settings.host(), "inTime=" + done);
-      control
-          .loop()
-          .schedule(drained::countDown, DRAIN_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-      return;
-    }
-    control
-        .loop()
-        .schedule(
-            () -> checkDrained(balancerDeadlineMillis, deadlineMillis),
-            DRAIN_CHECK_INTERVAL_MILLIS,
-            TimeUnit.MILLISECONDS);
+    stopping = true;
+    new GracefulShutdown(control, log, settings, callers, relayServer, forwarder).run();
   }
 
   @Override
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
@@ -6,36 +6,48 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.gatereel.core.forward.Exchange;
 import org.gatereel.core.forward.Rejection;
-import org.gatereel.forward.ControlThread;
 
 /**
  * A caller's connection, whose requests are handled one at a time in the order received.
  *
  * <p>Reading continues while a request is handled, so that a disconnect of the caller is detected.
+ * {@link #state} alone decides when the connection may be closed: a debt begins with the first byte
+ * of a request and ends when the last byte of its response is written.
  */
 final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
   private static final int MAX_QUEUED_REQUESTS = 8;
 
+  /**
+   * The event loop reads the sockets between the moment at which a task is scheduled and its run.
+   */
+  private static final long NEXT_READ_MILLIS = 1;
+
+  /** Callers send their first request right after they have connected. */
+  private static final long FIRST_REQUEST_MILLIS = 1_000;
+
+  /** A caller may send its next request when it has received a response. */
+  private static final long NEXT_REQUEST_MILLIS = 300;
+
+  /** A request may arrive within this many times the idle timeout. */
+  private static final int MAX_REQUEST_IDLE_TIMEOUTS = 4;
+
   private final CallerServer server;
   private final Channel channel;
   private final RequestHeadTimeoutHandler headTimeout;
   private final PipelineQueue<FullHttpRequest> requests = new PipelineQueue<>();
-  private final long openedAtMillis = ControlThread.nowMillis();
+  private final IdleTimer idleTimer;
+  private final ConnectionRecord history = new ConnectionRecord();
   private Optional<Exchange> currentExchange = Optional.empty();
-  private ScheduledFuture<?> idleTimer;
   private CloseReason closeReason = CloseReason.CALLER;
-  private String lastRequestId = "none";
-  private long receivedAtMillis = openedAtMillis;
-  private boolean hasReceivedRequest;
   private boolean hasLastResponse;
   private int unwrittenResponses;
 
@@ -43,18 +55,28 @@
     this.server = server;
     this.channel = channel;
     this.headTimeout = headTimeout;
+    this.idleTimer =
+        new IdleTimer(channel.eventLoop(), () -> server.limits().idleTimeoutMillis(), this::onIdle);
+    headTimeout.setListener(() -> endAfterLastResponse(CloseReason.HEAD_TIMEOUT));
   }
 
   @Override
   public void channelActive(ChannelHandlerContext context) throws Exception {
     super.channelActive(context);
-    startIdleTimer();
+    idleTimer.restart();
+  }
+
+  /** Called before received bytes are parsed. */
+  void onBytesReceived() {
+    if (state().isAtRest()) {
+      history.recordRequestBegun();
+      idleTimer.restart();
+    }
   }
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-    hasReceivedRequest = true;
-    receivedAtMillis = ControlThread.nowMillis();
+    history.recordRequest();
     if (requests.offer(request)) {
       handle(request);
       return;
@@ -66,10 +88,10 @@
   }
 
   private void handle(FullHttpRequest request) {
-    stopIdleTimer();
     headTimeout.deferTimeoutResponse();
     CallerResponseWriter response =
-        new CallerResponseWriter(this, channel, request, canStayOpen(request));
+        new CallerResponseWriter(
+            this, channel, request.protocolVersion(), request.method(), canStayOpen(request));
     if (request.decoderResult().isFailure()) {
       response.reject(rejectionFor(request.decoderResult().cause()), 0);
       return;
@@ -81,7 +103,7 @@
     }
     try {
       IncomingRequest incoming = IncomingRequest.read(request, server.names());
-      lastRequestId = incoming.id();
+      history.recordId(incoming.id());
       server.control().run(() -> currentExchange = accept(incoming, response));
     } catch (MalformedRequestException e) {
       response.reject(Rejection.MALFORMED, 0);
@@ -116,14 +138,18 @@
     return tooLong ? Rejection.HEAD_TOO_LARGE : Rejection.MALFORMED;
   }
 
-  /** Handles the next pipelined request after a response was written completely. */
+  /**
+   * Handles the next pipelined request after a response was handed over for writing.
+   *
+   * @param keepAlive whether the caller was not told that the response is the last one
+   */
   void onResponseComplete(boolean keepAlive) {
     currentExchange = Optional.empty();
+    unwrittenResponses++;
     if (!keepAlive) {
       hasLastResponse = true;
       return;
     }
-    startIdleTimer();
     // Runs later, because the code that completed this response may still be executing.
     requests
         .completeCurrent()
@@ -137,6 +163,19 @@
     channel.pipeline().fireUserEventTriggered(CallerEvent.ALL_ANSWERED);
   }
 
+  /** Called when the end of a response was written to the socket, or could not be written. */
+  void onResponseWritten(boolean success, boolean keepAlive) {
+    unwrittenResponses--;
+    if (!success) {
+      // If the end was not written, the caller would read the next response as part of this one.
+      close(CloseReason.BROKEN_RESPONSE);
+    } else if (!keepAlive) {
+      endAfterLastResponse(CloseReason.LAST_RESPONSE);
+    } else {
+      idleTimer.restart();
+    }
+  }
+
   private void handleQueued(FullHttpRequest next) {
     try {
       if (channel.isActive()) {
@@ -148,18 +187,16 @@
     }
   }
 
-  /** Called before the last part of a response is written. */
-  void onWriteStarted() {
-    unwrittenResponses++;
-  }
-
-  /** Called when the last part of a response was written to the socket, or could not be. */
-  void onWriteEnded() {
-    unwrittenResponses--;
+  /** Returns whether a request awaits its response. */
+  boolean hasPendingResponse() {
+    return !requests.isIdle();
   }
 
-  private ConnectionState state() {
-    if (hasPendingResponse() && !(hasLastResponse && requests.size() == 0)) {
+  ConnectionState state() {
+    if (hasLastResponse) {
+      return unwrittenResponses > 0 ? ConnectionState.WRITING : ConnectionState.ENDING;
+    }
+    if (hasPendingResponse()) {
       return ConnectionState.WAITING;
     }
     if (headTimeout.isReceiving()) {
@@ -168,72 +205,91 @@
     if (unwrittenResponses > 0) {
       return ConnectionState.WRITING;
     }
-    return hasReceivedRequest ? ConnectionState.IDLE : ConnectionState.NEW;
+    return history.hasRequest() ? ConnectionState.IDLE : ConnectionState.NEW;
   }
 
-  /** Returns whether a request awaits its response. */
-  boolean hasPendingResponse() {
-    return !requests.isIdle();
+  /** Returns whether the response to the current request is to be the last one. */
+  boolean endsWithCurrentResponse() {
+    return server.isDraining() && requests.size() == 0 && !headTimeout.isReceiving();
   }
 
-  boolean isDraining() {
-    return server.isDraining();
+  private void onIdle() {
+    if (state().isAtRest()) {
+      closeAfterNextRead(CloseReason.IDLE_TIMEOUT);
+    } else if (state() == ConnectionState.RECEIVING
+        && history.millisSinceRequestBegan() >= maxRequestMillis()) {
+      rejectIncomplete(Rejection.SLOW_CALLER);
+    } else {
+      idleTimer.restart();
+    }
   }
 
-  void closeIfIdle(CloseReason reason) {
-    if (requests.isIdle()) {
-      close(reason);
+  private long maxRequestMillis() {
+    return MAX_REQUEST_IDLE_TIMEOUTS * server.limits().idleTimeoutMillis();
+  }
+
+  /** Closes the connection, unless its caller may be about to use it. */
+  void closeIfUnused() {
+    boolean isUnused =
+        state() == ConnectionState.NEW
+            ? history.openMillis() >= FIRST_REQUEST_MILLIS
+            : idleTimer.idleMillis() >= NEXT_REQUEST_MILLIS;
+    if (state().isAtRest() && isUnused) {
+      closeAfterNextRead(CloseReason.DRAINING);
     }
   }
 
-  /** Closes the connection; a response being written is truncated. */
-  void close(CloseReason reason) {
-    recordCloseReason(reason);
-    channel.close();
+  /** Closes the connection, unless the event loop still has to read a request from its socket. */
+  private void closeAfterNextRead(CloseReason reason) {
+    channel
+        .eventLoop()
+        .schedule(() -> closeIfAtRest(reason), NEXT_READ_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  /** Records why the connection is about to be closed; the first reason counts. */
-  void recordCloseReason(CloseReason reason) {
-    if (closeReason == CloseReason.CALLER) {
-      closeReason = reason;
-      server.observer().recordClosed(reason, state(), detail());
+  private void closeIfAtRest(CloseReason reason) {
+    if (state().isAtRest()) {
+      close(reason);
+    } else {
+      idleTimer.restart();
+    }
+  }
+
+  /** Rejects a request of which only a part has been received, and ends the connection. */
+  void rejectIncomplete(Rejection rejection) {
+    if (state() == ConnectionState.RECEIVING) {
+      headTimeout.discardFurtherBytes();
+      new CallerResponseWriter(this, channel, HttpVersion.HTTP_1_1, HttpMethod.GET, false)
+          .reject(rejection, server.retryAfterMillis());
     }
   }
 
-  private String detail() {
-    long nowMillis = ControlThread.nowMillis();
-    return "openMillis="
-        + (nowMillis - openedAtMillis)
-        + " sinceRequestMillis="
-        + (nowMillis - receivedAtMillis)
-        + " queued="
-        + requests.size()
-        + " lastRequest="
-        + lastRequestId;
+  private void endAfterLastResponse(CloseReason reason) {
+    hasLastResponse = true;
+    close(reason);
   }
 
-  private void startIdleTimer() {
-    stopIdleTimer();
-    long millis = server.limits().idleTimeoutMillis();
-    idleTimer =
-        channel
-            .eventLoop()
-            .schedule(() -> closeIfIdle(CloseReason.IDLE_TIMEOUT), millis, TimeUnit.MILLISECONDS);
+  /** Closes the connection; a response being written is truncated. */
+  void close(CloseReason reason) {
+    recordClose(reason);
+    channel.close();
   }
 
-  private void stopIdleTimer() {
-    if (idleTimer != null) {
-      idleTimer.cancel(false);
-      idleTimer = null;
+  /** Records the close for which this host has a reason, else that of the caller. */
+  private void recordClose(CloseReason reason) {
+    if (closeReason == CloseReason.CALLER && channel.isOpen()) {
+      closeReason = reason;
+      server.observer().recordClosed(reason, state(), history.describe(requests.size()));
     }
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext context) throws Exception {
-    stopIdleTimer();
+    idleTimer.close();
     server.removeConnection(this);
     if (closeReason == CloseReason.CALLER) {
-      server.observer().recordClosed(CloseReason.CALLER, state(), detail());
+      server
+          .observer()
+          .recordClosed(CloseReason.CALLER, state(), history.describe(requests.size()));
     }
     requests.drain().forEach(FullHttpRequest::release);
     currentExchange.ifPresent(current -> server.control().run(current::onCallerDisconnected));
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerResponseWriter.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerResponseWriter.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -44,15 +43,20 @@
   private TargetResponseHead head;
   private byte[] bufferedBytes;
   private boolean headWritten;
+  private boolean keptOpen;
   private boolean finished;
 
   CallerResponseWriter(
-      CallerConnection connection, Channel channel, FullHttpRequest request, boolean keepAlive) {
+      CallerConnection connection,
+      Channel channel,
+      HttpVersion version,
+      HttpMethod method,
+      boolean keepAlive) {
     this.connection = connection;
     this.channel = channel;
     this.keepAlive = keepAlive;
-    this.supportsChunks = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
-    this.isHeadRequest = request.method().equals(HttpMethod.HEAD);
+    this.supportsChunks = version.compareTo(HttpVersion.HTTP_1_1) >= 0;
+    this.isHeadRequest = method.equals(HttpMethod.HEAD);
   }
 
   @Override
@@ -128,19 +132,17 @@
     setConnectionHeader(to);
   }
 
+  /** Decides whether the connection is kept open, and tells the caller. */
   private void setConnectionHeader(HttpHeaders headers) {
-    if (!isKeptOpen()) {
+    boolean endsWithConnection = headWritten && !supportsChunks;
+    keptOpen = keepAlive && !endsWithConnection && !connection.endsWithCurrentResponse();
+    if (!keptOpen) {
       headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     } else if (!supportsChunks) {
       headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
     }
   }
 
-  private boolean isKeptOpen() {
-    boolean endsWithConnection = headWritten && !supportsChunks;
-    return keepAlive && !endsWithConnection && !connection.isDraining();
-  }
-
   @Override
   public void finish() {
     if (finished) {
@@ -228,19 +230,7 @@
   }
 
   private void completeWhenWritten(ChannelFuture written) {
-    boolean keepOpen = isKeptOpen();
-    connection.onWriteStarted();
-    written.addListener(end -> onWritten(end, keepOpen));
-    connection.onResponseComplete(keepOpen);
-  }
-
-  private void onWritten(Future<? super Void> end, boolean keepOpen) {
-    connection.onWriteEnded();
-    if (!end.isSuccess()) {
-      // If the end was not written, the caller would read the next response as part of this one.
-      connection.close(CloseReason.BROKEN_RESPONSE);
-    } else if (!keepOpen) {
-      connection.close(CloseReason.LAST_RESPONSE);
-    }
+    connection.onResponseComplete(keptOpen);
+    written.addListener(end -> connection.onResponseWritten(end.isSuccess(), keptOpen));
   }
 }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerServer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerServer.java
@@ -10,10 +10,13 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.gatereel.core.configuration.Configuration;
 import org.gatereel.core.configuration.InboundLimits;
 import org.gatereel.core.forward.ConfigurationHolder;
+import org.gatereel.core.forward.ForwardPolicy;
 import org.gatereel.core.forward.Forwarder;
+import org.gatereel.core.forward.Rejection;
 import org.gatereel.core.model.Address;
 import org.gatereel.forward.ControlThread;
 import org.gatereel.forward.HeaderNames;
@@ -24,6 +27,11 @@
   private static final int MAX_CHUNK_BYTES = 65_536;
   private static final int MAX_UNSENT_BYTES = 4 << 20;
 
+  /**
+   * The event loop accepts connections between the moment at which a task is scheduled and its run.
+   */
+  private static final long NEXT_ACCEPT_MILLIS = 1;
+
   private final ControlThread control;
   private final ConfigurationHolder configuration;
   private final Forwarder forwarder;
@@ -31,6 +39,7 @@
   private final ConnectionObserver observer;
   private final Set<CallerConnection> connections = new LinkedHashSet<>();
   private Channel listener;
+  private boolean listenerEnding;
   private boolean draining;
 
   public CallerServer(
@@ -89,13 +98,22 @@
     connections.add(connection);
     channel
         .pipeline()
+        .addLast(new ReceivedBytesHandler(connection))
         .addLast(headTimeout)
-        .addLast(new HttpServerCodec(limits.maxHeadBytes(), limits.maxHeadBytes(), MAX_CHUNK_BYTES))
+        .addLast(codec(limits))
         .addLast(new RequestHeadTimeoutHandler.ParsedMessageObserver())
-        .addLast(new RequestAggregator(limits.maxBodyBytes(), connection::hasPendingResponse))
+        .addLast(new RequestAggregator(limits, connection::hasPendingResponse))
         .addLast(connection);
   }
 
+  private static HttpServerCodec codec(InboundLimits limits) {
+    return new HttpServerCodec(limits.maxHeadBytes(), limits.maxHeadBytes(), MAX_CHUNK_BYTES);
+  }
+
+  long retryAfterMillis() {
+    return ForwardPolicy.STANDARD.retryAfterMillis();
+  }
+
   InboundLimits limits() {
     return configuration.current().map(Configuration::limits).orElse(InboundLimits.STANDARD);
   }
@@ -130,9 +148,19 @@
     draining = true;
   }
 
-  /** Closes the connections without a request. */
-  public void closeIdleConnections() {
-    List.copyOf(connections).forEach(connection -> connection.closeIfIdle(CloseReason.DRAINING));
+  /** Closes the connections that nobody is about to use. */
+  public void closeUnusedConnections() {
+    List.copyOf(connections).forEach(CallerConnection::closeIfUnused);
+  }
+
+  /** Rejects the requests that have not been received completely. */
+  public void rejectIncompleteRequests() {
+    List.copyOf(connections).forEach(connection -> connection.rejectIncomplete(Rejection.STOPPING));
+  }
+
+  /** Returns whether a caller awaits a response or the rest of one. */
+  public boolean owesResponses() {
+    return connections.stream().anyMatch(connection -> connection.state().owesResponse());
   }
 
   /** Returns the number of open connections. */
@@ -140,13 +168,19 @@
     return connections.size();
   }
 
-  /** Stops accepting connections; open ones stay open. */
+  /** Accepts the connections in the backlog, then no more; open ones stay open. */
   public void stopListening() {
-    if (listener != null) {
-      listener.close();
+    if (listener != null && !listenerEnding) {
+      listenerEnding = true;
+      control.loop().schedule(() -> listener.close(), NEXT_ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
 
+  /** Returns whether connections are still accepted. */
+  public boolean isListening() {
+    return listener != null && listener.isOpen();
+  }
+
   /**
    * Stops accepting connections and closes the open ones.
    *
@@ -156,7 +190,9 @@
    */
   @Override
   public void close() {
-    stopListening();
+    if (listener != null) {
+      listener.close();
+    }
     control
         .loop()
         .execute(
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/RequestAggregator.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/RequestAggregator.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import java.util.function.BooleanSupplier;
+import org.gatereel.core.configuration.InboundLimits;
 
 /**
  * Aggregates requests with their bodies and marks requests with too long a body as failed.
@@ -25,20 +26,30 @@
  * would take it for that response.
  */
 final class RequestAggregator extends HttpObjectAggregator {
+  private final InboundLimits limits;
   private final BooleanSupplier hasPendingResponse;
   private boolean continueDelayed;
 
   /**
    * Makes an aggregator.
    *
-   * @param maxBodyBytes the maximum length of a body
+   * @param limits contains the maximum length of a body
    * @param hasPendingResponse whether an earlier request awaits its response
    */
-  RequestAggregator(int maxBodyBytes, BooleanSupplier hasPendingResponse) {
-    super(maxBodyBytes);
+  RequestAggregator(InboundLimits limits, BooleanSupplier hasPendingResponse) {
+    super(limits.maxBodyBytes());
+    this.limits = limits;
     this.hasPendingResponse = hasPendingResponse;
   }
 
+  InboundLimits limits() {
+    return limits;
+  }
+
+  BooleanSupplier hasPendingResponse() {
+    return hasPendingResponse;
+  }
+
   @Override
   protected Object newContinueResponse(HttpMessage start, int maxBytes, ChannelPipeline pipeline) {
     if (HttpUtil.getContentLength(start, 0L) > maxBytes) {
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/RequestHeadTimeoutHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/RequestHeadTimeoutHandler.java
@@ -1,7 +1,6 @@
 package org.gatereel.forward.http;
 
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -23,18 +22,33 @@
  * by then.
  */
 final class RequestHeadTimeoutHandler extends ChannelInboundHandlerAdapter {
-  private final long timeoutMillis;
+  private long timeoutMillis;
+  private Runnable onTimeoutSent = () -> context().close();
   private ScheduledFuture<?> timer;
   private ChannelHandlerContext context;
   private boolean readingBody;
   private boolean deferred;
   private boolean timedOut;
-  private boolean timeoutSent;
+  private boolean discarding;
 
   RequestHeadTimeoutHandler(long timeoutMillis) {
     this.timeoutMillis = timeoutMillis;
   }
 
+  /** Changes the timeout of later heads. */
+  void setTimeoutMillis(long newTimeoutMillis) {
+    timeoutMillis = newTimeoutMillis;
+  }
+
+  /** Sets what is done after a 408 was written, in place of closing the connection. */
+  void setListener(Runnable listener) {
+    onTimeoutSent = listener;
+  }
+
+  private ChannelHandlerContext context() {
+    return context;
+  }
+
   @Override
   public void handlerAdded(ChannelHandlerContext addedContext) {
     context = addedContext;
@@ -42,8 +56,8 @@
 
   @Override
   public void channelRead(ChannelHandlerContext readContext, Object bytes) throws Exception {
-    if (timeoutSent) {
-      // The 408 promises that the request was not executed.
+    if (discarding) {
+      // The response promises that the request was not executed.
       ReferenceCountUtil.release(bytes);
       return;
     }
@@ -62,13 +76,13 @@
   }
 
   private void sendTimeoutResponse() {
-    timeoutSent = true;
+    discarding = true;
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, HttpResponseStatus.REQUEST_TIMEOUT, Unpooled.EMPTY_BUFFER);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    context.channel().writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    context.channel().writeAndFlush(response).addListener(written -> onTimeoutSent.run());
   }
 
   /** Delays a 408 while a request awaits its response. */
@@ -84,6 +98,12 @@
     }
   }
 
+  /** Discards all bytes that are received from now on. */
+  void discardFurtherBytes() {
+    discarding = true;
+    cancelTimer();
+  }
+
   /** Returns whether part of a request has been received. */
   boolean isReceiving() {
     return timer != null || readingBody;
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/CallerResponseWriterTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/CallerResponseWriterTest.java
@@ -10,9 +10,7 @@
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -46,8 +44,8 @@
         new CallerServer(null, configuration, null, null, (reason, state, detail) -> {});
     CallerConnection connection =
         new CallerConnection(server, channel, new RequestHeadTimeoutHandler(400));
-    FullHttpRequest request = new DefaultFullHttpRequest(version, method, "/");
-    return new CallerResponseWriter(connection, channel, request, version.isKeepAliveDefault());
+    return new CallerResponseWriter(
+        connection, channel, version, method, version.isKeepAliveDefault());
   }
 
   private CallerResponseWriter startStream() {
