Let a longer idle timeout hold for open connections

Callers that knew of a longer idle timeout saw kept connections closed at the earlier one: the timer was set for the timeout known at the last response. It now goes on to the longer of that one, which the caller may still believe, and the current one.

IdleTimeoutTest.ignoresALongerTimeoutOnAKeptConnection failed before (no answer) and passes.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/IdleTimer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/IdleTimer.java
@@ -6,7 +6,12 @@
 import java.util.function.LongSupplier;
 import org.gatereel.forward.ControlThread;
 
-/** Runs a task when nothing has happened on a connection for the idle timeout. */
+/**
+ * Runs a task when nothing has happened on a connection for the idle timeout.
+ *
+ * <p>The timeout may change meanwhile. A caller may know the one at the last activity or the
+ * current one, so the longer of the two counts.
+ */
 final class IdleTimer implements AutoCloseable {
   private final EventLoop loop;
   private final LongSupplier timeoutMillis;
@@ -43,7 +48,7 @@
 
   private void check() {
     timer = null;
-    long remainingMillis = promisedMillis - idleMillis();
+    long remainingMillis = Math.max(promisedMillis, timeoutMillis.getAsLong()) - idleMillis();
     if (remainingMillis > 0) {
       schedule(remainingMillis);
     } else {
