Apply changed limits of heads and bodies to kept connections

Callers on kept connections were rejected by limits that were not in force any more, or were let exceed the new ones for as long as they kept the connection: its decoders were made with the limits of its start. They are now replaced before the first byte of a request if the limits have changed.

IdleTimeoutTest.keepsTheFirstLimitOfBodies and keepsTheFirstLimitOfHeads failed before and pass.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
@@ -69,6 +69,7 @@
   /** Called before received bytes are parsed. */
   void onBytesReceived() {
     if (state().isAtRest()) {
+      server.applyLimits(channel.pipeline());
       history.recordRequestBegun();
       idleTimer.restart();
     }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerServer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerServer.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -110,6 +111,19 @@
     return new HttpServerCodec(limits.maxHeadBytes(), limits.maxHeadBytes(), MAX_CHUNK_BYTES);
   }
 
+  /** Applies the current limits to a connection between two requests. */
+  void applyLimits(ChannelPipeline pipeline) {
+    InboundLimits limits = limits();
+    RequestAggregator aggregator = pipeline.get(RequestAggregator.class);
+    if (aggregator.limits().equals(limits)) {
+      return;
+    }
+    pipeline.get(RequestHeadTimeoutHandler.class).setTimeoutMillis(limits.headTimeoutMillis());
+    pipeline.replace(HttpServerCodec.class, null, codec(limits));
+    pipeline.replace(
+        aggregator, null, new RequestAggregator(limits, aggregator.hasPendingResponse()));
+  }
+
   long retryAfterMillis() {
     return ForwardPolicy.STANDARD.retryAfterMillis();
   }
