Let callers that still send receive a 408 or 413 before the close

A caller that was still sending its head or body got a reset in place of the 408, 413 or 503: a close with unread bytes resets the connection, which discards what was written. After the last response to a request that is not completely received the host now shuts its output down and discards what arrives until the caller closes, for a second at most.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpUtil;
@@ -37,6 +38,9 @@
   /** A caller may send its next request when it has received a response. */
   private static final long NEXT_REQUEST_MILLIS = 300;
 
+  /** For this time the rest of a rejected request is discarded, so that its caller can respond. */
+  private static final long LINGER_MILLIS = 1_000;
+
   /** A request may arrive within this many times the idle timeout. */
   private static final int MAX_REQUEST_IDLE_TIMEOUTS = 4;
 
@@ -49,6 +53,7 @@
   private Optional<Exchange> currentExchange = Optional.empty();
   private CloseReason closeReason = CloseReason.CALLER;
   private boolean hasLastResponse;
+  private boolean mayStillSend;
   private int unwrittenResponses;
 
   CallerConnection(CallerServer server, Channel channel, RequestHeadTimeoutHandler headTimeout) {
@@ -94,6 +99,7 @@
         new CallerResponseWriter(
             this, channel, request.protocolVersion(), request.method(), canStayOpen(request));
     if (request.decoderResult().isFailure()) {
+      mayStillSend = true;
       response.reject(rejectionFor(request.decoderResult().cause()), 0);
       return;
     }
@@ -259,14 +265,26 @@
   void rejectIncomplete(Rejection rejection) {
     if (state() == ConnectionState.RECEIVING) {
       headTimeout.discardFurtherBytes();
+      mayStillSend = true;
       new CallerResponseWriter(this, channel, HttpVersion.HTTP_1_1, HttpMethod.GET, false)
           .reject(rejection, server.retryAfterMillis());
     }
   }
 
+  /**
+   * Ends the connection after its last response.
+   *
+   * <p>A close with unread bytes resets the connection, which can discard the response. While the
+   * caller may still be sending, what it sends is therefore discarded first.
+   */
   private void endAfterLastResponse(CloseReason reason) {
     hasLastResponse = true;
-    close(reason);
+    if ((mayStillSend || headTimeout.isReceiving()) && channel instanceof DuplexChannel duplex) {
+      duplex.shutdownOutput();
+      channel.eventLoop().schedule(() -> close(reason), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+    } else {
+      close(reason);
+    }
   }
 
   /** Closes the connection; a response being written is truncated. */
