Reject a request whose response was begun but not sent

A caller saw its connection closed without a byte when the target of a long plain response failed after the host had taken the first part: the first part is held back until there is a second one, but the core counts the response as begun and aborts it. As long as the head is not written, an abort now is a 502, which promises nothing.

CallerResponseWriterTest.closesWithoutAResponseWhenNoByteOfItWasSent failed before (no byte was written) with mvn -pl gatereel-forward -am test -Dtest=CallerResponseWriterTest and passes.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerResponseWriter.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerResponseWriter.java
@@ -193,10 +193,15 @@
     }
   }
 
+  /** Truncates a response whose head is written; rejects the request otherwise. */
   @Override
   public void abort() {
-    finished = true;
-    connection.close(CloseReason.BROKEN_RESPONSE);
+    if (headWritten || finished) {
+      finished = true;
+      connection.close(CloseReason.BROKEN_RESPONSE);
+    } else {
+      reject(Rejection.TARGET_FAILED, 0);
+    }
   }
 
   @Override
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/CallerResponseWriterTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/CallerResponseWriterTest.java
@@ -103,6 +103,16 @@
     assertFalse(channel.isOpen());
   }
 
+  @Test
+  void closesWithoutAResponseWhenNoByteOfItWasSent() {
+    CallerResponseWriter response = responseTo(HttpMethod.GET, HttpVersion.HTTP_1_1);
+    response.begin(head(HttpResponseStatus.OK, false));
+    response.write(bytes("half"));
+    response.abort();
+
+    assertTrue(written().startsWith("HTTP/1.1 502 "));
+  }
+
   @Test
   void abortsInsteadOfRejectingAfterTheHead() {
     CallerResponseWriter response = startStream();
