Silence alone no longer ends an answer: a silent attempt stays open until it is replaced

Callers saw: a stream whose engine fell silent for a second, to probes as well, was cut off (or, before its first event, refused with 502 or 503) although the engine went on 0.2 s later, whenever no other attempt was possible: the retry budget was spent, no other target was usable, the route's attempts were used up, or the stream could not be resumed. Where the silent engine was the only one, the request was sent to it again and again, each time on a new connection, until the attempts were used up. Calls that may be repeated, at the same target as a probed stream, went the same way.

Cause: a failed probe and the stall timeout closed the attempt first and looked for a retry and a target afterwards. A probe without an answer (UNKNOWN) was treated like one that shows the end (GONE).

Why the fix works: GONE ends attempts as before. For silence, Replacement looks for a retry, a target, room and a token while the attempt is open; the attempt is closed in the step that sends the request to the other target, so that it never works at two. If nothing is found, or data arrive, the search is called off and its late callbacks belong to a round that is over. The next failed probe starts it again, so that a real loss without a sign (power, a cut) still moves at the first failed probe where it could before. A retry that was granted for a search that is called off is kept for the request, so that repeated searches cost the budget one retry at most. The silent target itself is never chosen in its own place.

--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -89,7 +89,8 @@
       "A target or a peer announced that the target is draining; it receives no new requests."),
   TARGET_FAILING(503, "A target refused or broke a connection and is avoided for a while."),
   TARGET_RECOVERED(504, "A target that was avoided responded again."),
-  TARGET_UNREACHABLE(505, "A silent target did not respond to a probe; its streams are moved."),
+  TARGET_UNREACHABLE(
+      505, "A silent target did not respond to a probe; its streams move where others have room."),
   ENTRY_INVALID(506, "An entry of a target or host cannot be read and is ignored."),
   TARGETS_CHANGED(
       507,
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -22,7 +22,8 @@
  * One request from its admission to the end of its response.
  *
  * <p>At most one attempt is open at a time; its connection is closed before the next attempt
- * starts. {@link RetryController} decides whether a request is retried.
+ * starts. {@link RetryController} decides whether a request is retried, and {@link Replacement}
+ * searches for another target while an attempt is silent.
  */
 public final class Exchange {
   private final Forwarder forwarder;
@@ -39,6 +40,7 @@
   private final StallDetector stallDetector;
   private final AdmissionWait admissionWait;
   private final Placement placement;
+  private final Replacement replacement;
   private final ExchangeLog log;
   private final ResponseEndCheck endCheck;
   private final StreamRelay relay;
@@ -85,6 +87,7 @@
     this.attemptCounter = retries.attemptCounter();
     this.endCheck = new ResponseEndCheck(forwarder, this, relay, log);
     this.placement = new Placement(forwarder, this, search, retries, route, log, deadline);
+    this.replacement = new Replacement(this, retries, search, placement, log);
     this.deadlineTimer = context.timers().add(deadline, this::onDeadline);
     this.stallDetector = new StallDetector(forwarder, this, route);
     this.admissionWait =
@@ -141,6 +144,15 @@
     }
   }
 
+  /** Ends the search for a target because this host is shutting down. */
+  void onSearchStopped() {
+    if (currentTarget().isPresent()) {
+      replacement.callOff();
+    } else {
+      endForShutdown();
+    }
+  }
+
   private boolean isExecuting() {
     return attempt != null && !attempt.isClosed() && attempt.mayHaveExecuted();
   }
@@ -170,6 +182,10 @@
     return attempt;
   }
 
+  Replacement replacement() {
+    return replacement;
+  }
+
   PoisonDetector poison() {
     return poison;
   }
@@ -179,7 +195,7 @@
     return route.mayRetry();
   }
 
-  /** Fails the open attempt because its target stopped working. */
+  /** Fails the open attempt because its target is known to have ended. */
   void onTargetLost(TargetFailure failure) {
     if (!finished && attempt != null && !attempt.isClosed()) {
       log.log(EventCode.ATTEMPT_SUSPECTED, "target=" + attempt.target().description().id());
@@ -187,6 +203,30 @@
     }
   }
 
+  /**
+   * Replaces the open attempt, whose target is silent, if another target can receive the request.
+   *
+   * @param failure the failure to record if the attempt is replaced
+   */
+  void onTargetSilent(TargetFailure failure) {
+    if (!finished && currentTarget().isPresent()) {
+      replacement.begin(attempt, failure);
+    }
+  }
+
+  /** Ends the request because no other attempt is possible, unless one is still open. */
+  void onNoNextAttempt(Rejection rejection, long retryAfterMillis, String inputs) {
+    if (currentTarget().isPresent()) {
+      replacement.callOff();
+    } else {
+      failRequest(rejection, retryAfterMillis, inputs);
+    }
+  }
+
+  void onNoNextAttempt(Rejection rejection) {
+    onNoNextAttempt(rejection, forwarder.policy().retryAfterMillis(), "");
+  }
+
   /** Ends a request that has been quarantined, unless its stream is already being delivered. */
   void onQuarantined() {
     boolean isDelivering = attempt != null && !attempt.isClosed() && attempt.hasForwardedEvents();
@@ -197,11 +237,11 @@
 
   void startNextAttempt() {
     if (poison.isQuarantined()) {
-      failRequest(rejectionWhenUnserved(Rejection.HELD_BACK));
+      onNoNextAttempt(rejectionWhenUnserved(Rejection.HELD_BACK));
       return;
     }
     if (attemptCounter.isExhausted()) {
-      failRequest(rejectionWhenUnserved(Rejection.OVERLOADED));
+      onNoNextAttempt(rejectionWhenUnserved(Rejection.OVERLOADED));
       return;
     }
     placement.placeNextAttempt();
@@ -224,6 +264,8 @@
    */
   void send(TargetChoice choice, Optional<String> copyName) {
     TargetState target = choice.target();
+    replacement.onSend();
+    retries.recordSent();
     attemptCounter.recordStart();
     attempt = new Attempt(this, target, copyName.isPresent(), context.now());
     attempt.setTimer(forwarder.speeds().map(speeds -> speeds.begin(target, tokensToRead(choice))));
@@ -267,7 +309,7 @@
   void onResponseHead(Attempt from) {
     ResponseHead head = from.head();
     from.recordHead(context.now());
-    from.recordDataReceived(context.now());
+    recordDataReceived(from);
     forwarder.announcements().receive(from);
     if (head.declaresNotExecuted()) {
       onAttemptFailed(from, head.failure());
@@ -278,8 +320,13 @@
     }
   }
 
-  void onBody(Attempt from, byte[] bytes) {
+  private void recordDataReceived(Attempt from) {
     from.recordDataReceived(context.now());
+    replacement.callOff();
+  }
+
+  void onBody(Attempt from, byte[] bytes) {
+    recordDataReceived(from);
     if (from.isEventStream()) {
       if (relay.forward(from, bytes)) {
         versions.recordEvent(from, context.now());
@@ -310,6 +357,7 @@
   }
 
   void onResponseEnd(Attempt from, ResponseEnd end) {
+    replacement.callOff();
     endCheck.onResponseEnd(from, end);
   }
 
@@ -359,6 +407,13 @@
     if (possiblyExecuted) {
       search.copies().onAttemptBroken(from);
     }
+    recordFailedAttempt(from, failure);
+    poison.beforeNextAttempt(from, () -> retries.retryOrFail(from, possiblyExecuted));
+  }
+
+  /** Closes a failed attempt and records its failure; starts no other one. */
+  void recordFailedAttempt(Attempt from, TargetFailure failure) {
+    boolean possiblyExecuted = from.mayHaveExecuted() && !failure.provesNotRun();
     releaseAttempt(from);
     from.cancel();
     log.logAttemptFailed(from, failure, possiblyExecuted);
@@ -372,7 +427,6 @@
     search.recordFailure(from, failure);
     poison.recordFailure(from, failure, possiblyExecuted);
     versions.recordFailure(from, failure, context.now());
-    poison.beforeNextAttempt(from, () -> retries.retryOrFail(from, possiblyExecuted));
   }
 
   private void onDeadline() {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -214,17 +214,26 @@
             targets.recordResponse(target);
             moveFromLostPath(target, probedAt);
           } else {
-            onTargetUnreachable(target, probedAt);
+            onTargetUnreachable(target, probedAt, result);
           }
         });
   }
 
-  /** Moves every stream from the target that has received no data since the probe was sent. */
-  private void onTargetUnreachable(TargetState target, long probedAt) {
+  /**
+   * Ends or replaces the attempts at a target that have received no data since a probe of it was
+   * sent, which failed.
+   */
+  private void onTargetUnreachable(TargetState target, long probedAt, ProbeResult result) {
     context.logEvent(EventCode.TARGET_UNREACHABLE, target.description().id().toString(), "");
     targets.recordFailure(target, TargetFailure.TIMEOUT);
     loads.scheduleReports();
-    moveSilentStreams(target, probedAt, Long.MAX_VALUE);
+    forEachSilent(
+        target,
+        probedAt,
+        Long.MAX_VALUE,
+        result == ProbeResult.GONE
+            ? exchange -> exchange.onTargetLost(TargetFailure.TIMEOUT)
+            : exchange -> exchange.onTargetSilent(TargetFailure.TIMEOUT));
   }
 
   /**
@@ -236,13 +245,21 @@
     port.pathLostAt(id)
         .ifPresent(
             lostAt -> {
-              moveSilentStreams(target, probedAt, lostAt);
+              forEachSilent(
+                  target,
+                  probedAt,
+                  lostAt,
+                  exchange -> exchange.onTargetSilent(TargetFailure.TIMEOUT));
               targets.retractFailures(id);
             });
   }
 
-  /** Moves the streams that were sent to a target before a time and are silent since another. */
-  private void moveSilentStreams(TargetState target, long silentSince, long sentBefore) {
+  /**
+   * Runs an action for each exchange that may move, was sent to a target before a time and is
+   * silent since another.
+   */
+  private void forEachSilent(
+      TargetState target, long silentSince, long sentBefore, Consumer<Exchange> action) {
     for (Exchange exchange : List.copyOf(exchanges)) {
       boolean isAffected =
           exchange.canMove()
@@ -250,7 +267,7 @@
               && exchange.attempt().wasSentBefore(sentBefore)
               && StallDetector.isSilentSince(exchange.attempt(), target, silentSince);
       if (isAffected) {
-        exchange.onTargetLost(TargetFailure.TIMEOUT);
+        action.accept(exchange);
       }
     }
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
@@ -48,9 +48,10 @@
   private int denials;
 
   /**
-   * The target of an attempt, the memory copy there to continue from, and the time of the choice.
+   * The target of an attempt, the memory copy there to continue from, and the time and the round of
+   * the choice.
    */
-  private record Place(TargetChoice choice, Optional<String> copy, long chosenAt) {
+  private record Place(TargetChoice choice, Optional<String> copy, long chosenAt, int round) {
     TargetState target() {
       return choice.target();
     }
@@ -114,14 +115,15 @@
   private void sendWhenRoom(TargetChoice choice) {
     if (roomWait.mustWait(choice.target())) {
       waitUntil = forwarder.context().now() + maxWaitMillis();
-      roomWait.begin(this::chooseUnlessFinished);
+      roomWait.begin(chooseInSameRound());
     } else {
       acquireToken(choice, Optional.empty());
     }
   }
 
   private void acquireToken(TargetChoice choice, Optional<String> copy) {
-    Place place = new Place(choice, copy, forwarder.context().now());
+    Place place =
+        new Place(choice, copy, forwarder.context().now(), exchange.replacement().round());
     TargetState target = choice.target();
     forwarder
         .limits()
@@ -138,7 +140,8 @@
 
   private void onTokenResult(Place place, boolean granted) {
     boolean isJustChosen = place.chosenAt() == forwarder.context().now();
-    boolean maySend = !exchange.isFinished() && (isJustChosen || search.mayReceive(place.target()));
+    boolean isWanted = exchange.replacement().isInRound(place.round());
+    boolean maySend = isWanted && (isJustChosen || search.mayReceive(place.target()));
     if (granted && maySend) {
       roomWait.end();
       exchange.send(place.choice(), place.copy());
@@ -147,7 +150,7 @@
     if (granted) {
       forwarder.limits().release(place.target().description().id());
     }
-    if (exchange.isFinished()) {
+    if (!isWanted) {
       return;
     }
     denials += granted ? 0 : 1;
@@ -170,13 +173,13 @@
     OptionalLong millisToAny = search.millisToFirstBackoffEnd(true);
     if (millisToUsable.isPresent()
         && forwarder.context().now() + millisToUsable.getAsLong() <= waitUntil) {
-      forwarder.context().schedule(millisToUsable.getAsLong(), this::chooseUnlessFinished);
+      forwarder.context().schedule(millisToUsable.getAsLong(), chooseInSameRound());
     } else if (millisToAny.isPresent()) {
       long retryAfterMillis =
           forwarder.overload().drawRetryAfterBackoffMillis(millisToAny.getAsLong());
       reject(retryAfterMillis, "restMillis=" + millisToAny.getAsLong());
     } else {
-      exchange.failRequest(exchange.rejectionWhenUnserved(Rejection.NO_TARGET));
+      exchange.onNoNextAttempt(exchange.rejectionWhenUnserved(Rejection.NO_TARGET));
     }
   }
 
@@ -191,18 +194,22 @@
         Math.min(
             remainingMillis,
             Math.min(TOKEN_RETRY_DELAY_MILLIS, Math.max(1, maxWaitMillis() / MIN_TOKEN_RETRIES)));
-    forwarder.context().schedule(delayMillis, this::chooseUnlessFinished);
+    forwarder.context().schedule(delayMillis, chooseInSameRound());
   }
 
   private void reject(long retryAfterMillis, String inputs) {
-    exchange.failRequest(
+    exchange.onNoNextAttempt(
         exchange.rejectionWhenUnserved(Rejection.OVERLOADED), retryAfterMillis, inputs);
   }
 
-  private void chooseUnlessFinished() {
-    if (!exchange.isFinished()) {
-      choose();
-    }
+  /** Returns a step that searches again, unless the search has been called off by then. */
+  private Runnable chooseInSameRound() {
+    int round = exchange.replacement().round();
+    return () -> {
+      if (exchange.replacement().isInRound(round)) {
+        choose();
+      }
+    };
   }
 
   /** Ends all waiting; safe to call more than once. */
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RetryController.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RetryController.java
@@ -25,6 +25,7 @@
   private final long deadline;
   private final AttemptCounter attemptCounter = new AttemptCounter();
   private boolean budgetSpent;
+  private boolean hasUnusedRetry;
 
   /**
    * Creates the controller of a request.
@@ -62,14 +63,30 @@
 
   /** Returns whether the route and the deadline allow one more execution. */
   boolean mayExecuteAgain() {
-    int executions =
-        usesAllRetries()
-            ? attemptCounter.executionsAt(this::hasNotEnded)
-            : attemptCounter.executions();
+    return mayExecuteAfter(executions());
+  }
+
+  private boolean mayExecuteAfter(int executions) {
     boolean executionsLeft = executions < route.maxAttempts();
     return route.mayRetry() && executionsLeft && forwarder.context().now() < deadline;
   }
 
+  private int executions() {
+    return usesAllRetries()
+        ? attemptCounter.executionsAt(this::hasNotEnded)
+        : attemptCounter.executions();
+  }
+
+  /** Returns whether another attempt may replace an open one whose target is silent. */
+  boolean mayReplace(Attempt silent) {
+    boolean counts = !usesAllRetries() || hasNotEnded(silent.target().description().id());
+    return mayContinueElsewhere() && mayExecuteAfter(executions() + (counts ? 1 : 0));
+  }
+
+  private boolean mayContinueElsewhere() {
+    return !callerResponse.hasBegun() || isResumableStream();
+  }
+
   /** Returns whether another target can resume the stream that the caller has part of. */
   boolean isResumableStream() {
     boolean resumable = route.kind() == RouteKind.STREAM && route.resumable();
@@ -81,31 +98,53 @@
     if (exchange.isFinished()) {
       return;
     }
-    if (callerResponse.hasBegun() && !isResumableStream()) {
+    if (!mayContinueElsewhere()) {
       exchange.abortResponse("ANSWER_BROKEN");
     } else if (mayHaveExecuted && !mayExecuteAgain()) {
       exchange.failRequest(Rejection.TARGET_FAILED);
     } else if (failed.mayHaveExecuted()) {
       retry();
-    } else {
+    } else if (!exchange.replacement().isInProgress()) {
       exchange.startNextAttempt();
     }
   }
 
   /**
    * Starts another attempt if the service's retry budget allows it, possibly after a request to
-   * another host.
+   * another host. If a replacement of the failed attempt is being searched for, that goes on.
    */
   void retry() {
+    if (!exchange.replacement().isInProgress()) {
+      acquireRetry();
+    }
+  }
+
+  /** Starts another attempt once the retry budget allows it. */
+  void acquireRetry() {
+    if (hasUnusedRetry) {
+      exchange.startNextAttempt();
+      return;
+    }
+    Replacement replacement = exchange.replacement();
+    int round = replacement.round();
     if (usesAllRetries()) {
       forwarder
           .streamRetries()
-          .acquire(service, waitUntil(), () -> !exchange.isFinished(), this::retryIfGranted);
+          .acquire(
+              service,
+              waitUntil(),
+              () -> replacement.isInRound(round),
+              granted -> onRetryResult(round, granted));
     } else {
-      forwarder.budgets().acquire(service, this::retryIfGranted);
+      forwarder.budgets().acquire(service, granted -> onRetryResult(round, granted));
     }
   }
 
+  /** Records that the request is sent, which uses up the retry that was granted. */
+  void recordSent() {
+    hasUnusedRetry = false;
+  }
+
   /** Returns whether the request may use the retries of all hosts. */
   private boolean usesAllRetries() {
     return forwarder.policy().has(SchedulingFeature.STREAM_RETRIES)
@@ -130,16 +169,19 @@
     return Math.min(deadline, forwarder.context().now() + patienceMillis);
   }
 
-  private void retryIfGranted(boolean granted) {
-    if (exchange.isFinished()) {
+  private void onRetryResult(int round, boolean granted) {
+    hasUnusedRetry |= granted;
+    if (!exchange.replacement().isInRound(round)) {
       return;
     }
     if (granted) {
       exchange.startNextAttempt();
       return;
     }
-    budgetSpent = true;
-    log.log(EventCode.RETRY_BUDGET_SPENT, "service=" + service);
-    exchange.failRequest(exchange.rejectionWhenUnserved(Rejection.OVERLOADED));
+    if (!budgetSpent) {
+      budgetSpent = true;
+      log.log(EventCode.RETRY_BUDGET_SPENT, "service=" + service);
+    }
+    exchange.onNoNextAttempt(exchange.rejectionWhenUnserved(Rejection.OVERLOADED));
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RoomWait.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RoomWait.java
@@ -106,7 +106,7 @@
   private void recheck(Runnable searchAgain) {
     if (forwarder.isStopping()) {
       end();
-      exchange.endForShutdown();
+      exchange.onSearchStopped();
     } else {
       searchAgain.run();
     }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StallDetector.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/StallDetector.java
@@ -10,7 +10,7 @@
  * Detects that the target of a stream has stopped sending.
  *
  * <p>A pause may also have harmless causes, such as another request's prefill. So a silent target
- * is probed, and the attempt fails only if the probe does, or after a much longer silence.
+ * is probed, and the attempt is replaced only if the probe fails, or after a much longer silence.
  */
 final class StallDetector {
   private final Forwarder forwarder;
@@ -58,9 +58,12 @@
     long delayMillis = probeDelayMillis(attempt);
     if (silentMillis < delayMillis) {
       schedule(attempt, delayMillis - silentMillis);
-    } else if (isStalled(attempt, silentMillis)) {
-      exchange.onTargetLost(TargetFailure.TIMEOUT);
-    } else {
+      return;
+    }
+    if (isStalled(attempt, silentMillis)) {
+      exchange.onTargetSilent(TargetFailure.TIMEOUT);
+    }
+    if (!attempt.isClosed()) {
       forwarder.probe(attempt.target());
       schedule(attempt, delayMillis);
     }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/TargetSearch.java
@@ -37,6 +37,7 @@
   private VersionRule ruleWhenDrawn;
   private boolean skipsLimitedTargets;
   private long occupiedTokens;
+  private Optional<TargetId> openAt = Optional.empty();
   private boolean currentAttemptIsFirst;
   private boolean currentAttemptIsOnlyPrompt;
 
@@ -178,11 +179,13 @@
     skipsLimitedTargets = false;
   }
 
-  /** Returns the targets without tokens and those backing off. */
+  /** Returns the targets without tokens, those backing off, and the one of the open attempt. */
   private Set<TargetId> unavailableTargets(boolean urgent) {
     Set<TargetId> unavailable = targetsWithoutTokens(urgent);
     Set<TargetId> backingOff = forwarder.backoffs().blockedTargets();
-    return backingOff.isEmpty() ? unavailable : Sets.union(unavailable, backingOff);
+    Set<TargetId> blocked =
+        backingOff.isEmpty() ? unavailable : Sets.union(unavailable, backingOff);
+    return openAt.isEmpty() ? blocked : Sets.union(blocked, Set.of(openAt.get()));
   }
 
   private Set<TargetId> targetsWithoutTokens(boolean urgent) {
@@ -261,6 +264,7 @@
     currentAttemptIsOnlyPrompt = forwarder.room().hasNoPrompts(target);
     currentAttemptIsFirst = isFirstAttempt();
     triedTargets.add(target.description().id());
+    openAt = Optional.of(target.description().id());
     forwarder.backoffs().recordSent(target.description().id());
     occupiedTokens = forwarder.room().recordOpened(target, size);
     return copiesMemory
@@ -277,6 +281,7 @@
 
   /** Records that an attempt has ended, in whatever way. */
   void endAttempt(Attempt ending) {
+    openAt = Optional.empty();
     copies.release();
     forwarder.room().recordClosed(ending.target(), occupiedTokens);
   }
