A closed response of a silent target is no longer given up when nothing can replace it

Callers saw: a whole answer that ends with its connection was turned into a refusal (502), or a stream cut off, if its target was silent to two probes (0.45 s) after the close and the request could be repeated but not be sent elsewhere: no other target, no retry left, no attempt left.

Cause: ResponseEndCheck failed the attempt before a replacement was found, as the stall detector did.

Why the fix works: after the second unanswered probe the request moves as before if a retry and a target are found (Replacement, in the same step where both are at hand); otherwise the attempt stays and the target is asked on until it answers, its end is shown, or the deadline passes, as for requests that may not be repeated.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ResponseEndCheck.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ResponseEndCheck.java
@@ -16,7 +16,7 @@
    * Two probes take three times the probe timeout, a pause that a stream may have without being
    * late.
    */
-  private static final int MAX_PROBES_OF_MOVABLE = 2;
+  private static final int PROBES_BEFORE_REPLACEMENT = 2;
 
   /**
    * Limits the timeout of one probe to 4.8 s with the default of 150 ms, so that some ten probes
@@ -94,22 +94,25 @@
         exchange.poison().recordTargetGone(from);
         apply(from, ResponseEndVerdict.TARGET_GONE);
       }
-      case ANSWERED, UNKNOWN -> probeAgainOrFail(from, number, nextAt);
+      case ANSWERED, UNKNOWN -> replaceOrProbeAgain(from, number, nextAt);
     }
   }
 
   /**
-   * Probes again, but not before the last probe's timeout is over. If the request can move to
-   * another target, the number of probes is limited; otherwise they continue until the request's
-   * deadline.
+   * Probes again, but not before the last probe's timeout is over, and until the request's deadline
+   * or until the request has moved to another target.
    */
-  private void probeAgainOrFail(Attempt from, int number, long nextAt) {
-    if (exchange.canMove() && number >= MAX_PROBES_OF_MOVABLE) {
-      apply(from, ResponseEndVerdict.TARGET_SILENT);
-      return;
+  private void replaceOrProbeAgain(Attempt from, int number, long nextAt) {
+    if (exchange.canMove() && number >= PROBES_BEFORE_REPLACEMENT) {
+      if (number == PROBES_BEFORE_REPLACEMENT) {
+        log.logResponseEnded(from, ResponseEndVerdict.TARGET_SILENT);
+      }
+      ResponseEndVerdict.TARGET_SILENT.failure().ifPresent(exchange::onTargetSilent);
+    }
+    if (!from.isClosed()) {
+      long delayMillis = Math.max(0, nextAt - forwarder.context().now());
+      forwarder.context().schedule(delayMillis, () -> probe(from, number + 1));
     }
-    long delayMillis = Math.max(0, nextAt - forwarder.context().now());
-    forwarder.context().schedule(delayMillis, () -> probe(from, number + 1));
   }
 
   private void apply(Attempt from, ResponseEndVerdict verdict) {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ResponseEndVerdict.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ResponseEndVerdict.java
@@ -13,7 +13,10 @@
   IN_DOUBT(Optional.empty()),
   /** The connection was closed, and the probe found that the target's process had ended. */
   TARGET_GONE(Optional.of(TargetFailure.RESET)),
-  /** The connection was closed, and the target responded to none of several probes. */
+  /**
+   * The connection was closed, and the target responded to none of several probes; the attempt
+   * fails if another one replaces it.
+   */
   TARGET_SILENT(Optional.of(TargetFailure.RESET)),
   /** The response ended within an event. */
   WITHIN_EVENT(Optional.of(TargetFailure.RESET)),
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/SilentTargetTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/SilentTargetTest.java
@@ -285,4 +285,24 @@
     assertTrue(call.cancelled);
     assertEquals(0, world.forwarder.openExchangeCount());
   }
+
+  /** A target may be silent right after it has closed the connection of a whole response. */
+  @Test
+  void closedResponseOfSilentTargetIsCompletedWhenItRespondsAgain() {
+    listOneTargetOfEachService();
+    for (String path : new String[] {"/safe/x", "/stream/x"}) {
+      Caller other = new Caller();
+      world.submit(path, other);
+      SentCall call = world.lastCall().accept().respondHead(200, path.startsWith("/stream"));
+      call.event(1).listener.onEnd(ResponseEnd.CONNECTION_CLOSED);
+
+      stayUnresponsive();
+      assertFalse(other.isFinal(), path);
+      world.advanceTime(SILENCE_MILLIS);
+      world.probes.forEach(probe -> probe.listener().onResult(ProbeResult.ALIVE));
+      world.probes.clear();
+
+      assertTrue(other.finished, path);
+    }
+  }
 }
