A step of a request that throws ends this request with a response

What callers saw: nothing, until their own timeout. An exception in the handling of an event was caught in ControlThread.run, logged, and forgotten: the request was left half-built, with an attempt, waits and timers as they were, and all other requests of the same event (a stop, an unreachable target, a batch of tokens, a lookup of a prompt) were not handled. A request that failed before it had an exchange was in no list.

Cause: nobody owned a failure of a step, since steps were guarded by event and not by request.

RequestSteps runs the entry points of a request: its acceptance, the callbacks of its attempt, its timers, and what waits for admission, room, tokens, retries, a lookup or a probe. A step that throws ends its request at once: HOST_FAILED (502) if it may have run, else HOST_FAILED_BEFORE_SENDING (503), or an abort once the response has begun; each part of the ending is attempted even if another one throws. Nothing is thrown to the code that runs the step, so other requests are handled, and Forwarder.accept never throws. STEP_FAILED logs the id, the error and its first frames; gatereel_forward_failed_steps_total counts it.

Tests of forwarding stay as strict: ForwardWorld and the replays' HostModel raise an error on any failed step unless a test expects it.

--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -38,6 +38,8 @@
   COPY_ABSENT(222, "No peer is reachable; tokens are released without a copy."),
   REQUEST_QUEUED(300, "No target is free; the request is queued."),
   REQUEST_REFUSED(301, "The request was rejected."),
+  STEP_FAILED(
+      302, "This host failed while it handled a request, which therefore ends with an error."),
   CALL_SENT(310, "A plain call was sent to a target."),
   CALL_ANSWERED(311, "A target responded to a plain call."),
   CALL_FAILED(312, "A target failed while it executed a plain call."),
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/AdmissionWait.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/AdmissionWait.java
@@ -32,7 +32,8 @@
    *     without waiting
    */
   void begin(boolean resumed) {
-    OverloadDecision verdict = forwarder.overload().decide(arrival, this::onTurn);
+    OverloadDecision verdict =
+        forwarder.overload().decide(arrival, () -> exchange.steps().run(this::onTurn));
     if (verdict instanceof OverloadDecision.Wait wait) {
       waiting = true;
       log.log(EventCode.REQUEST_QUEUED, wait.inputs());
@@ -57,7 +58,7 @@
 
   private void apply(OverloadDecision verdict) {
     if (verdict instanceof OverloadDecision.Wait wait) {
-      timer = forwarder.context().schedule(wait.retryMillis(), this::recheck);
+      timer = exchange.steps().schedule(wait.retryMillis(), this::recheck);
       return;
     }
     end();
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
@@ -234,7 +234,7 @@
 
   @Override
   public boolean maySend() {
-    return acceptsCallbacks() && exchange.mayStillReceive(target);
+    return acceptsCallbacks() && exchange.steps().test(() -> exchange.mayStillReceive(target));
   }
 
   @Override
@@ -248,28 +248,28 @@
   public void onHead(ResponseHead responseHead) {
     if (acceptsCallbacks()) {
       head = responseHead;
-      exchange.onResponseHead(this);
+      exchange.steps().run(() -> exchange.onResponseHead(this));
     }
   }
 
   @Override
   public void onBody(byte[] bytes) {
     if (acceptsCallbacks()) {
-      exchange.onBody(this, bytes);
+      exchange.steps().run(() -> exchange.onBody(this, bytes));
     }
   }
 
   @Override
   public void onEnd(ResponseEnd responseEnd) {
     if (acceptsCallbacks()) {
-      exchange.onResponseEnd(this, responseEnd);
+      exchange.steps().run(() -> exchange.onResponseEnd(this, responseEnd));
     }
   }
 
   @Override
   public void onFailure(TargetFailure failure) {
     if (acceptsCallbacks()) {
-      exchange.onAttemptFailed(this, failure);
+      exchange.steps().run(() -> exchange.onAttemptFailed(this, failure));
     }
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/CallerResponse.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/CallerResponse.java
@@ -13,6 +13,7 @@
   private TargetResponse heldError;
   private boolean begun;
   private boolean committed;
+  private boolean ended;
 
   CallerResponse(CallerPort caller) {
     this.caller = caller;
@@ -23,6 +24,11 @@
     return begun;
   }
 
+  /** Returns whether the final call was made, so that the caller waits for nothing more. */
+  boolean hasEnded() {
+    return ended;
+  }
+
   /** Returns whether part of a body was sent that no other target can continue. */
   boolean isCommitted() {
     return committed;
@@ -71,14 +77,41 @@
     begin(rest.head());
     caller.write(rest.body());
     caller.finish();
+    ended = true;
   }
 
   /** Aborts the response, so that the caller does not take it for complete. */
   void abort() {
     caller.abort();
+    ended = true;
+  }
+
+  /**
+   * Rejects the request if no response has begun, and aborts the response otherwise. Does nothing
+   * after the final call.
+   *
+   * @return whether the request was rejected
+   */
+  boolean rejectOrAbort(Rejection rejection, long retryAfterMillis) {
+    if (ended) {
+      return false;
+    }
+    if (begun) {
+      abort();
+      return false;
+    }
+    try {
+      reject(rejection, retryAfterMillis);
+      return true;
+    } catch (RuntimeException e) {
+      // Without a response, at least the connection must end.
+      abort();
+      throw e;
+    }
   }
 
   void reject(Rejection rejection, long retryAfterMillis) {
     caller.reject(rejection, retryAfterMillis);
+    ended = true;
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -30,6 +30,7 @@
   private final CoreContext context;
   private final ForwardRequest request;
   private final CallerResponse callerResponse;
+  private final RequestSteps steps;
   private final Route route;
   private final ServiceName service;
   private final Optional<AccountId> account;
@@ -55,12 +56,14 @@
   Exchange(
       Forwarder forwarder,
       ForwardRequest request,
-      CallerPort caller,
+      CallerResponse callerResponse,
+      RequestSteps steps,
       ConfigurationHolder.Lookup.Allowed allowed) {
     this.forwarder = forwarder;
     this.context = forwarder.context();
     this.request = request;
-    this.callerResponse = new CallerResponse(caller);
+    this.callerResponse = callerResponse;
+    this.steps = steps;
     this.route = allowed.route();
     this.account = allowed.account();
     this.poison =
@@ -88,7 +91,6 @@
     this.endCheck = new ResponseEndCheck(forwarder, this, relay, log);
     this.placement = new Placement(forwarder, this, search, retries, route, log, deadline);
     this.replacement = new Replacement(this, retries, search, placement, log);
-    this.deadlineTimer = context.timers().add(deadline, this::onDeadline);
     this.stallDetector = new StallDetector(forwarder, this, route);
     this.admissionWait =
         new AdmissionWait(
@@ -105,6 +107,13 @@
                 forwarder.urgency(allowed, service),
                 search.size()));
     search.setReservedTargets(admissionWait::reservedTargets);
+    this.deadlineTimer = steps.scheduleAt(deadline, this::onDeadline);
+    steps.setEnding(this::endAfterFailure);
+  }
+
+  /** Returns what runs the timers and callbacks of the request. */
+  RequestSteps steps() {
+    return steps;
   }
 
   /** Rejects a quarantined request; queues any other for admission. */
@@ -124,6 +133,10 @@
 
   /** Cancels the request after the caller closed its connection. */
   public void onCallerDisconnected() {
+    steps.run(this::endForCaller);
+  }
+
+  private void endForCaller() {
     if (finished) {
       return;
     }
@@ -366,6 +379,7 @@
    * response is delivered.
    */
   void onCompleteResponse(Attempt from) {
+    mayHaveExecuted = true;
     releaseAttempt(from);
     attemptCounter.recordExecution(from.target().description().id());
     if (route.kind() != RouteKind.STREAM) {
@@ -408,12 +422,14 @@
       search.copies().onAttemptBroken(from);
     }
     recordFailedAttempt(from, failure);
-    poison.beforeNextAttempt(from, () -> retries.retryOrFail(from, possiblyExecuted));
+    poison.beforeNextAttempt(
+        from, () -> steps.run(() -> retries.retryOrFail(from, possiblyExecuted)));
   }
 
   /** Closes a failed attempt and records its failure; starts no other one. */
   void recordFailedAttempt(Attempt from, TargetFailure failure) {
     boolean possiblyExecuted = from.mayHaveExecuted() && !failure.provesNotRun();
+    mayHaveExecuted |= possiblyExecuted;
     releaseAttempt(from);
     from.cancel();
     log.logAttemptFailed(from, failure, possiblyExecuted);
@@ -421,7 +437,6 @@
       attemptCounter.recordUnreachable();
     }
     if (possiblyExecuted) {
-      mayHaveExecuted = true;
       attemptCounter.recordExecution(from.target().description().id());
     }
     search.recordFailure(from, failure);
@@ -472,6 +487,38 @@
     finish();
   }
 
+  /**
+   * Ends the request after a step threw an exception. Each part is attempted, since the exchange
+   * may be inconsistent; the response comes first.
+   */
+  private void endAfterFailure() {
+    finished = true;
+    steps.tryRun(this::respondToFailure);
+    steps.tryRun(this::cancelAttempt);
+    steps.tryRun(this::closeAttempt);
+    steps.tryRun(this::finish);
+  }
+
+  private void respondToFailure() {
+    boolean possiblyExecuted = mayHaveExecuted || (attempt != null && attempt.mayHaveExecuted());
+    Rejection rejection =
+        possiblyExecuted ? Rejection.HOST_FAILED : Rejection.HOST_FAILED_BEFORE_SENDING;
+    boolean isInterruption = callerResponse.hasBegun() && !callerResponse.hasEnded();
+    if (callerResponse.rejectOrAbort(rejection, forwarder.policy().retryAfterMillis())) {
+      forwarder.recordRejection(rejection);
+      log.log(EventCode.REQUEST_REFUSED, "reason=" + rejection);
+    } else if (isInterruption) {
+      forwarder.recordInterruption(route);
+      log.logInterrupted(rejection.name(), retries, search.copies());
+    }
+  }
+
+  private void cancelAttempt() {
+    if (attempt != null) {
+      attempt.cancel();
+    }
+  }
+
   private void closeAttempt() {
     if (attempt != null && !attempt.isClosed()) {
       versions.recordAbandoned(attempt, context.now());
@@ -493,11 +540,11 @@
 
   private void finish() {
     finished = true;
+    forwarder.onFinished(this);
     deadlineTimer.cancel();
     admissionWait.end();
     placement.end();
     stallDetector.stop();
-    forwarder.onFinished(this);
   }
 
   /** Returns the request's progress as {@code key=value} pairs for the log. */
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardObserver.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardObserver.java
@@ -12,4 +12,7 @@
 
   /** Records a response that was aborted after it had started. */
   void recordInterruption(Route route);
+
+  /** Records a step of a request that threw an exception. */
+  void recordStepFailure(RuntimeException failure);
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -138,30 +138,49 @@
 
   /**
    * Accepts a complete request; the response is sent through {@code caller}, possibly before this
-   * returns.
+   * returns. A request that cannot be handled is rejected, so that nothing is thrown.
    *
    * <p>Returns the exchange, or empty if the request was rejected before one was created.
    */
   public Optional<Exchange> accept(ForwardRequest request, CallerPort caller) {
+    CallerResponse response = new CallerResponse(caller);
+    RequestSteps steps =
+        new RequestSteps(
+            context, observer, request.id(), () -> rejectAfterFailure(request, response));
+    return steps.call(() -> accept(request, response, steps));
+  }
+
+  private Optional<Exchange> accept(
+      ForwardRequest request, CallerResponse response, RequestSteps steps) {
     ConfigurationHolder.Lookup found =
         configuration.lookUp(request.hostName(), request.path(), request.key());
     if (found instanceof ConfigurationHolder.Lookup.Allowed allowed) {
       if (!shutdownPolicy.accepts(allowed.route().kind())) {
-        reject(request, caller, Rejection.STOPPING);
+        reject(request, response, Rejection.STOPPING);
         return Optional.empty();
       }
-      Exchange exchange = new Exchange(this, request, caller, allowed);
+      Exchange exchange = new Exchange(this, request, response, steps, allowed);
       exchanges.add(exchange);
-      exchange.start();
+      steps.run(exchange::start);
       return Optional.of(exchange);
     }
-    reject(request, caller, ((ConfigurationHolder.Lookup.Denied) found).rejection());
+    reject(request, response, ((ConfigurationHolder.Lookup.Denied) found).rejection());
     return Optional.empty();
   }
 
+  private void rejectAfterFailure(ForwardRequest request, CallerResponse response) {
+    if (response.rejectOrAbort(Rejection.HOST_FAILED_BEFORE_SENDING, policy.retryAfterMillis())) {
+      recordRejected(request, Rejection.HOST_FAILED_BEFORE_SENDING);
+    }
+  }
+
   /** Rejects a request for which no exchange was created. */
-  private void reject(ForwardRequest request, CallerPort caller, Rejection rejection) {
-    caller.reject(rejection, policy.retryAfterMillis());
+  private void reject(ForwardRequest request, CallerResponse response, Rejection rejection) {
+    response.reject(rejection, policy.retryAfterMillis());
+    recordRejected(request, rejection);
+  }
+
+  private void recordRejected(ForwardRequest request, Rejection rejection) {
     context.logEvent(
         EventCode.REQUEST_REFUSED,
         request.id(),
@@ -195,7 +214,7 @@
 
   /** Ends all open requests because this host is shutting down. */
   public void stopAll() {
-    List.copyOf(exchanges).forEach(Exchange::endForShutdown);
+    List.copyOf(exchanges).forEach(exchange -> exchange.steps().run(exchange::endForShutdown));
   }
 
   /** Probes a target, unless a probe of it is already pending. */
@@ -267,7 +286,7 @@
               && exchange.attempt().wasSentBefore(sentBefore)
               && StallDetector.isSilentSince(exchange.attempt(), target, silentSince);
       if (isAffected) {
-        action.accept(exchange);
+        exchange.steps().run(() -> action.accept(exchange));
       }
     }
   }
@@ -278,7 +297,7 @@
   private void onQuarantined(Fingerprint feature) {
     List.copyOf(exchanges).stream()
         .filter(exchange -> exchange.poison().has(feature))
-        .forEach(Exchange::onQuarantined);
+        .forEach(exchange -> exchange.steps().run(exchange::onQuarantined));
   }
 
   @Override
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
@@ -78,7 +78,7 @@
   /** Runs a step after looking up, for a resumed stream, which engine has its prompt cached. */
   void locatePrompt(Runnable step) {
     if (search.canLocatePrompt()) {
-      search.locatePrompt(found -> onPromptLocated(found, step));
+      search.locatePrompt(exchange.steps().callback(found -> onPromptLocated(found, step)));
     } else {
       step.run();
     }
@@ -131,7 +131,7 @@
             target.description().id(),
             target.description().dataCentre(),
             exchange.hasPartialResponse(),
-            granted -> onTokenResult(place, granted));
+            exchange.steps().callback(granted -> onTokenResult(place, granted)));
   }
 
   private boolean isWaitOver() {
@@ -173,7 +173,7 @@
     OptionalLong millisToAny = search.millisToFirstBackoffEnd(true);
     if (millisToUsable.isPresent()
         && forwarder.context().now() + millisToUsable.getAsLong() <= waitUntil) {
-      forwarder.context().schedule(millisToUsable.getAsLong(), chooseInSameRound());
+      exchange.steps().schedule(millisToUsable.getAsLong(), chooseInSameRound());
     } else if (millisToAny.isPresent()) {
       long retryAfterMillis =
           forwarder.overload().drawRetryAfterBackoffMillis(millisToAny.getAsLong());
@@ -194,7 +194,7 @@
         Math.min(
             remainingMillis,
             Math.min(TOKEN_RETRY_DELAY_MILLIS, Math.max(1, maxWaitMillis() / MIN_TOKEN_RETRIES)));
-    forwarder.context().schedule(delayMillis, chooseInSameRound());
+    exchange.steps().schedule(delayMillis, chooseInSameRound());
   }
 
   private void reject(long retryAfterMillis, String inputs) {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Rejection.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Rejection.java
@@ -14,6 +14,10 @@
   HEAD_TOO_LARGE(431),
   /** A target failed while it had the request, which may have been executed. */
   TARGET_FAILED(502),
+  /** This host failed while it handled the request, which may have been executed. */
+  HOST_FAILED(502),
+  /** This host failed before it sent the request, which was not executed. */
+  HOST_FAILED_BEFORE_SENDING(503),
   /** No configuration is known yet; the request was not executed. */
   NO_CONFIGURATION(503),
   /** The configuration known to this host may be outdated; the request was not executed. */
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ResponseEndCheck.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ResponseEndCheck.java
@@ -75,7 +75,7 @@
         .probe(
             from.target().description(),
             probeTimeoutMillis(number),
-            result -> onProbeResult(from, number, nextAt, result));
+            result -> exchange.steps().run(() -> onProbeResult(from, number, nextAt, result)));
   }
 
   /** Doubles the timeout with each probe, since a busy target responds slowly. */
@@ -111,7 +111,7 @@
     }
     if (!from.isClosed()) {
       long delayMillis = Math.max(0, nextAt - forwarder.context().now());
-      forwarder.context().schedule(delayMillis, () -> probe(from, number + 1));
+      exchange.steps().schedule(delayMillis, () -> probe(from, number + 1));
     }
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RetryController.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RetryController.java
@@ -1,5 +1,6 @@
 package org.gatereel.core.forward;
 
+import java.util.function.Consumer;
 import org.gatereel.core.configuration.Route;
 import org.gatereel.core.configuration.RouteKind;
 import org.gatereel.core.event.EventCode;
@@ -127,16 +128,13 @@
     }
     Replacement replacement = exchange.replacement();
     int round = replacement.round();
+    Consumer<Boolean> retry = exchange.steps().callback(granted -> onRetryResult(round, granted));
     if (usesAllRetries()) {
       forwarder
           .streamRetries()
-          .acquire(
-              service,
-              waitUntil(),
-              () -> replacement.isInRound(round),
-              granted -> onRetryResult(round, granted));
+          .acquire(service, waitUntil(), () -> replacement.isInRound(round), retry);
     } else {
-      forwarder.budgets().acquire(service, granted -> onRetryResult(round, granted));
+      forwarder.budgets().acquire(service, retry);
     }
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RoomWait.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RoomWait.java
@@ -92,7 +92,7 @@
       room().adjustWaiting(search.service(), 1);
       log.log(EventCode.REQUEST_QUEUED, room().inputs(search.service(), search.size()));
     }
-    timer = forwarder.context().schedule(delayMillis(), () -> recheck(searchAgain));
+    timer = exchange.steps().schedule(delayMillis(), () -> recheck(searchAgain));
   }
 
   private long delayMillis() {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StallDetector.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/StallDetector.java
@@ -47,7 +47,7 @@
   }
 
   private void schedule(Attempt attempt, long millis) {
-    timer = forwarder.context().schedule(millis, () -> check(attempt));
+    timer = exchange.steps().schedule(millis, () -> check(attempt));
   }
 
   private void check(Attempt attempt) {
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
@@ -65,9 +65,13 @@
   Optional<String> promptPart = Optional.empty();
   OptionalLong lastEventId = OptionalLong.empty();
 
+  /** Runs before each request that is sent to a target. */
+  Runnable beforeSend = () -> {};
+
   /** Content of the requests that are submitted next. */
   String requestContent = "";
 
+  boolean allowsStepFailures;
   private long listVersion;
 
   /** A request sent to a target, with the means to simulate the response. */
@@ -243,6 +247,7 @@
         new TargetPort() {
           @Override
           public Call send(Dispatch dispatch, Listener listener) {
+            beforeSend.run();
             SentCall call = new SentCall(dispatch, listener);
             sentCalls.add(call);
             return () -> call.cancelled = true;
@@ -274,7 +279,7 @@
             configurationHolder,
             ForwardPolicy.STANDARD.withFeatures(features),
             port,
-            new IgnoringObserver(),
+            new StrictObserver(),
             directory,
             this::requestLoan,
             loads,
@@ -299,7 +304,7 @@
     }
   }
 
-  private static final class IgnoringObserver implements ForwardObserver {
+  private final class StrictObserver implements ForwardObserver {
     @Override
     public void recordResponse(Route route, long millis) {}
 
@@ -308,6 +313,13 @@
 
     @Override
     public void recordInterruption(Route route) {}
+
+    @Override
+    public void recordStepFailure(RuntimeException failure) {
+      if (!allowsStepFailures) {
+        throw new AssertionError("a step of a request threw an exception", failure);
+      }
+    }
   }
 
   static Configuration.Builder configuration(long version) {
@@ -376,18 +388,20 @@
   }
 
   Optional<Exchange> submit(String path, Caller caller) {
-    return forwarder.accept(
-        new Request(
-            "r1",
-            "example",
-            path,
-            Optional.of(KEY),
-            OptionalLong.empty(),
-            lastEventId,
-            8_000,
-            promptPart,
-            requestContent),
-        caller);
+    return forwarder.accept(request(path), caller);
+  }
+
+  Request request(String path) {
+    return new Request(
+        "r1",
+        "example",
+        path,
+        Optional.of(KEY),
+        OptionalLong.empty(),
+        lastEventId,
+        8_000,
+        promptPart,
+        requestContent);
   }
 
   SentCall lastCall() {
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardMetrics.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardMetrics.java
@@ -38,6 +38,11 @@
   private final Map<RouteKind, Counter> interruptedCounters = new EnumMap<>(RouteKind.class);
   private final Map<Rejection, Counter> rejectedCounters = new EnumMap<>(Rejection.class);
 
+  private final Counter stepFailures =
+      Counter.builder("gatereel_forward_failed_steps")
+          .description("steps of requests that threw an exception")
+          .register(registry);
+
   public ForwardMetrics() {
     for (RouteKind kind : RouteKind.values()) {
       responseTimers.put(
@@ -79,6 +84,11 @@
     interruptedCounters.get(route.kind()).increment();
   }
 
+  @Override
+  public void recordStepFailure(RuntimeException failure) {
+    stepFailures.increment();
+  }
+
   /** Counts a closed connection of a caller. */
   public void recordConnectionClosed(CloseReason reason, ConnectionState state) {
     Counter.builder("gatereel_forward_caller_connections_closed")
--- a/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
+++ b/gatereel-proofs/src/test/java/org/gatereel/proofs/replay/HostModel.java
@@ -223,6 +223,11 @@
 
     @Override
     public void recordInterruption(Route route) {}
+
+    @Override
+    public void recordStepFailure(RuntimeException failure) {
+      throw new AssertionError("a step of a request threw an exception", failure);
+    }
   }
 
   /** The way to the modelled engines. */
