A step that throws prevents neither timers nor the step around it

What callers saw: a request that waits for a timer (admission, room, a deadline, a probe) was not answered, or late. ControlThread.run skipped the timers that were due when the step threw, and the other timers when one of them threw, until the next event; after an Error it scheduled no timer at all; and the failure of a nested step also ended the outer one, which belongs to another request.

Each step, nested or not, is now guarded by itself; all due timers run; the next timer is scheduled whatever is thrown. run(step, onFailure) lets those respond who wait for a result that the step does not give.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/ControlThread.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ControlThread.java
@@ -47,25 +47,65 @@
     loop.execute(() -> loop.execute(step));
   }
 
-  /** Runs a step of the core at the current time, then all timers that are due. */
+  /**
+   * Runs a step of the core at the current time, then all timers that are due. A step that throws
+   * is logged; it prevents neither the timers nor the step that it is nested in.
+   */
   public void run(Runnable step) {
+    run(step, () -> {});
+  }
+
+  /**
+   * Runs a step of the core like {@link #run(Runnable)}.
+   *
+   * @param onFailure run if the step throws, to respond to whoever waits for its result
+   */
+  public void run(Runnable step, Runnable onFailure) {
     if (inStep) {
-      step.run();
+      runGuarded(step, onFailure);
       return;
     }
     inStep = true;
     try {
       updateClocks();
+      runGuarded(step, onFailure);
+      runDueTimers();
+    } finally {
+      inStep = false;
+      finishStep();
+    }
+  }
+
+  private void runGuarded(Runnable step, Runnable onFailure) {
+    if (!tryRun(step)) {
+      tryRun(onFailure);
+    }
+  }
+
+  private boolean tryRun(Runnable step) {
+    try {
       step.run();
-      context.timers().runDue(context.now());
+      return true;
     } catch (RuntimeException e) {
       // A failed event must not prevent the handling of later ones.
       log.failure("an event could not be handled", e);
+      return false;
+    }
+  }
+
+  private void runDueTimers() {
+    boolean allRun;
+    do {
+      allRun = tryRun(() -> context.timers().runDue(context.now()));
+    } while (!allRun);
+  }
+
+  private void finishStep() {
+    try {
+      logPendingEvents();
     } finally {
-      inStep = false;
+      scheduleNext();
     }
-    logPendingEvents();
-    scheduleNext();
   }
 
   /** Sets the core's clocks to the current time, including any time this host was suspended. */
@@ -101,10 +141,10 @@
     }
     scheduledAtMillis = nextDeadline.getAsLong();
     long delayMillis = Math.max(0, scheduledAtMillis - nowMillis());
-    scheduledTask = loop.schedule(this::runDueTimers, delayMillis, TimeUnit.MILLISECONDS);
+    scheduledTask = loop.schedule(this::onTimer, delayMillis, TimeUnit.MILLISECONDS);
   }
 
-  private void runDueTimers() {
+  private void onTimer() {
     scheduledTask = null;
     scheduledAtMillis = Long.MAX_VALUE;
     run(() -> {});
