A target's response whose handling throws is reported as failed

What callers saw: no answer until their timeout, or that of a probe's waiters. TargetResponseHandler marked a response as finished before it reported its end; if the report threw (a head or a report that a reader does not expect), nobody heard of the end. After a head that threw, the body and end were reported without one.

The handler now reports ERROR once when a report throws, and closes the connection, so that the attempt or the probe ends.

Evidence: TargetResponseHandlerTest.reportsErrorIfHeadCannotBeHandled and ...IfEndCannotBeHandled, on the code before (mvn -o -pl gatereel-forward -am test -Dtest=TargetResponseHandlerTest): LENGTH_REACHED and open in place of ERROR. Now they pass, with TargetConnectorTest and ResponseFramingTest. No head or report that throws is known; this closes the class.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetResponseHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetResponseHandler.java
@@ -25,6 +25,7 @@
   private final ControlThread control;
   private final HttpMethod requestMethod;
   private boolean finished;
+  private boolean failed;
   private boolean interim;
   private boolean hasHead;
   private ResponseEnd end = ResponseEnd.CONNECTION_CLOSED;
@@ -71,8 +72,7 @@
           if (mayBeSent()) {
             onConnected();
           } else {
-            finished = true;
-            onFailure(TargetFailure.WITHDRAWN);
+            failOnce(TargetFailure.WITHDRAWN);
           }
         });
     return !finished;
@@ -84,16 +84,21 @@
   }
 
   final void fail(TargetFailure failure) {
-    report(
-        () -> {
-          finished = true;
-          onFailure(failure);
-        });
+    report(() -> failOnce(failure));
+  }
+
+  private void failOnce(TargetFailure failure) {
+    finished = true;
+    if (!failed) {
+      failed = true;
+      onFailure(failure);
+    }
   }
 
+  /** Reports an event; if that throws, the response cannot be handled and has failed. */
   private void report(Runnable runnable) {
     if (!finished) {
-      control.run(runnable);
+      control.run(runnable, () -> failOnce(TargetFailure.ERROR));
     }
   }
 
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/ResponseRecorder.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/ResponseRecorder.java
@@ -13,11 +13,21 @@
 final class ResponseRecorder extends TargetResponseHandler {
   private final List<String> outcomes = new ArrayList<>();
   private final StringBuilder body = new StringBuilder();
+  private Runnable beforeHead = () -> {};
+  private Runnable beforeEnd = () -> {};
 
   ResponseRecorder(ControlThread control, HttpMethod requestMethod) {
     super(control, requestMethod);
   }
 
+  void setBeforeHead(Runnable step) {
+    beforeHead = step;
+  }
+
+  void setBeforeEnd(Runnable step) {
+    beforeEnd = step;
+  }
+
   /** Returns how the response ended, or "open". */
   String outcome() {
     return outcomes.isEmpty() ? "open" : String.join(", ", outcomes);
@@ -31,7 +41,9 @@
   void onConnected() {}
 
   @Override
-  void onHead(HttpResponse head) {}
+  void onHead(HttpResponse head) {
+    beforeHead.run();
+  }
 
   @Override
   void onBody(byte[] bytes) {
@@ -40,6 +52,7 @@
 
   @Override
   void onEnd(ResponseEnd end) {
+    beforeEnd.run();
     outcomes.add(end.name());
   }
 
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetResponseHandlerTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetResponseHandlerTest.java
@@ -53,6 +53,31 @@
     channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
   }
 
+  private static void fail() {
+    throw new IllegalStateException("simulated");
+  }
+
+  /** Guards against a request without a response because the head of the target's threw. */
+  @Test
+  void reportsErrorIfHeadCannotBeHandled() {
+    recorder.setBeforeHead(TargetResponseHandlerTest::fail);
+
+    receive("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart");
+
+    assertEquals("ERROR", recorder.outcome());
+    assertEquals("", recorder.body());
+    assertFalse(channel.isOpen());
+  }
+
+  @Test
+  void reportsErrorIfEndCannotBeHandled() {
+    recorder.setBeforeEnd(TargetResponseHandlerTest::fail);
+
+    receive("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart");
+
+    assertEquals("ERROR", recorder.outcome());
+  }
+
   private void closeByTarget() {
     channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
     channel.runPendingTasks();
