Let a draining host parse what it has read before it answers

Callers that sent requests at once saw the first refused with Connection: close and nothing for the others: the refusal is written while the rest of the same read is not yet parsed, so that the host sees no further request. A draining host now handles a request after the event loop has parsed all bytes that it has read.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
@@ -83,12 +83,17 @@
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
     history.recordRequest();
-    if (requests.offer(request)) {
+    boolean isCurrent = requests.offer(request);
+    if (isCurrent && !server.isDraining()) {
       handle(request);
       return;
     }
     request.retain();
-    if (requests.size() > MAX_QUEUED_REQUESTS) {
+    if (isCurrent) {
+      // Whether the response is the last one depends on the requests that are parsed after this
+      // one.
+      channel.eventLoop().execute(() -> handleQueued(request));
+    } else if (requests.size() > MAX_QUEUED_REQUESTS) {
       channel.config().setAutoRead(false);
     }
   }
