Bound what a caller's connection can hold, and see partial requests behind others

A connection whose writes make no progress for an idle timeout is closed (CALLER_DOES_NOT_READ). - Responses to pipelined requests were buffered without a bound. The next request now waits until the caller has read. - More than 128 requests in one packet reset the connection, since the codec keeps so many methods. It now keeps as many as one read can hold, after which reading pauses. - Part of a head behind a whole request in one packet was not seen as received: no 408, closed as idle, and lost when limits changed. The decoder's unread bytes now start the next head. - A request that arrived while the idle timer closed got a response with keep-alive and then a close. Any activity since the decision now keeps the connection. - The time of a request counted from that of an earlier one.

At the end of the grace period half received requests are rejected until the exit, and callers that may still be sending are waited for within the same 200 ms.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/GracefulShutdown.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/GracefulShutdown.java
@@ -83,7 +83,6 @@
     if (nowMillis >= deadlineMillis) {
       callers.stopListening();
       control.run(forwarder::stopAll);
-      callers.rejectIncompleteRequests();
       finishWrites();
     } else if (nowMillis >= balancerDeadlineMillis && closeUnused()) {
       end(true);
@@ -103,7 +102,8 @@
   }
 
   private void finishWrites() {
-    boolean isWritten = !callers.isListening() && !callers.owesResponses();
+    callers.rejectIncompleteRequests();
+    boolean isWritten = !callers.isListening() && callers.isAtRest();
     if (isWritten || ControlThread.nowMillis() >= deadlineMillis + LAST_WRITE_MILLIS) {
       end(false);
     } else {
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
@@ -27,9 +27,7 @@
 final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
   private static final int MAX_QUEUED_REQUESTS = 8;
 
-  /**
-   * The event loop reads the sockets between the moment at which a task is scheduled and its run.
-   */
+  /** The event loop reads the sockets before it runs a task with any delay above 0. */
   private static final long NEXT_READ_MILLIS = 1;
 
   /** Callers send their first request right after they have connected. */
@@ -38,11 +36,11 @@
   /** A caller may send its next request when it has received a response. */
   private static final long NEXT_REQUEST_MILLIS = 300;
 
-  /** For this time the rest of a rejected request is discarded, so that its caller can respond. */
+  /** For this time the rest of a rejected request is discarded, so that its caller can read. */
   private static final long LINGER_MILLIS = 1_000;
 
-  /** A request may arrive within this many times the idle timeout. */
-  private static final int MAX_REQUEST_IDLE_TIMEOUTS = 4;
+  /** The longest time from the first to the last byte of a request, in idle timeouts. */
+  private static final int MAX_RECEIVE_IDLE_TIMEOUTS = 4;
 
   private final CallerServer server;
   private final Channel channel;
@@ -50,19 +48,23 @@
   private final PipelineQueue<FullHttpRequest> requests = new PipelineQueue<>();
   private final IdleTimer idleTimer;
   private final ConnectionRecord history = new ConnectionRecord();
+  private final WriteProgress writes;
   private Optional<Exchange> currentExchange = Optional.empty();
   private CloseReason closeReason = CloseReason.CALLER;
   private boolean hasLastResponse;
   private boolean mayStillSend;
   private int unwrittenResponses;
+  private long activities;
+  private Optional<FullHttpRequest> pausedRequest = Optional.empty();
 
   CallerConnection(CallerServer server, Channel channel, RequestHeadTimeoutHandler headTimeout) {
     this.server = server;
     this.channel = channel;
     this.headTimeout = headTimeout;
+    this.writes = new WriteProgress(channel);
     this.idleTimer =
         new IdleTimer(channel.eventLoop(), () -> server.limits().idleTimeoutMillis(), this::onIdle);
-    headTimeout.setListener(() -> endAfterLastResponse(CloseReason.HEAD_TIMEOUT));
+    headTimeout.onTimeoutSent(() -> endAfterLastResponse(CloseReason.HEAD_TIMEOUT));
   }
 
   @Override
@@ -73,9 +75,9 @@
 
   /** Called before received bytes are parsed. */
   void onBytesReceived() {
-    if (state().isAtRest()) {
+    activities++;
+    if (state().isAtRest() && !headTimeout.isWithinRequest()) {
       server.applyLimits(channel.pipeline());
-      history.recordRequestBegun();
       idleTimer.restart();
     }
   }
@@ -104,7 +106,8 @@
         new CallerResponseWriter(
             this, channel, request.protocolVersion(), request.method(), canStayOpen(request));
     if (request.decoderResult().isFailure()) {
-      mayStillSend = true;
+      mayStillSend = !canStayOpen(request);
+      headTimeout.onAnswered();
       response.reject(rejectionFor(request.decoderResult().cause()), 0);
       return;
     }
@@ -178,6 +181,7 @@
   /** Called when the end of a response was written to the socket, or could not be written. */
   void onResponseWritten(boolean success, boolean keepAlive) {
     unwrittenResponses--;
+    activities++;
     if (!success) {
       // If the end was not written, the caller would read the next response as part of this one.
       close(CloseReason.BROKEN_RESPONSE);
@@ -189,9 +193,14 @@
   }
 
   private void handleQueued(FullHttpRequest next) {
+    if (channel.isActive() && !channel.isWritable()) {
+      // Further responses would be buffered without a bound for a caller that does not read.
+      pausedRequest = Optional.of(next);
+      return;
+    }
     try {
       if (channel.isActive()) {
-        channel.config().setAutoRead(true);
+        channel.config().setAutoRead(requests.size() <= MAX_QUEUED_REQUESTS);
         handle(next);
       }
     } finally {
@@ -199,6 +208,16 @@
     }
   }
 
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) throws Exception {
+    if (channel.isWritable() && pausedRequest.isPresent()) {
+      FullHttpRequest next = pausedRequest.get();
+      pausedRequest = Optional.empty();
+      channel.eventLoop().execute(() -> handleQueued(next));
+    }
+    super.channelWritabilityChanged(context);
+  }
+
   /** Returns whether a request awaits its response. */
   boolean hasPendingResponse() {
     return !requests.isIdle();
@@ -229,15 +248,17 @@
     if (state().isAtRest()) {
       closeAfterNextRead(CloseReason.IDLE_TIMEOUT);
     } else if (state() == ConnectionState.RECEIVING
-        && history.millisSinceRequestBegan() >= maxRequestMillis()) {
+        && headTimeout.receivingMillis() >= maxRequestMillis()) {
       rejectIncomplete(Rejection.SLOW_CALLER);
+    } else if (unwrittenResponses > 0 && currentExchange.isEmpty() && !writes.hasProgressed()) {
+      close(CloseReason.CALLER_DOES_NOT_READ);
     } else {
       idleTimer.restart();
     }
   }
 
   private long maxRequestMillis() {
-    return MAX_REQUEST_IDLE_TIMEOUTS * server.limits().idleTimeoutMillis();
+    return MAX_RECEIVE_IDLE_TIMEOUTS * server.limits().idleTimeoutMillis();
   }
 
   /** Closes the connection, unless its caller may be about to use it. */
@@ -253,13 +274,17 @@
 
   /** Closes the connection, unless the event loop still has to read a request from its socket. */
   private void closeAfterNextRead(CloseReason reason) {
+    long activitiesBefore = activities;
     channel
         .eventLoop()
-        .schedule(() -> closeIfAtRest(reason), NEXT_READ_MILLIS, TimeUnit.MILLISECONDS);
+        .schedule(
+            () -> closeIfUnchanged(activitiesBefore, reason),
+            NEXT_READ_MILLIS,
+            TimeUnit.MILLISECONDS);
   }
 
-  private void closeIfAtRest(CloseReason reason) {
-    if (state().isAtRest()) {
+  private void closeIfUnchanged(long activitiesBefore, CloseReason reason) {
+    if (state().isAtRest() && activities == activitiesBefore) {
       close(reason);
     } else {
       idleTimer.restart();
@@ -284,7 +309,8 @@
    */
   private void endAfterLastResponse(CloseReason reason) {
     hasLastResponse = true;
-    if ((mayStillSend || headTimeout.isReceiving()) && channel instanceof DuplexChannel duplex) {
+    if ((mayStillSend || headTimeout.isWithinRequest())
+        && channel instanceof DuplexChannel duplex) {
       duplex.shutdownOutput();
       channel.eventLoop().schedule(() -> close(reason), LINGER_MILLIS, TimeUnit.MILLISECONDS);
     } else {
@@ -316,6 +342,8 @@
           .recordClosed(CloseReason.CALLER, state(), history.describe(requests.size()));
     }
     requests.drain().forEach(FullHttpRequest::release);
+    pausedRequest.ifPresent(FullHttpRequest::release);
+    pausedRequest = Optional.empty();
     currentExchange.ifPresent(current -> server.control().run(current::onCallerDisconnected));
     currentExchange = Optional.empty();
     super.channelInactive(context);
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerServer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerServer.java
@@ -5,8 +5,11 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -28,9 +31,10 @@
   private static final int MAX_CHUNK_BYTES = 65_536;
   private static final int MAX_UNSENT_BYTES = 4 << 20;
 
-  /**
-   * The event loop accepts connections between the moment at which a task is scheduled and its run.
-   */
+  /** More than one read of 64 KB can hold; reading pauses before a second one. */
+  private static final int MAX_PIPELINED_REQUESTS = 4_096;
+
+  /** The event loop accepts connections before it runs a task with any delay above 0. */
   private static final long NEXT_ACCEPT_MILLIS = 1;
 
   private final ControlThread control;
@@ -70,6 +74,7 @@
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(ChannelOption.AUTO_READ, false)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, acceptBacklogAtOnce())
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(
                 ChannelOption.WRITE_BUFFER_WATER_MARK,
@@ -86,6 +91,11 @@
             .channel();
   }
 
+  /** Lets each pass of the event loop accept all connections that wait. */
+  private static RecvByteBufAllocator acceptBacklogAtOnce() {
+    return new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPT_BACKLOG);
+  }
+
   /** Accepts the connections in the backlog and all later ones. */
   public void startAccepting() {
     listener.config().setAutoRead(true);
@@ -108,7 +118,12 @@
   }
 
   private static HttpServerCodec codec(InboundLimits limits) {
-    return new HttpServerCodec(limits.maxHeadBytes(), limits.maxHeadBytes(), MAX_CHUNK_BYTES);
+    return new HttpServerCodec(
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(limits.maxHeadBytes())
+            .setMaxHeaderSize(limits.maxHeadBytes())
+            .setMaxChunkSize(MAX_CHUNK_BYTES),
+        MAX_PIPELINED_REQUESTS);
   }
 
   /** Applies the current limits to a connection between two requests. */
@@ -172,9 +187,9 @@
     List.copyOf(connections).forEach(connection -> connection.rejectIncomplete(Rejection.STOPPING));
   }
 
-  /** Returns whether a caller awaits a response or the rest of one. */
-  public boolean owesResponses() {
-    return connections.stream().anyMatch(connection -> connection.state().owesResponse());
+  /** Returns whether all connections are at rest. */
+  public boolean isAtRest() {
+    return connections.stream().allMatch(connection -> connection.state().isAtRest());
   }
 
   /** Returns the number of open connections. */
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CloseReason.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CloseReason.java
@@ -14,6 +14,8 @@
   LAST_RESPONSE,
   /** A response cannot be completed, or could not be written. */
   BROKEN_RESPONSE,
+  /** Nothing of a response could be written for the idle timeout. */
+  CALLER_DOES_NOT_READ,
   /** A request head was not received in time. */
   HEAD_TIMEOUT,
   /** An exception occurred in the pipeline. */
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/ConnectionRecord.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/ConnectionRecord.java
@@ -5,16 +5,10 @@
 /** The times and the last request of a caller's connection. */
 final class ConnectionRecord {
   private final long openedAtMillis = ControlThread.nowMillis();
-  private long requestBegunAtMillis = openedAtMillis;
   private long requestAtMillis = openedAtMillis;
   private boolean hasRequest;
   private String lastRequestId = "none";
 
-  /** Records that the first bytes of a request are received. */
-  void recordRequestBegun() {
-    requestBegunAtMillis = ControlThread.nowMillis();
-  }
-
   /** Records that a request was received completely. */
   void recordRequest() {
     hasRequest = true;
@@ -33,10 +27,6 @@
     return ControlThread.nowMillis() - openedAtMillis;
   }
 
-  long millisSinceRequestBegan() {
-    return ControlThread.nowMillis() - requestBegunAtMillis;
-  }
-
   /** Returns the ages and the last request as {@code key=value} pairs for the log. */
   String describe(int queuedRequests) {
     return "openMillis="
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/RequestHeadTimeoutHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/RequestHeadTimeoutHandler.java
@@ -1,5 +1,6 @@
 package org.gatereel.forward.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -13,6 +14,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.gatereel.forward.ControlThread;
 
 /**
  * Closes a connection with 408 (Request Timeout) if a request head is not received in time.
@@ -23,13 +25,16 @@
  */
 final class RequestHeadTimeoutHandler extends ChannelInboundHandlerAdapter {
   private long timeoutMillis;
-  private Runnable onTimeoutSent = () -> context().close();
+  private Runnable onTimeoutSent;
   private ScheduledFuture<?> timer;
   private ChannelHandlerContext context;
   private boolean readingBody;
   private boolean deferred;
   private boolean timedOut;
   private boolean discarding;
+  private boolean answered;
+  private long begunAtMillis;
+  private ByteBuf received;
 
   RequestHeadTimeoutHandler(long timeoutMillis) {
     this.timeoutMillis = timeoutMillis;
@@ -40,18 +45,17 @@
     timeoutMillis = newTimeoutMillis;
   }
 
-  /** Sets what is done after a 408 was written, in place of closing the connection. */
-  void setListener(Runnable listener) {
-    onTimeoutSent = listener;
-  }
-
-  private ChannelHandlerContext context() {
-    return context;
+  /** Sets what ends the connection after a 408 was written, in place of closing it. */
+  void onTimeoutSent(Runnable ending) {
+    onTimeoutSent = ending;
   }
 
   @Override
   public void handlerAdded(ChannelHandlerContext addedContext) {
     context = addedContext;
+    if (onTimeoutSent == null) {
+      onTimeoutSent = addedContext::close;
+    }
   }
 
   @Override
@@ -62,9 +66,16 @@
       return;
     }
     if (timer == null && !readingBody) {
-      timer = context.executor().schedule(this::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
+      startHead();
     }
+    received = (ByteBuf) bytes;
     super.channelRead(readContext, bytes);
+    received = null;
+  }
+
+  private void startHead() {
+    begunAtMillis = ControlThread.nowMillis();
+    timer = context.executor().schedule(this::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
   }
 
   private void onTimeout() {
@@ -104,11 +115,26 @@
     cancelTimer();
   }
 
-  /** Returns whether part of a request has been received. */
+  /** Returns whether part of a request has been received, which has no response yet. */
   boolean isReceiving() {
+    return timer != null || (readingBody && !answered);
+  }
+
+  /** Returns whether the rest of a request is still to be received. */
+  boolean isWithinRequest() {
     return timer != null || readingBody;
   }
 
+  /** Returns the time since the first byte of the request that is being received. */
+  long receivingMillis() {
+    return ControlThread.nowMillis() - begunAtMillis;
+  }
+
+  /** Records that the request that is being received has its response. */
+  void onAnswered() {
+    answered = true;
+  }
+
   private void onHeadComplete() {
     readingBody = true;
     cancelTimer();
@@ -116,6 +142,12 @@
 
   private void onBodyComplete() {
     readingBody = false;
+    answered = false;
+    // The decoder reads the received buffer itself, unless it had to merge it with an earlier one.
+    boolean hasNextRequest = received != null && received.refCnt() > 0 && received.isReadable();
+    if (hasNextRequest && !discarding) {
+      startHead();
+    }
   }
 
   private void cancelTimer() {
