--- a/gatereel-core/src/test/java/org/gatereel/core/forward/SilentTargetTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/SilentTargetTest.java
@@ -6,14 +6,23 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
 import org.gatereel.core.document.HostDirectory;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.ForwardWorld.Caller;
 import org.gatereel.core.forward.ForwardWorld.SentCall;
+import org.gatereel.core.load.LoadReport;
+import org.gatereel.core.load.LoadScope;
+import org.gatereel.core.load.TargetLoad;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
+import org.gatereel.core.model.HostId;
 import org.gatereel.core.model.TargetId;
+import org.gatereel.core.scheduling.SchedulingFeature;
 import org.gatereel.core.target.TargetState;
 import org.junit.jupiter.api.Test;
 
@@ -305,4 +314,49 @@
       assertTrue(other.finished, path);
     }
   }
+
+  private static void reportFull(ForwardWorld limited) {
+    Map<TargetId, TargetLoad> loads = new HashMap<>();
+    for (String engine : new String[] {"e1", "e2", "e3"}) {
+      loads.put(new TargetId(engine), new TargetLoad(6, 0, 0, 0, TargetLoad.NEVER));
+    }
+    limited.loads.receive(
+        new LoadReport(
+            new HostId("h2"),
+            new Address("10.0.1.2", 7_215),
+            LoadScope.EVERYONE_ELSE,
+            1,
+            1,
+            OptionalLong.empty(),
+            loads,
+            Map.of()));
+  }
+
+  /** A search that waits for room must neither end the stream nor outlive the silence. */
+  @Test
+  void streamThatWaitsForRoomElsewhereIsKept() {
+    for (boolean stopping : new boolean[] {false, true}) {
+      ForwardWorld limited = new ForwardWorld(Set.of(SchedulingFeature.TARGET_ROOM));
+      Caller other = new Caller();
+      limited.submit("/stream/x", other);
+      SentCall call = limited.lastCall().accept().respondHead(200, true).event(1);
+      reportFull(limited);
+      limited.advanceTime(250);
+      limited.lastProbe().listener().onResult(ProbeResult.UNKNOWN);
+      assertEquals(1, limited.forwarder.room().waitingRequests());
+
+      if (stopping) {
+        limited.forwarder.beginShutdown(limited.context.now() + 1, limited.context.now() + 8_000);
+        limited.advanceTime(1_000);
+        assertFalse(other.isFinal());
+      }
+      call.event(2);
+      assertEquals(0, limited.forwarder.room().waitingRequests());
+      limited.advanceTime(100);
+
+      assertEquals(1, limited.sentCalls.size());
+      call.listener.onEnd(ResponseEnd.LAST_CHUNK);
+      assertTrue(other.finished);
+    }
+  }
 }
