--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
@@ -64,7 +64,10 @@
   private long hostsReadAt = Long.MIN_VALUE / 2;
   private final Map<DocumentKind, BooleanSupplier> onDemand = new EnumMap<>(DocumentKind.class);
 
-  /** One refresh of all documents. */
+  /**
+   * One refresh of all documents. It ends with the reads of the urgent ones, so that a slow read of
+   * another document does not delay the next refresh.
+   */
   private final class Round {
     private final long queriedAt;
     private final Poller.Completion completion;
@@ -121,6 +124,12 @@
     private void readStore() {
       pendingReads.add(DocumentKind.CONFIGURATION);
       pendingReads.add(DocumentKind.TARGETS);
+      EnumSet.copyOf(pendingReads).forEach(this::readStore);
+      readHostsIfDue();
+      readOnDemand();
+    }
+
+    private void readHostsIfDue() {
       long hostsMillis =
           hostsReadings < INITIAL_HOSTS_READINGS
               ? INITIAL_HOSTS_INTERVAL_MILLIS
@@ -128,12 +137,8 @@
       if (context.now() - hostsReadAt >= hostsMillis) {
         hostsReadAt = context.now();
         hostsReadings++;
-        pendingReads.add(DocumentKind.HOSTS);
+        readStore(DocumentKind.HOSTS);
       }
-      for (DocumentKind kind : EnumSet.copyOf(pendingReads)) {
-        readStore(kind);
-      }
-      readOnDemand();
     }
 
     private void readStore(DocumentKind kind) {
@@ -145,22 +150,20 @@
       onDemand.forEach(
           (kind, isNeeded) -> {
             if (isNeeded.getAsBoolean() && requestedOnDemand.add(kind)) {
-              pendingReads.add(kind);
               readStore(kind);
             }
           });
     }
 
     private void onStoreResponse(DocumentKind kind, DocumentSources.StoreResponse response) {
-      pendingReads.remove(kind);
+      boolean wasPending = pendingReads.remove(kind);
       if (response instanceof DocumentSources.StoreResponse.Read read) {
         DocumentRefresher.this.update(kind, read, queriedAt);
-      } else if (response instanceof DocumentSources.StoreResponse.Failed failed
-          && kind.isUrgent()) {
+      } else if (response instanceof DocumentSources.StoreResponse.Failed failed && wasPending) {
         problem = kind + ": " + failed.problem();
       }
       readOnDemand();
-      if (pendingReads.isEmpty()) {
+      if (wasPending && pendingReads.isEmpty()) {
         onStoreReadsComplete();
       }
     }
@@ -285,8 +288,17 @@
 
   private void update(SharedDocument document) {
     DocumentCache.UpdateResult result = cache.update(document);
-    if (result != DocumentCache.UpdateResult.OUTDATED) {
+    if (result == DocumentCache.UpdateResult.OUTDATED) {
+      return;
+    }
+    try {
       updateListener.accept(document, result);
+    } catch (RuntimeException e) {
+      // The other documents must still be updated, and the refresh must end.
+      context.logEvent(
+          EventCode.CONFIGURATION_INVALID,
+          document.kind().name(),
+          "version=" + document.version() + " " + e);
     }
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentSources.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentSources.java
@@ -10,6 +10,10 @@
  * on the control thread.
  */
 public interface DocumentSources {
+  /**
+   * Reads a document as it is at a time after this call. Several reads of a document may be pending
+   * at a time.
+   */
   void readStore(DocumentKind kind, Consumer<StoreResponse> callback);
 
   /**
--- a/gatereel-core/src/test/java/org/gatereel/core/document/DocumentRefresherTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/DocumentRefresherTest.java
@@ -41,7 +41,8 @@
           cache,
           sources,
           BOUND_MILLIS,
-          (document, outcome) -> updates.add(document));
+          (document, outcome) -> onUpdate(document));
+  private Optional<DocumentKind> unusableKind = Optional.empty();
   private Optional<String> problem = Optional.of("not completed");
 
   /** Holds reads and queries until the test completes them. */
@@ -70,6 +71,13 @@
     }
   }
 
+  private void onUpdate(SharedDocument document) {
+    if (unusableKind.equals(Optional.of(document.kind()))) {
+      throw new IllegalStateException("unusable document");
+    }
+    updates.add(document);
+  }
+
   private void refresh(long now) {
     context.advanceTo(now);
     problem = Optional.of("not completed");
@@ -256,4 +264,28 @@
       assertEquals(now % 1_500 == 0 && now <= 4_500 || now == 12_500, hostsRead, "at " + now);
     }
   }
+
+  @Test
+  void slowReadOfHostsDoesNotDelayTheNextRefresh() {
+    StoreResponse response = new StoreResponse.Read("text", "digest", 7);
+    refresh(100);
+    sources.storeReaders.get(DocumentKind.CONFIGURATION).accept(response);
+    sources.storeReaders.get(DocumentKind.TARGETS).accept(response);
+    assertEquals(Optional.empty(), problem);
+
+    sources.storeReaders.get(DocumentKind.HOSTS).accept(response);
+
+    assertEquals(3, updates.size());
+  }
+
+  @Test
+  void documentThatCannotBeAppliedDoesNotKeepTheRefreshOpen() {
+    unusableKind = Optional.of(DocumentKind.CONFIGURATION);
+    refresh(100);
+
+    sources.completeStoreReads(new StoreResponse.Read("text", "digest", 7));
+
+    assertEquals(Optional.empty(), problem);
+    assertEquals(2, updates.size());
+  }
 }
