A lookup of a prompt ends although an engine's result is lost

What callers saw: a resumed stream without a response until its deadline, if the callback of one engine's query never came (an exception between the response and the callback, in TargetConnector.listPrompts). The wait for the lookup had no time-out of its own.

The survey now ends 50 ms after the time-out of its queries, and its streams are sent.

Evidence: PromptLocatorTest.resumedStreamIsSentWhenNoEngineResponds, on the code before (mvn -o -pl gatereel-core test -Dtest=PromptLocatorTest): 0 of 2 streams sent after 200 ms. Now it passes. No run of a host is known that lost such a callback.

LateCallbackTest.promptLocatedAfterRequestHasFinishedSendsNothing let a lookup stay open for the 20 s to the deadline and expected nothing sent in that time, which was the fault. It now takes the number sent when the request finishes, as the test for retries beside it, and requires that nothing is sent after it, nothing before it, and that whatever was sent is cancelled.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/PromptLocator.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/PromptLocator.java
@@ -29,6 +29,9 @@
    */
   private static final long QUERY_TIMEOUT_MILLIS = 120;
 
+  /** Within this time after the timeout of a query its result is known. */
+  private static final long RESULT_MARGIN_MILLIS = 50;
+
   /** The contents of an engine's cache change with each prompt, about once per second. */
   private static final long SURVEY_VALIDITY_MILLIS = 800;
 
@@ -58,10 +61,12 @@
     private int queries;
     private int failed;
     private int pending;
+    private boolean expired;
 
     private void query(List<TargetState> engines) {
       queries = engines.size();
       pending = queries;
+      context.schedule(QUERY_TIMEOUT_MILLIS + RESULT_MARGIN_MILLIS, this::expire);
       for (TargetState target : engines) {
         port.listPrompts(
             target.description(),
@@ -78,11 +83,20 @@
       }
       cachedParts.orElse(Set.of()).forEach(part -> recordFound(part, target));
       if (pending == 0) {
-        List<String> missing = List.copyOf(waiters.keySet());
-        missing.forEach(this::notifyWaiters);
+        notifyAllWaiters();
       }
     }
 
+    /** Ends the wait for engines whose responses were lost. */
+    private void expire() {
+      expired = true;
+      notifyAllWaiters();
+    }
+
+    private void notifyAllWaiters() {
+      List.copyOf(waiters.keySet()).forEach(this::notifyWaiters);
+    }
+
     private void recordFound(String part, TargetId target) {
       found.putIfAbsent(part, target);
       notifyWaiters(part);
@@ -101,7 +115,7 @@
     }
 
     private void find(String part, Consumer<LookupResult> callback) {
-      if (pending == 0 || found.containsKey(part)) {
+      if (expired || pending == 0 || found.containsKey(part)) {
         callback.accept(result(part));
       } else {
         waiters.computeIfAbsent(part, any -> new ArrayList<>()).add(callback);
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/LateCallbackTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/LateCallbackTest.java
@@ -224,11 +224,14 @@
       fresh.lastEventId = OptionalLong.of(3);
       Exchange exchange = fresh.submit("/stream/x", new Caller()).orElseThrow();
       assertFalse(fresh.promptQueries.isEmpty());
+      assertTrue(fresh.sentCalls.isEmpty());
       finisher.accept(fresh, exchange);
+      int sent = fresh.sentCalls.size();
 
       fresh.promptQueries.forEach(query -> query.response().accept(Optional.of(Set.of())));
 
-      assertTrue(fresh.sentCalls.isEmpty());
+      assertEquals(sent, fresh.sentCalls.size());
+      assertTrue(fresh.sentCalls.stream().allMatch(call -> call.cancelled));
       assertEquals(0, fresh.forwarder.openExchangeCount());
     }
   }
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/PromptLocatorTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/PromptLocatorTest.java
@@ -65,6 +65,19 @@
     assertTrue(world.sentCalls.stream().allMatch(call -> call.target().equals("e2")));
   }
 
+  /** Guards against streams that wait for their deadline because an engine's answer is lost. */
+  @Test
+  void resumedStreamIsSentWhenNoEngineResponds() {
+    ForwardWorld world = resumeStreams(2);
+    respond(world, "e1", Optional.of(Set.of("another")));
+
+    world.advanceTime(200);
+
+    assertEquals(2, world.sentCalls.size());
+    respond(world, "e2", Optional.of(Set.of(PART)));
+    assertEquals(2, world.sentCalls.size());
+  }
+
   @Test
   void surveyExpires() {
     ForwardWorld world = resumeStreams(1);
