A waiting stream is rejected once its service has no targets

What callers saw: a stream that waited for its account's share when all engines of its service went away waited on until 10 s before its deadline, while a stream that arrived then was rejected at once with NO_TARGET. Streams ordered by urgency already ended.

Evidence: OverloadControlTest.waitingStreamIsDecidedOnceServiceHasNoTargets, on the code before (mvn -o -pl gatereel-core test -Dtest=OverloadControlTest): Wait in place of Send. Now it passes. Only a service without any listed target is concerned; one whose targets fail or back off for a while keeps its queue.

--- a/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/overload/OverloadControl.java
@@ -173,6 +173,10 @@
     if (urgencyAdmission.isWaiting(request)) {
       return urgencyAdmission.decideWaiting(request);
     }
+    if (targets.notLeaving(request.service()).isEmpty()) {
+      // Like an arriving request, it is rejected at once for lack of a target.
+      return new OverloadDecision.Send();
+    }
     Capacity capacity = capacity(request.service());
     if (credits.tryAcquire(request.demandKey()) || drawsFreeCapacity(request, capacity)) {
       return new OverloadDecision.Send();
--- a/gatereel-core/src/test/java/org/gatereel/core/overload/OverloadControlTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/overload/OverloadControlTest.java
@@ -349,6 +349,18 @@
     assertInstanceOf(OverloadDecision.Send.class, overload.decide(call(HOT)));
   }
 
+  /** Guards against streams that wait until their deadline for a service without engines. */
+  @Test
+  void waitingStreamIsDecidedOnceServiceHasNoTargets() {
+    receiveReport(4, demand(ENGINES, 90, 2));
+    ArrivingRequest waiting = stream(HOT);
+    assertInstanceOf(OverloadDecision.Wait.class, overload.decide(waiting));
+
+    targets.applyList(new HostList(2, List.of(), List.of()));
+
+    assertInstanceOf(OverloadDecision.Send.class, overload.decideWaiting(waiting));
+  }
+
   /** Sends until the credits of the account are used up. */
   private OverloadDecision decideUntilRejected() {
     OverloadDecision decision = overload.decide(call(HOT));
