A response of which nothing was sent can be replaced by a rejection

What callers saw: a closed connection without a byte. The core counts a response as begun when it hands the head to the port; the port may hold it back (CallerResponseWriter buffers the first part of a long body), and a failure then aborted the response.

CallerPort.hasSent tells whether a byte may have been sent. Until then the core ends such a request with TARGET_FAILED. The default is true, which is what the core assumed; the writer has to return whether it has written the head for the change to take effect.

Evidence: PlainForwardingTest.rejectsRequestWhoseLongResponseBreaksBeforeAnythingIsSent, on the code before (mvn -o -pl gatereel-core test -Dtest=PlainForwardingTest): no rejection. Now it passes, and the tests of the package.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/CallerPort.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/CallerPort.java
@@ -10,6 +10,14 @@
   /** Sends part of the body. */
   void write(byte[] bytes);
 
+  /**
+   * Returns whether any byte of a response that has begun may have been sent. Until then the
+   * response can still be replaced by a rejection.
+   */
+  default boolean hasSent() {
+    return true;
+  }
+
   /** Ends the response as complete. Final. */
   void finish();
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/CallerResponse.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/CallerResponse.java
@@ -19,11 +19,16 @@
     this.caller = caller;
   }
 
-  /** Returns whether the head was sent, so that no other response is possible. */
+  /** Returns whether a target's response has begun, so that no other target's may follow. */
   boolean hasBegun() {
     return begun;
   }
 
+  /** Returns whether part of the response may have been sent, so that no rejection may follow. */
+  boolean isSent() {
+    return begun && caller.hasSent();
+  }
+
   /** Returns whether the final call was made, so that the caller waits for nothing more. */
   boolean hasEnded() {
     return ended;
@@ -87,8 +92,8 @@
   }
 
   /**
-   * Rejects the request if no response has begun, and aborts the response otherwise. Does nothing
-   * after the final call.
+   * Rejects the request if nothing of a response was sent, and aborts the response otherwise. Does
+   * nothing after the final call.
    *
    * @return whether the request was rejected
    */
@@ -96,7 +101,7 @@
     if (ended) {
       return false;
     }
-    if (begun) {
+    if (isSent()) {
       abort();
       return false;
     }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -479,8 +479,13 @@
     finish();
   }
 
+  /** Aborts a response that has begun; rejects the request if nothing of it was sent yet. */
   void abortResponse(String reason) {
     closeAttempt();
+    if (!callerResponse.isSent()) {
+      reject(Rejection.TARGET_FAILED, forwarder.policy().retryAfterMillis(), "cause=" + reason);
+      return;
+    }
     callerResponse.abort();
     log.logInterrupted(reason, retries, search.copies());
     forwarder.recordInterruption(route);
@@ -503,7 +508,7 @@
     boolean possiblyExecuted = mayHaveExecuted || (attempt != null && attempt.mayHaveExecuted());
     Rejection rejection =
         possiblyExecuted ? Rejection.HOST_FAILED : Rejection.HOST_FAILED_BEFORE_SENDING;
-    boolean isInterruption = callerResponse.hasBegun() && !callerResponse.hasEnded();
+    boolean isInterruption = callerResponse.isSent() && !callerResponse.hasEnded();
     if (callerResponse.rejectOrAbort(rejection, forwarder.policy().retryAfterMillis())) {
       forwarder.recordRejection(rejection);
       log.log(EventCode.REQUEST_REFUSED, "reason=" + rejection);
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/PlainForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/PlainForwardingTest.java
@@ -190,6 +190,25 @@
     assertEquals(1, world.sentCalls.size());
   }
 
+  /** Guards against a connection that is closed without a byte in place of a rejection. */
+  @Test
+  void rejectsRequestWhoseLongResponseBreaksBeforeAnythingIsSent() {
+    ForwardWorld.Caller buffering =
+        new ForwardWorld.Caller() {
+          @Override
+          public boolean hasSent() {
+            return false;
+          }
+        };
+    world.submit("/once/x", buffering);
+    ForwardWorld.SentCall call = world.lastCall().accept().respondHead(200, false);
+    call.listener.onBody(new byte[ForwardPolicy.STANDARD.maxBufferedBytes() + 1]);
+
+    world.fail(call, TargetFailure.RESET);
+
+    assertEquals(Rejection.TARGET_FAILED, buffering.rejection);
+  }
+
   private ForwardWorld.SentCall submitAndCloseAfterBody(String path, int status) {
     world.submit(path, caller);
     ForwardWorld.SentCall call = world.lastCall().accept().respondHead(status, false);
