Prompts named in headers are part of a request's fingerprint

What callers saw: after three of 18 engines had crashed within 1.2 s, all streams at one path were refused by all hosts, also after their restart, though each had a prompt of its own.

Cause: the fingerprint covered account, method, host name, path and body; engines read the prompt from a header. Different requests were charged together and held together.

The two new tests of PoisonPartsTest need the new argument of RequestFeatures.of and were not run on the code before; the other tests pass an empty prompt there.

Why it works: the fingerprint contains the prompt with all its parts. The request without its prompt stays a feature of its own, which requests may share: held after four ends that no single request explains, absolved by each response. A request that crashes targets and comes again with other prompts is therefore still held. Requests without such a header keep their fingerprint, so that rows in the store and hosts of an earlier version agree.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -69,7 +69,8 @@
     this.poison =
         new PoisonDetector(
             forwarder,
-            RequestFeatures.of(account, request::contentDigest, request.sharedPromptParts()));
+            RequestFeatures.of(
+                account, request::contentDigest, request.prompt(), request.sharedPromptParts()));
     this.service = route.chooseService(context.random().nextDouble());
     this.search =
         new TargetSearch(
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardRequest.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ForwardRequest.java
@@ -46,6 +46,11 @@
    */
   Optional<String> promptPart();
 
+  /** Returns the prompt that headers name, as the caller has sent it; empty if none do. */
+  default String prompt() {
+    return "";
+  }
+
   /**
    * Returns the names of the parts of the prompt in order, without the last one, which belongs to
    * this request or its session alone.
@@ -55,8 +60,8 @@
   }
 
   /**
-   * Returns a digest of method, path with query, and body. It is computed on each call, in time
-   * proportional to the body.
+   * Returns a digest of method, host name, path with query, and body. It is computed on each call,
+   * in time proportional to the body.
    */
   HashCode contentDigest();
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/poison/Fingerprint.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/poison/Fingerprint.java
@@ -1,6 +1,7 @@
 package org.gatereel.core.poison;
 
 import com.google.common.hash.HashCode;
+import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
@@ -8,7 +9,8 @@
 
 /**
  * Identifies a feature of requests that may crash targets, across request ids and hosts: a whole
- * request by its content and client account, or one part of a prompt.
+ * request by its content, prompt and client account, a request with any prompt, or one part of a
+ * prompt.
  *
  * <p>It is made with a collision-resistant hash, so that an account cannot make its requests match
  * those of another one. A part of a prompt may be shared by accounts.
@@ -25,17 +27,21 @@
   /**
    * Makes the fingerprint of a request.
    *
-   * @param content a digest of what the target receives
+   * @param content a digest of what the target receives, without the prompt that headers name
+   * @param prompt the prompt that headers name; empty if none do
    */
-  public static Fingerprint of(Optional<AccountId> account, HashCode content) {
-    String hash =
-        Hashing.sha256()
-            .newHasher()
-            .putBytes(content.asBytes())
-            .putString(account.map(AccountId::value).orElse(""), StandardCharsets.UTF_8)
-            .hash()
-            .toString();
-    return new Fingerprint(hash.substring(0, DIGITS));
+  public static Fingerprint of(Optional<AccountId> account, HashCode content, String prompt) {
+    Hasher hasher = Hashing.sha256().newHasher().putBytes(content.asBytes());
+    if (!prompt.isEmpty()) {
+      hasher.putBytes(Hashing.sha256().hashString(prompt, StandardCharsets.UTF_8).asBytes());
+    }
+    hasher.putString(account.map(AccountId::value).orElse(""), StandardCharsets.UTF_8);
+    return new Fingerprint(hasher.hash().toString().substring(0, DIGITS));
+  }
+
+  /** Makes the fingerprint that requests share which differ only in the prompt. */
+  static Fingerprint ofAnyPrompt(Optional<AccountId> account, HashCode content) {
+    return ofPart(of(account, content, "").value());
   }
 
   /**
@@ -48,7 +54,10 @@
     return new Fingerprint(PART_PREFIX + hash.substring(0, DIGITS - PART_PREFIX.length()));
   }
 
-  /** Returns whether this is a part of a prompt, which different requests may share. */
+  /**
+   * Returns whether different requests may share this feature: a part of a prompt, or a request
+   * with any prompt.
+   */
   public boolean isPart() {
     return value.startsWith(PART_PREFIX);
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/poison/RequestFeatures.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/poison/RequestFeatures.java
@@ -11,7 +11,8 @@
 
 /**
  * The features of one request that may be the cause when targets crash under it: its whole content,
- * and each part of its prompt that other requests may share.
+ * and what other requests may share: its content with any other prompt, and each part of its prompt
+ * but the last one.
  *
  * <p>Fingerprints are computed when they are first needed.
  */
@@ -27,14 +28,33 @@
   /**
    * Describes a request.
    *
-   * @param digest computes a digest of what the target receives
+   * @param digest computes a digest of what the target receives, without the prompt that headers
+   *     name
+   * @param prompt the prompt that headers name; empty if none do
    * @param partNames the parts of the prompt that other requests may share, in order
    */
   public static RequestFeatures of(
-      Optional<AccountId> account, Supplier<HashCode> digest, List<String> partNames) {
+      Optional<AccountId> account,
+      Supplier<HashCode> digest,
+      String prompt,
+      List<String> partNames) {
+    Supplier<HashCode> content = Suppliers.memoize(digest);
     return new RequestFeatures(
-        () -> Fingerprint.of(account, digest.get()),
-        () -> deepestFirst(partNames).stream().map(Fingerprint::ofPart).toList());
+        () -> Fingerprint.of(account, content.get(), prompt),
+        () -> shared(account, content, prompt, partNames));
+  }
+
+  private static List<Fingerprint> shared(
+      Optional<AccountId> account,
+      Supplier<HashCode> content,
+      String prompt,
+      List<String> partNames) {
+    List<Fingerprint> shared = new ArrayList<>();
+    if (!prompt.isEmpty()) {
+      shared.add(Fingerprint.ofAnyPrompt(account, content.get()));
+    }
+    deepestFirst(partNames).forEach(name -> shared.add(Fingerprint.ofPart(name)));
+    return shared;
   }
 
   private static List<String> deepestFirst(List<String> names) {
@@ -48,7 +68,7 @@
     return content.get();
   }
 
-  /** Returns the parts, the last one of the prompt first, since fewer requests share it. */
+  /** Returns the features that other requests may share, those that fewer share first. */
   public List<Fingerprint> parts() {
     return parts.get();
   }
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/PoisonForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/PoisonForwardingTest.java
@@ -323,7 +323,8 @@
   private Fingerprint fingerprint(String content) {
     return Fingerprint.of(
         Optional.of(new AccountId("a1")),
-        Hashing.sha256().hashString("/stream/x" + content, StandardCharsets.UTF_8));
+        Hashing.sha256().hashString("/stream/x" + content, StandardCharsets.UTF_8),
+        "");
   }
 
   /** Reports of other hosts count before this host has sent the request. */
--- a/gatereel-core/src/test/java/org/gatereel/core/load/LoadExchangeTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/load/LoadExchangeTest.java
@@ -244,7 +244,10 @@
       HashCode content = HashCode.fromInt(host.name.hashCode() + index);
       TargetId ended = new TargetId(host.name + "-ended-" + index / 12);
       host.poison.recordEnd(
-          RequestFeatures.of(Optional.empty(), () -> content, List.of()), ended, now - 100, now);
+          RequestFeatures.of(Optional.empty(), () -> content, "", List.of()),
+          ended,
+          now - 100,
+          now);
     }
   }
 
--- a/gatereel-core/src/test/java/org/gatereel/core/load/PoisonSpreadTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/load/PoisonSpreadTest.java
@@ -13,7 +13,7 @@
 /** Load reports carry facts about poison requests to all hosts. */
 class PoisonSpreadTest {
   private static final RequestFeatures POISON =
-      RequestFeatures.of(Optional.empty(), () -> HashCode.fromInt(1), List.of());
+      RequestFeatures.of(Optional.empty(), () -> HashCode.fromInt(1), "", List.of());
 
   /** Enough for a report over several hops; the requirement is 3 s. */
   private static final long REPORTED_MILLIS = 300;
--- a/gatereel-core/src/test/java/org/gatereel/core/poison/PoisonControlTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/poison/PoisonControlTest.java
@@ -20,7 +20,7 @@
       new CoreContext(new HostId("h1"), new DataCentre("a"), new SplittableRandom(1));
   private final PoisonControl control = new PoisonControl(context);
   private final RequestFeatures request =
-      RequestFeatures.of(Optional.empty(), () -> HashCode.fromLong(7), List.of());
+      RequestFeatures.of(Optional.empty(), () -> HashCode.fromLong(7), "", List.of());
 
   @BeforeEach
   void start() {
--- a/gatereel-core/src/test/java/org/gatereel/core/poison/PoisonPartsTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/poison/PoisonPartsTest.java
@@ -29,7 +29,12 @@
   /** Makes a request whose content no other one has. */
   private static RequestFeatures request(int content, String... parts) {
     return RequestFeatures.of(
-        Optional.of(new AccountId("a")), () -> HashCode.fromInt(content), List.of(parts));
+        Optional.of(new AccountId("a")), () -> HashCode.fromInt(content), "", List.of(parts));
+  }
+
+  /** Makes a request that differs from others only in its prompt. */
+  private static RequestFeatures prompt(String prompt, String... parts) {
+    return RequestFeatures.of(Optional.empty(), () -> HashCode.fromInt(0), prompt, List.of(parts));
   }
 
   private void crash(RequestFeatures request) {
@@ -125,4 +130,25 @@
 
     assertFalse(isQuarantined(request(50, "rare")));
   }
+
+  @Test
+  void differentPromptsOfAlikeRequestsAreNotTakenForOneRequest() {
+    succeed(prompt("system:9,a:1", "system"));
+    for (int number = 0; number < 3; number++) {
+      crash(prompt("system:9,b" + number + ":1", "system"));
+    }
+
+    assertFalse(isQuarantined(prompt("system:9,c:1", "system")));
+    assertEquals(0, control.quarantinedCount());
+  }
+
+  @Test
+  void aRequestThatCrashesTargetsWithAnyPromptIsQuarantined() {
+    for (int number = 0; number < 4; number++) {
+      crash(prompt("a" + number + ":1"));
+    }
+
+    assertTrue(isQuarantined(prompt("b:1")));
+    assertFalse(isQuarantined(request(1)));
+  }
 }
--- a/gatereel-core/src/test/java/org/gatereel/core/poison/PoisonRecordsTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/poison/PoisonRecordsTest.java
@@ -19,7 +19,7 @@
 /** When facts about poison requests are written to the store and read from it. */
 class PoisonRecordsTest {
   private static final RequestFeatures REQUEST =
-      RequestFeatures.of(Optional.empty(), () -> HashCode.fromInt(1), List.of());
+      RequestFeatures.of(Optional.empty(), () -> HashCode.fromInt(1), "", List.of());
   private static final Fingerprint POISON = REQUEST.content();
 
   private final CoreContext context =
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/IncomingRequest.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/IncomingRequest.java
@@ -28,6 +28,7 @@
     OptionalLong lastEventId,
     long promptTokens,
     OptionalLong outputEstimate,
+    String prompt,
     Optional<String> promptPart,
     List<String> sharedPromptParts)
     implements ForwardRequest {
@@ -59,6 +60,7 @@
         number(headers, HeaderNames.LAST_EVENT_ID),
         firstNumber(headers, names.tokenCounts()),
         estimate(headers, names.outputEstimate()),
+        String.join("\n", headers.getAll(names.promptParts())),
         PromptParts.largest(headers.get(names.promptParts())),
         PromptParts.shared(headers.get(names.promptParts())));
   }
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
@@ -223,6 +223,7 @@
             OptionalLong.empty(),
             0,
             OptionalLong.empty(),
+            "",
             Optional.empty(),
             List.of());
     Dispatch dispatch =
