Tell the core whether a byte of a response was sent

With it a failure after the held back first part of a long response is a rejection by the core, with its log line and counters, in place of the writer's own 502 for an abort.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerResponseWriter.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerResponseWriter.java
@@ -87,6 +87,11 @@
     }
   }
 
+  @Override
+  public boolean hasSent() {
+    return headWritten;
+  }
+
   /** Returns whether the response has no body, regardless of its headers. */
   private boolean isBodiless() {
     return isHeadRequest
