Reject a request whose reading throws, and one whose head cannot be written

A request that could not be read for another reason than a malformed one ended in a close by an exception, outside the guard of steps; and a response whose head could not be built counted as finished, so that the rejection after it was dropped.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
@@ -116,13 +116,11 @@
       response.reject(Rejection.MALFORMED, 0);
       return;
     }
-    try {
-      IncomingRequest incoming = IncomingRequest.read(request, server.names());
-      history.recordId(incoming.id());
-      server.control().run(() -> currentExchange = accept(incoming, response));
-    } catch (MalformedRequestException e) {
-      response.reject(Rejection.MALFORMED, 0);
-    }
+    server
+        .control()
+        .run(
+            () -> currentExchange = accept(request, response),
+            () -> response.reject(Rejection.HOST_FAILED_BEFORE_SENDING, server.retryAfterMillis()));
   }
 
   private static boolean canStayOpen(FullHttpRequest request) {
@@ -140,8 +138,15 @@
     return cause instanceof TooLongHttpContentException;
   }
 
-  private Optional<Exchange> accept(IncomingRequest incoming, CallerResponseWriter response) {
-    return server.forwarder().accept(incoming, response);
+  private Optional<Exchange> accept(FullHttpRequest request, CallerResponseWriter response) {
+    try {
+      IncomingRequest incoming = IncomingRequest.read(request, server.names());
+      history.recordId(incoming.id());
+      return server.forwarder().accept(incoming, response);
+    } catch (MalformedRequestException e) {
+      response.reject(Rejection.MALFORMED, 0);
+      return Optional.empty();
+    }
   }
 
   private static Rejection rejectionFor(Throwable cause) {
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerResponseWriter.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerResponseWriter.java
@@ -153,8 +153,8 @@
     if (finished) {
       return;
     }
-    finished = true;
     if (headWritten) {
+      finished = true;
       finishStarted();
     } else {
       writeComplete();
@@ -172,6 +172,8 @@
     } else {
       response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
     }
+    // Until here a failure can be answered with a rejection.
+    finished = true;
     completeWhenWritten(channel.writeAndFlush(response));
   }
 
