--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ResponseEndCheck.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ResponseEndCheck.java
@@ -94,7 +94,17 @@
         exchange.poison().recordTargetGone(from);
         apply(from, ResponseEndVerdict.TARGET_GONE);
       }
-      case ANSWERED, UNKNOWN -> replaceOrProbeAgain(from, number, nextAt);
+      case ANSWERED -> failOrProbeAgain(from, number, nextAt);
+      case UNKNOWN -> replaceOrProbeAgain(from, number, nextAt);
+    }
+  }
+
+  /** A target that responds without naming its incarnation is not silent, and not confirmed. */
+  private void failOrProbeAgain(Attempt from, int number, long nextAt) {
+    if (exchange.canMove() && number >= PROBES_BEFORE_REPLACEMENT) {
+      apply(from, ResponseEndVerdict.TARGET_UNCONFIRMED);
+    } else {
+      probeAgain(from, number, nextAt);
     }
   }
 
@@ -109,10 +119,12 @@
       }
       ResponseEndVerdict.TARGET_SILENT.failure().ifPresent(exchange::onTargetSilent);
     }
-    if (!from.isClosed()) {
-      long delayMillis = Math.max(0, nextAt - forwarder.context().now());
-      exchange.steps().schedule(delayMillis, () -> probe(from, number + 1));
-    }
+    probeAgain(from, number, nextAt);
+  }
+
+  private void probeAgain(Attempt from, int number, long nextAt) {
+    long delayMillis = Math.max(0, nextAt - forwarder.context().now());
+    exchange.steps().schedule(delayMillis, () -> probe(from, number + 1));
   }
 
   private void apply(Attempt from, ResponseEndVerdict verdict) {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ResponseEndVerdict.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ResponseEndVerdict.java
@@ -18,6 +18,8 @@
    * fails if another one replaces it.
    */
   TARGET_SILENT(Optional.of(TargetFailure.RESET)),
+  /** The connection was closed, and the target responds without naming its incarnation. */
+  TARGET_UNCONFIRMED(Optional.of(TargetFailure.RESET)),
   /** The response ended within an event. */
   WITHIN_EVENT(Optional.of(TargetFailure.RESET)),
   /** The connection was closed before any event, so nothing shows that the request executed. */
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/SilentTargetTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/SilentTargetTest.java
@@ -315,6 +315,22 @@
     }
   }
 
+  /** Only its own incarnation can confirm a response; waiting for it would never end. */
+  @Test
+  void closedResponseOfTargetThatRespondsWithoutIncarnationIsRetried() {
+    listOneTargetOfEachService();
+    SentCall first = startStream(2);
+    first.listener.onEnd(ResponseEnd.CONNECTION_CLOSED);
+    for (int number = 0; number < 2; number++) {
+      assertEquals(1, world.sentCalls.size());
+      world.lastProbe().listener().onResult(ProbeResult.ANSWERED);
+      world.advanceTime(150);
+    }
+
+    assertEquals(2, world.sentCalls.size());
+    assertContinues(world.lastCall().accept().respondHead(200, true), 3);
+  }
+
   private static void reportFull(ForwardWorld limited) {
     Map<TargetId, TargetLoad> loads = new HashMap<>();
     for (String engine : new String[] {"e1", "e2", "e3"}) {
