A query that throws has failed at once

What callers saw: nothing of this alone.

Cause: Poller noticed a query that throws only by the timer for queries that never complete, 6 s, twice the bound of a configuration of 3,000 ms.

Evidence: PollerTest.queryThatThrowsIsRepeatedAfterTheRetryDelay, red before ("expected: <[0, 200]> but was: <[0]>"), green after.

Why it works: the exception completes the query as failed, so that the retry delay of 200 ms applies, and is passed on to the control thread, which logs it.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/Poller.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/Poller.java
@@ -30,7 +30,8 @@
   /** Sends one query. */
   public interface Query {
     /**
-     * Sends the query and calls {@code completion} exactly once, later.
+     * Sends the query and calls {@code completion} exactly once, later. A query that throws has
+     * failed.
      *
      * @param queriedAt the current time, to which the response's age refers
      */
@@ -74,7 +75,13 @@
     long number = queryCount;
     context.schedule(
         QUERY_TIMEOUT_MILLIS, () -> complete(number, queriedAt, Optional.of("never settled")));
-    query.send(context.nowIncludingSuspensions(), problem -> complete(number, queriedAt, problem));
+    try {
+      query.send(
+          context.nowIncludingSuspensions(), problem -> complete(number, queriedAt, problem));
+    } catch (RuntimeException e) {
+      complete(number, queriedAt, Optional.of("query failed: " + e));
+      throw e;
+    }
   }
 
   private void complete(long number, long queriedAt, Optional<String> problem) {
--- a/gatereel-core/src/test/java/org/gatereel/core/document/PollerTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/PollerTest.java
@@ -1,6 +1,7 @@
 package org.gatereel.core.document;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -59,4 +60,25 @@
     advanceTimeTo(7_200);
     assertEquals(3, queriedAt.size());
   }
+
+  /** Guards against a query whose exception is only noticed by its timeout. */
+  @Test
+  void queryThatThrowsIsRepeatedAfterTheRetryDelay() {
+    Poller throwing =
+        new Poller(
+            context,
+            "store",
+            () -> 1_000,
+            (now, completion) -> {
+              queriedAt.add(now);
+              if (queriedAt.size() == 1) {
+                throw new IllegalStateException("a request is already pending");
+              }
+            });
+    assertThrows(IllegalStateException.class, throwing::start);
+
+    advanceTimeTo(200);
+
+    assertEquals(List.of(0L, 200L), queriedAt);
+  }
 }
