A slow or failing document delays no other

What callers saw: requests at the service of an earlier configuration, or at targets that drain, beyond the bound, while another table is slow, silent, fails or throws.

Cause: a refresh ended with the reads of both urgent documents (1.2 s a page, 5 s in all), then queried another host, then waited for the retry delay. One failure backed off from the store for both. A read that threw left the rest of the refresh undone.

Why it works: each document has its own state and backoff; a refresh ends after a reader's interval (0.3 of the bound) at the latest, and late results are used. So the age of a document depends on its own reads alone. A reader is passed over only if the store gave what the reader lacks. The limit of a query that never completes follows from the bound (0.6 of it), in place of 6 s.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentCache.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentCache.java
@@ -44,14 +44,8 @@
     return Optional.ofNullable(documents.get(kind));
   }
 
-  /** Returns whether all urgent documents were confirmed at or after a time. */
-  public boolean isConfirmedSince(long time) {
-    for (DocumentKind kind : DocumentKind.values()) {
-      boolean confirmed = find(kind).filter(known -> known.confirmedAt() >= time).isPresent();
-      if (kind.isUrgent() && !confirmed) {
-        return false;
-      }
-    }
-    return true;
+  /** Returns whether a document was confirmed at or after a time. */
+  public boolean isConfirmedSince(DocumentKind kind, long time) {
+    return find(kind).filter(known -> known.confirmedAt() >= time).isPresent();
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
@@ -1,5 +1,6 @@
 package org.gatereel.core.document;
 
+import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.EnumSet;
 import java.util.List;
@@ -8,6 +9,9 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.Address;
@@ -26,6 +30,10 @@
   private static final double READER_INTERVAL_RATIO = 0.3;
 
   private static final double FOLLOWER_INTERVAL_RATIO = 0.2;
+
+  /** A reader's interval, and the queries of two other hosts that do not respond. */
+  private static final double TIMEOUT_RATIO = 0.6;
+
   private static final long HOSTS_INTERVAL_MILLIS = 8_000;
 
   /** Shorter at first, since hosts that start together are missing from the first readings. */
@@ -47,6 +55,11 @@
    */
   private static final double MIN_STORE_BACKOFF_RATIO = 0.5;
 
+  private static final Set<DocumentKind> URGENT_KINDS =
+      Stream.of(DocumentKind.values())
+          .filter(DocumentKind::isUrgent)
+          .collect(Collectors.toCollection(() -> EnumSet.noneOf(DocumentKind.class)));
+
   private final CoreContext context;
   private final HostDirectory directory;
   private final DocumentCache cache;
@@ -55,27 +68,30 @@
   private final long freshMillis;
   private final long readerIntervalMillis;
   private final long followerIntervalMillis;
-  private final long minStoreBackoffMillis;
-  private final long maxStoreBackoffMillis;
-  private long storeBackoffMillis;
-  private long storeBackoffUntil = Long.MIN_VALUE;
+  private final Map<DocumentKind, DocumentAvailability> availability =
+      new EnumMap<>(DocumentKind.class);
+  private final long timeoutMillis;
   private long intervalMillis;
   private int hostsReadings;
   private long hostsReadAt = Long.MIN_VALUE / 2;
   private final Map<DocumentKind, BooleanSupplier> onDemand = new EnumMap<>(DocumentKind.class);
 
   /**
-   * One refresh of all documents. It ends with the reads of the urgent ones, so that a slow read of
-   * another document does not delay the next refresh.
+   * One refresh of all documents. Each document is read independently of the others, so that one
+   * which is slow, fails or throws delays no other. The refresh ends with the reads of the urgent
+   * documents, or after a reader's interval; later results are still used.
    */
   private final class Round {
     private final long queriedAt;
     private final Poller.Completion completion;
     private final Set<DocumentKind> pendingReads = EnumSet.noneOf(DocumentKind.class);
+    private final Set<DocumentKind> requestedOnDemand = EnumSet.noneOf(DocumentKind.class);
+    private final List<String> problems = new ArrayList<>();
     private Optional<Address> reader = Optional.empty();
     private boolean readerResponded;
-    private final Set<DocumentKind> requestedOnDemand = EnumSet.noneOf(DocumentKind.class);
-    private String problem = "";
+    private Set<DocumentKind> outdatedAtReader = Set.of();
+    private boolean anyRead;
+    private boolean ending;
 
     private Round(long queriedAt, Poller.Completion completion) {
       this.queriedAt = queriedAt;
@@ -89,27 +105,35 @@
         readStore();
         return;
       }
-      sources.queryPeer(reader.get(), cache, this::onReaderResponse);
+      queryPeer(reader.get(), this::onReaderResponse);
+    }
+
+    private void queryPeer(
+        Address peer, Consumer<Optional<List<DocumentSources.PeerDocument>>> callback) {
+      try {
+        sources.queryPeer(peer, cache, callback);
+      } catch (RuntimeException e) {
+        context.logEvent(EventCode.PEER_QUERY_FAILED, peer.toString(), e.toString());
+        callback.accept(Optional.empty());
+      }
     }
 
     private void onReaderResponse(Optional<List<DocumentSources.PeerDocument>> response) {
       intervalMillis = followerIntervalMillis;
       readerResponded = response.isPresent();
       updateAll(response, queriedAt);
-      if (cache.isConfirmedSince(queriedAt - freshMillis)) {
+      Set<DocumentKind> outdated = documentsUnconfirmedSince(queriedAt - freshMillis);
+      if (outdated.isEmpty()) {
         completion.complete(Optional.empty());
         return;
       }
       intervalMillis = readerIntervalMillis;
-      if (!readerResponded) {
-        avoidReader();
-      }
-      if (context.now() < storeBackoffUntil) {
-        problem = "the store did not answer";
-        queryOtherHost();
+      if (readerResponded) {
+        outdatedAtReader = outdated;
       } else {
-        readStore();
+        avoidReader();
       }
+      readStore();
     }
 
     private void avoidReader() {
@@ -121,9 +145,20 @@
           readerResponded ? "it is behind" : "no answer");
     }
 
+    /** Reads all urgent documents: this round may last too long for one that is still recent. */
     private void readStore() {
-      pendingReads.add(DocumentKind.CONFIGURATION);
-      pendingReads.add(DocumentKind.TARGETS);
+      for (DocumentKind kind : URGENT_KINDS) {
+        if (availability.get(kind).isBackingOff()) {
+          problems.add(kind + ": the store did not answer");
+        } else {
+          pendingReads.add(kind);
+        }
+      }
+      if (pendingReads.isEmpty()) {
+        end();
+        return;
+      }
+      context.schedule(readerIntervalMillis, this::endUnlessEnding);
       EnumSet.copyOf(pendingReads).forEach(this::readStore);
       readHostsIfDue();
       readOnDemand();
@@ -142,7 +177,11 @@
     }
 
     private void readStore(DocumentKind kind) {
-      sources.readStore(kind, response -> onStoreResponse(kind, response));
+      try {
+        sources.readStore(kind, response -> onStoreResponse(kind, response));
+      } catch (RuntimeException e) {
+        onStoreResponse(kind, new DocumentSources.StoreResponse.Failed(e.toString()));
+      }
     }
 
     /** Reads documents on demand in this round if an earlier read showed that they are needed. */
@@ -156,63 +195,86 @@
     }
 
     private void onStoreResponse(DocumentKind kind, DocumentSources.StoreResponse response) {
-      boolean wasPending = pendingReads.remove(kind);
+      boolean isUrgent = pendingReads.remove(kind);
       if (response instanceof DocumentSources.StoreResponse.Read read) {
+        availability.get(kind).recordRead();
         DocumentRefresher.this.update(kind, read, queriedAt);
-      } else if (response instanceof DocumentSources.StoreResponse.Failed failed && wasPending) {
-        problem = kind + ": " + failed.problem();
+        if (isUrgent) {
+          onUrgentRead(kind);
+        }
+      } else if (response instanceof DocumentSources.StoreResponse.Failed failed) {
+        availability.get(kind).recordFailure(failed.problem());
+        if (isUrgent) {
+          onUrgentReadFailed(kind, failed.problem());
+        }
       }
       readOnDemand();
-      if (wasPending && pendingReads.isEmpty()) {
-        onStoreReadsComplete();
+      if (isUrgent && pendingReads.isEmpty()) {
+        endUnlessEnding();
       }
     }
 
-    private void onStoreReadsComplete() {
-      if (problem.isEmpty()) {
-        onStoreSuccess();
-        completion.complete(Optional.empty());
-        return;
-      }
-      backOffStore();
-      queryOtherHost();
-    }
-
-    private void onStoreSuccess() {
-      storeBackoffMillis = minStoreBackoffMillis;
-      if (readerResponded) {
+    private void onUrgentRead(DocumentKind kind) {
+      anyRead = true;
+      if (outdatedAtReader.contains(kind) && !ending) {
+        outdatedAtReader = Set.of();
         avoidReader();
       }
     }
 
     /**
-     * Backs off from the store but keeps the reader, whose documents are outdated because the store
+     * Backs off from the store but keeps the reader, whose document is outdated because the store
      * does not respond. Otherwise each host would avoid reader after reader until it reads the
      * store itself.
      */
-    private void backOffStore() {
+    private void onUrgentReadFailed(DocumentKind kind, String problem) {
+      problems.add(kind + ": " + problem);
       if (reader.isPresent()) {
-        storeBackoffUntil = context.now() + storeBackoffMillis;
-        storeBackoffMillis = Math.min(maxStoreBackoffMillis, 2 * storeBackoffMillis);
+        availability.get(kind).backOff();
+      }
+    }
+
+    private void endUnlessEnding() {
+      if (!ending) {
+        end();
+      }
+    }
+
+    /** Queries another host for the documents that this round has not read, and then completes. */
+    private void end() {
+      ending = true;
+      pendingReads.forEach(kind -> problems.add(kind + ": no response yet"));
+      if (problems.isEmpty()) {
+        completion.complete(Optional.empty());
+      } else {
+        queryOtherHost();
       }
     }
 
     private void queryOtherHost() {
       Optional<Address> otherHost = directory.anyOtherHost(context.random());
       if (otherHost.isEmpty()) {
-        completion.complete(Optional.of(problem));
+        completeAfterProblem();
         return;
       }
       long secondQueriedAt = context.nowIncludingSuspensions();
-      sources.queryPeer(
+      queryPeer(
           otherHost.get(),
-          cache,
           response -> {
             updateAll(response, secondQueriedAt);
-            completion.complete(Optional.of(problem));
+            completeAfterProblem();
           });
     }
 
+    /** The store responds if any document was read; then only the next interval is awaited. */
+    private void completeAfterProblem() {
+      if (anyRead) {
+        completion.complete(Optional.empty());
+      } else {
+        completion.complete(Optional.of(String.join(", ", problems)));
+      }
+    }
+
     private void updateAll(Optional<List<DocumentSources.PeerDocument>> response, long sentAt) {
       response.orElse(List.of()).forEach(document -> updateFromPeer(document, sentAt));
     }
@@ -239,10 +301,19 @@
     this.freshMillis = (long) (FRESHNESS_RATIO * boundMillis);
     this.readerIntervalMillis = (long) (READER_INTERVAL_RATIO * boundMillis);
     this.followerIntervalMillis = (long) (FOLLOWER_INTERVAL_RATIO * boundMillis);
-    this.minStoreBackoffMillis = (long) (MIN_STORE_BACKOFF_RATIO * boundMillis);
-    this.maxStoreBackoffMillis = boundMillis;
-    this.storeBackoffMillis = minStoreBackoffMillis;
+    this.timeoutMillis = (long) (TIMEOUT_RATIO * boundMillis);
     this.intervalMillis = readerIntervalMillis;
+    for (DocumentKind kind : DocumentKind.values()) {
+      availability.put(
+          kind,
+          new DocumentAvailability(
+              context, kind, (long) (MIN_STORE_BACKOFF_RATIO * boundMillis), boundMillis));
+    }
+  }
+
+  /** Returns the time within which a refresh completes, in milliseconds. */
+  public long timeoutMillis() {
+    return timeoutMillis;
   }
 
   /** Reads a document only while {@code isNeeded} returns true. */
@@ -260,6 +331,12 @@
     return intervalMillis;
   }
 
+  private Set<DocumentKind> documentsUnconfirmedSince(long time) {
+    Set<DocumentKind> unconfirmed = EnumSet.copyOf(URGENT_KINDS);
+    unconfirmed.removeIf(kind -> cache.isConfirmedSince(kind, time));
+    return unconfirmed;
+  }
+
   private void updateFromPeer(DocumentSources.PeerDocument document, long sentAt) {
     Optional<SharedDocument> known = cache.find(document.kind());
     Optional<String> content =
--- a/gatereel-core/src/main/java/org/gatereel/core/document/Poller.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/Poller.java
@@ -14,12 +14,10 @@
 public final class Poller {
   private static final long MIN_RETRY_DELAY_MILLIS = 200;
 
-  /** Limits a query whose own timeout fails to complete it. */
-  private static final long QUERY_TIMEOUT_MILLIS = 6_000;
-
   private final CoreContext context;
   private final String dependency;
   private final LongSupplier intervalMillis;
+  private final long queryTimeoutMillis;
   private final Query query;
   private long retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
   private long queryCount;
@@ -48,11 +46,18 @@
    * Creates a poller.
    *
    * @param intervalMillis returns the interval from the start of one query to the next
+   * @param queryTimeoutMillis the time after which a query that has not completed has failed
    */
-  public Poller(CoreContext context, String dependency, LongSupplier intervalMillis, Query query) {
+  public Poller(
+      CoreContext context,
+      String dependency,
+      LongSupplier intervalMillis,
+      long queryTimeoutMillis,
+      Query query) {
     this.context = context;
     this.dependency = dependency;
     this.intervalMillis = intervalMillis;
+    this.queryTimeoutMillis = queryTimeoutMillis;
     this.query = query;
   }
 
@@ -74,7 +79,12 @@
     queryCount++;
     long number = queryCount;
     context.schedule(
-        QUERY_TIMEOUT_MILLIS, () -> complete(number, queriedAt, Optional.of("never settled")));
+        queryTimeoutMillis,
+        () ->
+            complete(
+                number,
+                queriedAt,
+                Optional.of("query did not complete within " + queryTimeoutMillis + " ms")));
     try {
       query.send(
           context.nowIncludingSuspensions(), problem -> complete(number, queriedAt, problem));
--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -123,6 +123,10 @@
   PLATFORM_REACHED(601, "The platform responds again."),
   READER_LOST(602, "The host that reads the store for this data centre has no current data."),
   HOSTS_KNOWN(603, "The number of known hosts, or their reader, changed."),
+  DOCUMENT_UNREADABLE(
+      604, "A document cannot be read from the store; the others are still refreshed."),
+  DOCUMENT_READ_AGAIN(605, "A document that could not be read was read from the store again."),
+  PEER_QUERY_FAILED(606, "The query of another host for documents could not be sent."),
   LOADS_HEARD(610, "Another host started to report its open requests at engines."),
   LOADS_LAPSED(
       611, "A host has not reported its load for too long; its load is no longer counted."),
--- a/gatereel-core/src/test/java/org/gatereel/core/document/DocumentRefresherTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/DocumentRefresherTest.java
@@ -288,4 +288,23 @@
     assertEquals(Optional.empty(), problem);
     assertEquals(2, updates.size());
   }
+
+  /** Guards against all hosts reading the store because nobody can read one document. */
+  @Test
+  void readerIsKeptWhileTheStoreLacksTheDocumentThatIsOutdated() {
+    listReader(NORTH);
+    refresh(5_000);
+    sources.peerListener.accept(
+        Optional.of(
+            List.of(
+                document(DocumentKind.CONFIGURATION, 7, 0),
+                document(DocumentKind.TARGETS, 7, BOUND_MILLIS))));
+    sources
+        .storeReaders
+        .get(DocumentKind.CONFIGURATION)
+        .accept(new StoreResponse.Read("text", "digest", 8));
+    sources.storeReaders.get(DocumentKind.TARGETS).accept(new StoreResponse.Failed("status 503"));
+
+    assertEquals(Optional.of(PEER), directory.reader(5_000));
+  }
 }
--- a/gatereel-core/src/test/java/org/gatereel/core/document/PollerTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/PollerTest.java
@@ -22,6 +22,7 @@
           context,
           "store",
           () -> 1_000,
+          6_000,
           (now, completion) -> {
             queriedAt.add(now);
             completions.add(completion);
@@ -69,6 +70,7 @@
             context,
             "store",
             () -> 1_000,
+            6_000,
             (now, completion) -> {
               queriedAt.add(now);
               if (queriedAt.size() == 1) {
