A load report that cannot be sent counts as lost and delays no other

Cause: a report whose sending throws ended the pass over all links, in each pass, and left its receiver marked as awaiting a receipt, so that it was never sent one again.

Evidence: LoadExchangeTest.reportThatCannotBeSentDelaysNoOtherReport, red before ("the report to south-1:7200 is unsendable" leaves the pass).

Why it works: an exception is handled as a lost report, which has a backoff already; event 615 gives the reason.

--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -136,7 +136,8 @@
       613, "A host reported impossible times of a target; they are ignored. Reported once."),
   LOADS_DELAYED(
       614,
-      "Changes of loads or other content have waited for the bandwidth of a link for a heartbeat.");
+      "Changes of loads or other content have waited for the bandwidth of a link for a heartbeat."),
+  LOADS_UNSENDABLE(615, "A load report could not be sent; other hosts still receive theirs.");
 
   private final int number;
   private final String description;
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
@@ -273,7 +273,12 @@
   private void send(LoadLink link, LoadReport report) {
     Address receiver = link.receiver().address();
     awaitingReceipt.add(receiver);
-    port.send(receiver, report, receipt -> onReceipt(link, report, receipt));
+    try {
+      port.send(receiver, report, receipt -> onReceipt(link, report, receipt));
+    } catch (RuntimeException e) {
+      context.logEvent(EventCode.LOADS_UNSENDABLE, receiver.toString(), e.toString());
+      onReceipt(link, report, LoadPort.Receipt.LOST);
+    }
   }
 
   private void onReceipt(LoadLink link, LoadReport report, LoadPort.Receipt receipt) {
--- a/gatereel-core/src/test/java/org/gatereel/core/load/LoadExchangeTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/load/LoadExchangeTest.java
@@ -273,4 +273,22 @@
 
     assertEquals(1, world.host("west-1").othersOpen());
   }
+
+  /** Guards against hosts that hear of no load because the report to another one throws. */
+  @Test
+  void reportThatCannotBeSentDelaysNoOtherReport() {
+    LoadWorld world = settledWorld();
+    LoadWorld.Host opener = world.gatherer("north");
+    LoadWorld.Host first = world.host("south-1");
+    world.unsendableTo.add(world.gatherer("south").address);
+    opener.open(2);
+    world.pass(REPORTED_MILLIS);
+
+    assertEquals(2, world.host("west-1").othersOpen());
+    assertEquals(2, world.member("north").othersOpen());
+
+    world.unsendableTo.clear();
+    world.pass(10 * LoadExchange.HEARTBEAT_MILLIS);
+    assertEquals(2, first.othersOpen());
+  }
 }
--- a/gatereel-core/src/test/java/org/gatereel/core/load/LoadWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/load/LoadWorld.java
@@ -38,6 +38,10 @@
   final List<LoadReport> sent = new ArrayList<>();
   private final Queue<Delivery> deliveries = new ArrayDeque<>();
   private final Set<String> silent = new HashSet<>();
+
+  /** Sending to these addresses throws. */
+  final Set<Address> unsendableTo = new HashSet<>();
+
   private long now = START;
 
   private record Delivery(long at, Runnable step) {}
@@ -71,6 +75,9 @@
     }
 
     private void send(Address receiver, LoadReport report, Consumer<LoadPort.Receipt> receipt) {
+      if (unsendableTo.contains(receiver)) {
+        throw new IllegalStateException("the report to " + receiver + " is unsendable");
+      }
       sent.add(report);
       if (!awaitingReceipt.add(receiver)) {
         throw new AssertionError(
