Periodic work goes on after a run of it that throws

Evidence: LoadExchangeTest.heartbeatThatThrowsIsFollowedByOthers, MembershipTest.heartbeatThatThrowsIsFollowedByOthers and TargetReachabilityTest.probeThatThrowsIsFollowedByOthers, red before (expected a later heartbeat or probe, none came). CopyStore, RevisionSynchronizer and RolloutControl have the same change without a test of their own.

Why it works: the timer is armed before the work.

--- a/gatereel-core/src/main/java/org/gatereel/core/edit/RevisionSynchronizer.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/edit/RevisionSynchronizer.java
@@ -52,7 +52,6 @@
   }
 
   private void poll() {
-    refresh(() -> {});
     int hosts = members.respondingHosts(context.dataCentre()).size();
     long intervalMillis =
         Math.max(
@@ -60,6 +59,7 @@
             (long) hosts * MILLIS_PER_SECOND / READS_PER_SECOND_PER_DATA_CENTRE);
     long jitterMillis = context.random().nextLong(intervalMillis / 2);
     context.schedule(intervalMillis * 3 / 4 + jitterMillis, this::poll);
+    refresh(() -> {});
   }
 
   /** Reads the platform's table and runs {@code callback} once it is applied or the read failed. */
--- a/gatereel-core/src/main/java/org/gatereel/core/generation/CopyStore.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/generation/CopyStore.java
@@ -62,8 +62,8 @@
   }
 
   private void sweep() {
-    copies.values().removeIf(copy -> context.now() - copy.lastUpdatedAt > EXPIRY_TIMEOUT_MILLIS);
     context.schedule(SWEEP_INTERVAL_MILLIS, this::sweep);
+    copies.values().removeIf(copy -> context.now() - copy.lastUpdatedAt > EXPIRY_TIMEOUT_MILLIS);
   }
 
   /** Stores a copy; an owner that was replaced receives {@link PeerMessage.CopyFenced}. */
--- a/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/load/LoadExchange.java
@@ -116,10 +116,10 @@
   }
 
   private void heartbeat() {
+    context.schedule(HEARTBEAT_MILLIS, this::heartbeat);
     table.expire();
     logWaiting();
     flush();
-    context.schedule(HEARTBEAT_MILLIS, this::heartbeat);
   }
 
   private void logWaiting() {
--- a/gatereel-core/src/main/java/org/gatereel/core/member/Membership.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/member/Membership.java
@@ -123,9 +123,9 @@
   }
 
   private void runHeartbeat() {
+    context.schedule(HEARTBEAT_INTERVAL_MILLIS, this::runHeartbeat);
     sendHeartbeats();
     List.copyOf(neighbours).forEach(this::checkSilence);
-    context.schedule(HEARTBEAT_INTERVAL_MILLIS, this::runHeartbeat);
   }
 
   private void checkSilence(HostId id) {
--- a/gatereel-core/src/main/java/org/gatereel/core/reach/TargetReachability.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/reach/TargetReachability.java
@@ -256,17 +256,22 @@
     TargetId target = lostPaths.keySet().iterator().next();
     lostPaths.put(target, lostPaths.remove(target));
     long startedAt = context.now();
-    directProbe.probe(
-        targets.find(target).orElseThrow().description(),
-        responded -> onProbeResult(target, responded, context.now() - startedAt));
+    try {
+      directProbe.probe(
+          targets.find(target).orElseThrow().description(),
+          responded -> onProbeResult(target, responded, context.now() - startedAt));
+    } catch (RuntimeException e) {
+      onProbeResult(target, false, 0);
+      throw e;
+    }
   }
 
   private void onProbeResult(TargetId target, boolean responded, long millis) {
+    context.schedule(
+        responded ? PROBE_INTERVAL_AFTER_SUCCESS_MILLIS : PROBE_INTERVAL_MILLIS, this::probeNext);
     if (responded) {
       recordDirect(target, ConnectOutcome.CONNECTED, millis);
     }
-    context.schedule(
-        responded ? PROBE_INTERVAL_AFTER_SUCCESS_MILLIS : PROBE_INTERVAL_MILLIS, this::probeNext);
   }
 
   /** Returns the number of targets to which the last direct connection failed. */
--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
@@ -298,8 +298,8 @@
     ticking = false;
     for (Rollout rollout : List.copyOf(rollouts.values())) {
       if (!rollout.isEnded()) {
-        tick(rollout);
         scheduleTick();
+        tick(rollout);
       }
     }
   }
--- a/gatereel-core/src/test/java/org/gatereel/core/load/LoadExchangeTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/load/LoadExchangeTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.hash.HashCode;
@@ -291,4 +292,25 @@
     world.pass(10 * LoadExchange.HEARTBEAT_MILLIS);
     assertEquals(2, first.othersOpen());
   }
+
+  /** Guards against heartbeats that end for good after one that throws. */
+  @Test
+  void heartbeatThatThrowsIsFollowedByOthers() {
+    LoadWorld world = settledWorld();
+    LoadWorld.Host host = world.member("north");
+    host.loads.setDemandSource(
+        () -> {
+          throw new IllegalStateException("the demand is unknown");
+        });
+    assertThrows(IllegalStateException.class, () -> world.pass(2 * LoadExchange.HEARTBEAT_MILLIS));
+    host.loads.setDemandSource(Map::of);
+    int before = world.sent.size();
+
+    world.pass(4 * LoadExchange.HEARTBEAT_MILLIS);
+
+    assertTrue(
+        world.sent.stream()
+            .skip(before)
+            .anyMatch(report -> report.header().sender().value().equals(host.name)));
+  }
 }
--- a/gatereel-core/src/test/java/org/gatereel/core/member/MembershipTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/member/MembershipTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.gatereel.core.action.Action;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.Address;
@@ -77,4 +78,31 @@
     members.recordMessage(peer);
     assertTrue(members.isResponding(peer));
   }
+
+  /** Guards against heartbeats that end for good after one that throws. */
+  @Test
+  void heartbeatThatThrowsIsFollowedByOthers() {
+    CoreContext context = context("host-0");
+    AtomicInteger heartbeats = new AtomicInteger();
+    Membership members =
+        new Membership(
+            context,
+            () -> {
+              if (heartbeats.incrementAndGet() == 3) {
+                throw new IllegalStateException("the heartbeat cannot be made");
+              }
+              return new PeerMessage.Heartbeat(1, false, List.of());
+            });
+    members.start(hosts(2));
+    for (long now = 500; now <= 5_000; now += 500) {
+      context.advanceTo(now);
+      try {
+        context.timers().runDue(now);
+      } catch (IllegalStateException e) {
+        assertEquals(3, heartbeats.get());
+      }
+    }
+
+    assertTrue(heartbeats.get() > 3);
+  }
 }
--- a/gatereel-core/src/test/java/org/gatereel/core/reach/TargetReachabilityTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/reach/TargetReachabilityTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -170,4 +171,20 @@
 
     assertTrue(Math.abs(counts[0] - counts[1]) <= 3, counts[0] + " and " + counts[1]);
   }
+
+  /** Guards against a lost path that stays lost because one probe could not be sent. */
+  @Test
+  void probeThatThrowsIsFollowedByOthers() {
+    reachability.setDirectProbe(
+        (target, callback) -> {
+          throw new IllegalStateException("the probe cannot be sent");
+        });
+    losePath(FIRST);
+    assertThrows(IllegalStateException.class, () -> advance(500));
+    reachability.setDirectProbe((target, callback) -> probed.add(target.id()));
+
+    advance(500);
+
+    assertEquals(List.of(FIRST), probed);
+  }
 }
