Read a long event of many lines in linear time

What callers saw: not reported.

Cause: EventStreamReader copied the whole pending event at each line end to test whether the line is "\r\n".

Evidence: EventStreamReaderTest.eventOfManyLinesIsReadInLinearTime, red before ("execution timed out after 5000 ms" for 4 MB), green after.

Why it works: the length and first byte of the current line are kept, so that each byte is looked at once and copied twice.

--- a/gatereel-core/src/main/java/org/gatereel/core/stream/EventStreamReader.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/stream/EventStreamReader.java
@@ -20,23 +20,47 @@
   private static final String EMPTY_DATA_FIELD = "data";
 
   private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
-  private int lineStart;
+  private int lineLength;
+  private byte lineFirstByte;
 
   /** Adds bytes and returns the events that they complete. */
   public List<StreamEvent> read(byte[] bytes) {
     List<StreamEvent> events = new ArrayList<>();
-    int lineBegin = 0;
+    int begin = 0;
     for (int index = 0; index < bytes.length; index++) {
-      if (bytes[index] == '\n') {
-        pending.write(bytes, lineBegin, index + 1 - lineBegin);
-        lineBegin = index + 1;
-        endLine(events);
+      if (bytes[index] != '\n') {
+        addToLine(bytes[index]);
+        continue;
+      }
+      boolean blank = isLineBlank();
+      lineLength = 0;
+      if (blank) {
+        pending.write(bytes, begin, index + 1 - begin);
+        begin = index + 1;
+        events.add(takeEvent());
       }
     }
-    pending.write(bytes, lineBegin, bytes.length - lineBegin);
+    pending.write(bytes, begin, bytes.length - begin);
     return events;
   }
 
+  private void addToLine(byte next) {
+    if (lineLength == 0) {
+      lineFirstByte = next;
+    }
+    lineLength++;
+  }
+
+  private boolean isLineBlank() {
+    return lineLength == 0 || (lineLength == 1 && lineFirstByte == '\r');
+  }
+
+  private StreamEvent takeEvent() {
+    byte[] whole = pending.toByteArray();
+    pending.reset();
+    return eventOf(whole);
+  }
+
   /** Returns whether an incomplete event is buffered. */
   public boolean isWithinEvent() {
     return pending.size() > 0;
@@ -46,19 +70,6 @@
     return pending.size();
   }
 
-  private void endLine(List<StreamEvent> events) {
-    int length = pending.size() - lineStart;
-    boolean blank = length == 1 || (length == 2 && pending.toByteArray()[lineStart] == '\r');
-    lineStart = pending.size();
-    if (!blank) {
-      return;
-    }
-    byte[] whole = pending.toByteArray();
-    events.add(eventOf(whole));
-    pending.reset();
-    lineStart = 0;
-  }
-
   /** Parses a block as a caller does: the last id counts, and data makes an event. */
   private static StreamEvent eventOf(byte[] whole) {
     String text = new String(whole, StandardCharsets.UTF_8);
