Send what one read of a stream completes together

What callers saw: not reported. A target that sends blank lines, comments or tiny events without end keeps the event loop busy with one system call for each.

Cause: StreamRelay forwarded a blank line as a block, and CallerResponseWriter flushed each write.

Evidence: EndlessResponseTest.manySmallBlocksAreSentTogether, red before ("expected: <0> but was: <10000>" writes for 10,000 blank lines).

Why it works: blank lines between events are dropped, and CallerPort.flush sends what one read has completed. CallerResponseWriterTest flushes after its first write, as the contract of write changes; its checks are the same.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/CallerPort.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/CallerPort.java
@@ -7,9 +7,12 @@
   /** Starts the response by sending its head. */
   void begin(ResponseHead head);
 
-  /** Sends part of the body. */
+  /** Adds part of the body, which may wait for {@link #flush} or the final call to be sent. */
   void write(byte[] bytes);
 
+  /** Sends what was written. */
+  default void flush() {}
+
   /**
    * Returns whether any byte of a response that has begun may have been sent. Until then the
    * response can still be replaced by a rejection.
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/CallerResponse.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/CallerResponse.java
@@ -61,11 +61,16 @@
     caller.write(bytes);
   }
 
+  void flush() {
+    caller.flush();
+  }
+
   /** Sends the first part of a body that is too long to be buffered. */
   void commit(TargetResponse part) {
     committed = true;
     begin(part.head());
     caller.write(part.body());
+    caller.flush();
   }
 
   /** Holds a target's error response, to be sent if no other target succeeds. */
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
@@ -60,7 +60,7 @@
 
   /**
    * Forwards the events that the bytes complete; returns false if the attempt must fail. Stops if a
-   * write shows that the caller is gone.
+   * write shows that the caller is gone. All are sent together, as there may be many small ones.
    */
   boolean forward(Attempt from, byte[] bytes) {
     for (StreamEvent event : from.events().read(bytes)) {
@@ -68,11 +68,12 @@
         return true;
       }
       if (event.isComment()) {
-        write(from, event);
+        forwardComment(from, event);
         continue;
       }
       if (!isInOrder(from, event)) {
         logMisplaced(from, event);
+        flush(from);
         return false;
       }
       event.id().ifPresent(from::recordReceived);
@@ -80,9 +81,16 @@
         forward(from, event);
       }
     }
+    flush(from);
     return from.events().pendingBytes() <= MAX_EVENT_BYTES;
   }
 
+  private void forwardComment(Attempt from, StreamEvent comment) {
+    if (!comment.isBlank()) {
+      write(from, comment);
+    }
+  }
+
   private boolean isAlreadyForwarded(StreamEvent event) {
     return event.id().isPresent()
         && lastEventId.isPresent()
@@ -146,6 +154,12 @@
     callerResponse.write(event.bytes());
   }
 
+  private void flush(Attempt from) {
+    if (!from.isClosed()) {
+      callerResponse.flush();
+    }
+  }
+
   /** Logs a pause that exceeds the route's objective, with its probable causes. */
   private void logPause(Attempt from) {
     long pauseMillis = context.now() - forwardedAt;
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerResponseWriter.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerResponseWriter.java
@@ -80,6 +80,13 @@
     writeHead();
     writeBuffered();
     writeOrClose(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+  }
+
+  @Override
+  public void flush() {
+    if (finished || !headWritten) {
+      return;
+    }
     channel.flush();
     if (!channel.isWritable()) {
       // The caller does not read. Buffering more would use memory without a bound.
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/CallerResponseWriterTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/CallerResponseWriterTest.java
@@ -52,6 +52,7 @@
     CallerResponseWriter response = responseTo(HttpMethod.POST, HttpVersion.HTTP_1_1);
     response.begin(head(HttpResponseStatus.OK, true));
     response.write(bytes("id: 1\n\n"));
+    response.flush();
     return response;
   }
 
