Only events count as progress of a stream

A stream whose target sends comments, or one event that never ends, stays there until its deadline; comments reach the caller without a bound, and an incomplete event may take 1 MB of a heap of 64 MB in each stream.

Cause: any byte called off the search for another target and reset the stall detector; only incomplete events had a limit, of 1 MB.

Evidence: EndlessResponseTest, five tests red before (commentsWithoutEnd..., blankLinesWithoutEnd..., streamOfCommentsAlone..., eventThatNeverEnds..., firstEventThatNeverEnds...): the first attempt stays open.

Why it works: progress is a head, an event or part of a plain body; other bytes show that the target is alive, as a response to a probe does. An incomplete event with the comments before it may have 256 KB, and 3 s from its first byte to its last; beyond, the attempt has failed with INVALID_RESPONSE, which is counted as an error is. A sound target may pause within an event for a second (eventThatPausesForASecond...).

--- a/gatereel-core/src/main/java/org/gatereel/core/event/TargetFailure.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/TargetFailure.java
@@ -16,6 +16,8 @@
   RESET(false, true),
   /** The target responded with an error. */
   ERROR(false, false),
+  /** The target sent bytes that are no response, or that do not end. */
+  INVALID_RESPONSE(false, false),
   /** The timeout of the call expired. */
   TIMEOUT(false, true);
 
@@ -37,6 +39,11 @@
     return isFault;
   }
 
+  /** Returns whether the target responded, but not with a result. */
+  public boolean isBadResponse() {
+    return this == ERROR || this == INVALID_RESPONSE;
+  }
+
   /** Returns whether the target announced that it accepts no new requests. */
   public boolean announcesDraining() {
     return this == GOODBYE;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
@@ -28,9 +28,12 @@
   private OptionalLong sentAt = OptionalLong.empty();
   private boolean closed;
   private long forwardedEventCount;
+  private long bytesSinceEvent;
   private OptionalLong lastReceivedEventId = OptionalLong.empty();
   private boolean prefilling;
   private long lastDataAt;
+  private long lastProgressAt;
+  private OptionalLong incompleteSince = OptionalLong.empty();
   private OptionalLong paceStartedAt = OptionalLong.empty();
 
   Attempt(Exchange exchange, TargetState target, boolean continuation, long now) {
@@ -39,6 +42,7 @@
     this.target = target;
     this.continuation = continuation;
     this.lastDataAt = now;
+    this.lastProgressAt = now;
   }
 
   void setTimer(Optional<AttemptTimer> newTimer) {
@@ -167,6 +171,33 @@
     lastReceivedEventId = OptionalLong.of(id);
   }
 
+  /** Records an event, also one that the caller already has. */
+  void recordEvent() {
+    bytesSinceEvent = 0;
+    incompleteSince = OptionalLong.empty();
+  }
+
+  /** Records a block that is no event, such as a comment. */
+  void recordComment(int bytes) {
+    bytesSinceEvent += bytes;
+    incompleteSince = OptionalLong.empty();
+  }
+
+  /** Returns for how long the target has been sending the event that is incomplete, if any is. */
+  long incompleteMillis(long now) {
+    if (!events.isWithinEvent()) {
+      incompleteSince = OptionalLong.empty();
+    } else if (incompleteSince.isEmpty()) {
+      incompleteSince = OptionalLong.of(now);
+    }
+    return incompleteSince.isPresent() ? now - incompleteSince.getAsLong() : 0;
+  }
+
+  /** Returns the bytes of comments since the last event. */
+  long bytesSinceEvent() {
+    return bytesSinceEvent;
+  }
+
   void recordForwarded() {
     forwardedEventCount++;
     endPrefill();
@@ -202,6 +233,15 @@
     return taken;
   }
 
+  /** Returns when the target last sent a head, an event or part of a body, or the start. */
+  long lastProgressAt() {
+    return lastProgressAt;
+  }
+
+  void recordProgress(long now) {
+    lastProgressAt = now;
+  }
+
   /** Returns when the target last sent data of this attempt, or when the attempt started. */
   long lastDataAt() {
     return lastDataAt;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -323,34 +323,37 @@
   void onResponseHead(Attempt from) {
     ResponseHead head = from.head();
     from.recordHead(context.now());
-    recordDataReceived(from);
+    from.recordDataReceived(context.now());
+    onProgress(from);
     forwarder.announcements().receive(from);
     if (head.declaresNotExecuted()) {
       onAttemptFailed(from, head.failure());
       return;
     }
     if (!head.isForwardable() || !callerResponse.canContinueWith(from)) {
-      onAttemptFailed(from, TargetFailure.ERROR);
+      onAttemptFailed(from, TargetFailure.INVALID_RESPONSE);
     }
   }
 
-  private void recordDataReceived(Attempt from) {
-    from.recordDataReceived(context.now());
+  /** Handles a sign that the target works on the request, which other bytes are not. */
+  void onProgress(Attempt from) {
+    from.recordProgress(context.now());
     replacement.callOff();
   }
 
   void onBody(Attempt from, byte[] bytes) {
-    recordDataReceived(from);
+    from.recordDataReceived(context.now());
     if (from.isEventStream()) {
       if (relay.forward(from, bytes)) {
         versions.recordEvent(from, context.now());
         from.timeEvents(context.now());
         poison.recordProgress(from);
       } else {
-        onAttemptFailed(from, TargetFailure.ERROR);
+        onAttemptFailed(from, TargetFailure.INVALID_RESPONSE);
       }
       return;
     }
+    onProgress(from);
     from.body().writeBytes(bytes);
     if (from.body().size() > forwarder.policy().maxBufferedBytes()) {
       // The body exceeds the buffer; once part of it is sent, no other attempt can follow.
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StallDetector.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/StallDetector.java
@@ -7,7 +7,8 @@
 import org.gatereel.core.target.TargetState;
 
 /**
- * Detects that the target of a stream has stopped sending.
+ * Detects that the target of a stream has stopped sending events. Comments and parts of an event
+ * show that it is alive, as a response to a probe does, but not that it makes progress.
  *
  * <p>A pause may also have harmless causes, such as another request's prefill. So a silent target
  * is probed, and the attempt is replaced only if the probe fails, or after a much longer silence.
@@ -54,7 +55,7 @@
     if (attempt.isClosed()) {
       return;
     }
-    long silentMillis = forwarder.context().now() - attempt.lastDataAt();
+    long silentMillis = forwarder.context().now() - attempt.lastProgressAt();
     long delayMillis = probeDelayMillis(attempt);
     if (silentMillis < delayMillis) {
       schedule(attempt, delayMillis - silentMillis);
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
@@ -14,7 +14,11 @@
  * After an event without an id the stream cannot be resumed.
  */
 final class StreamRelay {
-  private static final int MAX_EVENT_BYTES = 1 << 20;
+  /** Limits an incomplete event, and the comments between two events. */
+  private static final int MAX_EVENT_BYTES = 256 << 10;
+
+  /** Longer than a sound target may fall silent within an event. */
+  private static final long MAX_EVENT_MILLIS = 3_000;
 
   private final Exchange exchange;
   private final CoreContext context;
@@ -76,16 +80,20 @@
         flush(from);
         return false;
       }
+      from.recordEvent();
+      exchange.onProgress(from);
       event.id().ifPresent(from::recordReceived);
       if (!isAlreadyForwarded(event)) {
         forward(from, event);
       }
     }
     flush(from);
-    return from.events().pendingBytes() <= MAX_EVENT_BYTES;
+    return from.bytesSinceEvent() + from.events().pendingBytes() <= MAX_EVENT_BYTES
+        && from.incompleteMillis(context.now()) <= MAX_EVENT_MILLIS;
   }
 
   private void forwardComment(Attempt from, StreamEvent comment) {
+    from.recordComment(comment.bytes().length);
     if (!comment.isBlank()) {
       write(from, comment);
     }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/VersionObserver.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/VersionObserver.java
@@ -64,7 +64,7 @@
   }
 
   void recordFailure(Attempt attempt, TargetFailure failure, long now) {
-    if (failure == TargetFailure.ERROR) {
+    if (failure.isBadResponse()) {
       recordFailure(attempt);
     } else if (failure == TargetFailure.TIMEOUT) {
       recordAbandoned(attempt, now);
--- a/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
@@ -305,7 +305,7 @@
       recordLeaving(id);
       return;
     }
-    if (failure == TargetFailure.ERROR) {
+    if (failure.isBadResponse()) {
       target.recordError(context.now());
     }
     if (target.recordFailure(failure, context.now())) {
