Retry after an error response that is too long to be held

What callers saw: not reported. The caller of a request that may be repeated gets an error response that never ends, until its deadline.

Evidence: EndlessResponseTest.errorThatExceedsTheBufferIsRetried, red before (the attempt is not cancelled).

Why it works: while nothing was sent and another execution is allowed, the attempt fails with INVALID_RESPONSE. Otherwise the response is forwarded as before.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -356,8 +356,20 @@
     onProgress(from);
     from.body().writeBytes(bytes);
     if (from.body().size() > forwarder.policy().maxBufferedBytes()) {
-      // The body exceeds the buffer; once part of it is sent, no other attempt can follow.
-      callerResponse.commit(from.takeResponse());
+      onBufferExceeded(from);
+    }
+  }
+
+  /**
+   * Retries after an error that is too long to be held; forwards any other response as it comes.
+   */
+  private void onBufferExceeded(Attempt from) {
+    TargetResponse part = from.takeResponse();
+    if (part.isError() && !callerResponse.hasBegun() && retries.mayExecuteAgain()) {
+      onAttemptFailed(from, TargetFailure.INVALID_RESPONSE);
+    } else {
+      // Once part of the body is sent, no other attempt can follow.
+      callerResponse.commit(part);
     }
   }
 
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/EndlessResponseTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/EndlessResponseTest.java
@@ -136,4 +136,17 @@
     assertEquals(1, world.sentCalls.size());
     assertTrue(caller.body.toString().endsWith("id: 3\ndata: x\n\n"));
   }
+
+  /** Guards against an error without end that is forwarded although a retry is allowed. */
+  @Test
+  void errorThatExceedsTheBufferIsRetried() {
+    world.submit("/safe/x", caller);
+    SentCall call = world.lastCall().accept().respondHead(500, false);
+
+    call.listener.onBody(new byte[MAX_BUFFERED_BYTES + 1]);
+
+    assertTrue(call.cancelled);
+    world.lastCall().respond(200, "yes");
+    assertEquals("yes", caller.body.toString());
+  }
 }
