Bound the bytes and the time of a target's response head

What callers saw: not reported. A target that sends interim heads, blank lines or zeros without end, or a head byte by byte, holds a request until its deadline.

Cause: the decoder limits each single head, but neither the number of interim ones nor the control characters that it skips before a status line; nothing limited the time from a head's first byte to its last.

Evidence: ResponseHeadLimiterTest; without the limiter in its pipeline seven of its cases are red (three of bytesBeforeAHeadAreBounded, four of headThatNeverEnds...).

Why it works: a response whose final head is not complete within 96 KB and 3 s of its first byte fails with INVALID_RESPONSE, and the request goes on elsewhere if it may.

Tests changed: ResponseFramingTest and one case of TargetResponseHandlerTest expect INVALID_RESPONSE, the more specific name, where it expected ERROR; what it checks is the same.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
@@ -233,7 +233,11 @@
       implements TargetDialer.Listener {
     @Override
     public void onConnected(Channel channel) {
-      channel.pipeline().addLast(ResponseFraming.codec()).addLast(handler);
+      channel
+          .pipeline()
+          .addLast(new ResponseHeadLimiter(handler, ControlThread::nowMillis))
+          .addLast(ResponseFraming.codec())
+          .addLast(handler);
       // The caller may have disconnected before the connection was established.
       control.runAfterReceivedEvents(() -> send(channel));
     }
