A query of a host replaces one that is still open

A refresh that is given up while it queries a host makes the next one throw when it queries the same host.

Cause: PeerClient used the client of the open query, which takes one request at a time.

Evidence: PeerClientTest.fetchDuringAnotherOneOfTheSameHostIsSent, red before ("a request is already pending").

Why it works: the open query ends with an empty result and its connection, and the new one has a client of its own.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerClient.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerClient.java
@@ -20,6 +20,7 @@
 
   private final EventLoop loop;
   private DocumentClient client;
+  private boolean fetching;
   private Address peer;
 
   public PeerClient(EventLoop loop) {
@@ -27,21 +28,26 @@
   }
 
   /**
-   * Fetches the documents of a host; the result is empty after a timeout or an error.
+   * Fetches the documents of a host; the result is empty after a timeout or an error. A fetch that
+   * is still open ends with an empty result.
    *
    * @param known the documents that this host has already
    */
   public void fetch(
       Address host, DocumentCache known, Consumer<Optional<List<PeerDocument>>> callback) {
-    if (!host.equals(peer)) {
+    if (fetching || !host.equals(peer)) {
       close();
       client = new DocumentClient(loop, host);
       peer = host;
     }
+    fetching = true;
     client.get(
         PeerDocuments.writeQuery(known),
         TIMEOUT_MILLIS,
-        document -> callback.accept(read(document)));
+        document -> {
+          fetching = false;
+          callback.accept(read(document));
+        });
   }
 
   private static Optional<List<PeerDocument>> read(Optional<DocumentClient.Document> document) {
