Limit the list of prompts that a target may send

What callers saw: not reported. Up to 24 engines are asked for their prompts at once, and a faulty one may send 8 MB each on a heap of 64 MB.

Cause: DocumentClient had the limit of the store's documents for all servers.

Change: 256 KB for lists of targets, some 4,000 entries of 60 bytes (arithmetic).

Evidence: DocumentClientTest.documentBeyondTheLimitOfItsClientIsAnError; the limit had no parameter before, so that the test does not compile on the code before.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/DocumentClient.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/DocumentClient.java
@@ -43,6 +43,7 @@
 
   private final EventLoop loop;
   private final Address address;
+  private final int maxDocumentBytes;
   private Channel channel;
   private Consumer<Optional<Document>> pendingCallback;
   private ScheduledFuture<?> timeoutTimer;
@@ -62,8 +63,18 @@
   }
 
   public DocumentClient(EventLoop loop, Address address) {
+    this(loop, address, MAX_DOCUMENT_BYTES);
+  }
+
+  /**
+   * Creates a client for a server that may be faulty.
+   *
+   * @param maxDocumentBytes the size beyond which a response is an error
+   */
+  DocumentClient(EventLoop loop, Address address, int maxDocumentBytes) {
     this.loop = loop;
     this.address = address;
+    this.maxDocumentBytes = maxDocumentBytes;
   }
 
   /**
@@ -123,7 +134,7 @@
                         .pipeline()
                         .addLast(new HttpClientCodec())
                         .addLast(framingReader)
-                        .addLast(new HttpObjectAggregator(MAX_DOCUMENT_BYTES))
+                        .addLast(new HttpObjectAggregator(maxDocumentBytes))
                         .addLast(new ResponseHandler(framingReader));
                   }
                 })
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
@@ -42,6 +42,9 @@
   private static final String PROBE_ID = "probe";
   private static final long DIRECT_PROBE_TIMEOUT_MILLIS = 250;
 
+  /** Several targets are asked at once, and each may be faulty. */
+  private static final int MAX_PROMPT_LIST_BYTES = 256 << 10;
+
   private final ControlThread control;
   private final TargetDialect dialect;
   private final HeaderNames names;
@@ -207,7 +210,9 @@
       long timeoutMillis,
       Consumer<Announcements> announcementListener,
       Consumer<Optional<Set<String>>> result) {
-    DocumentClient client = new DocumentClient(control.loop(), translation.apply(target.address()));
+    DocumentClient client =
+        new DocumentClient(
+            control.loop(), translation.apply(target.address()), MAX_PROMPT_LIST_BYTES);
     client.get(
         dialect.promptsPath(),
         timeoutMillis,
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/DocumentClientTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/DocumentClientTest.java
@@ -157,4 +157,21 @@
       }
     }
   }
+
+  /** Guards against a heap that is filled by the lists of several faulty targets. */
+  @Test
+  void documentBeyondTheLimitOfItsClientIsAnError() throws Exception {
+    loop.submit(client::close).sync();
+    client = new DocumentClient(loop, new Address("127.0.0.1", server.getLocalPort()), 1_000);
+    CompletableFuture<String> result = get("/list");
+    try (Socket socket = accept()) {
+      readRequest(socket);
+      String head = "HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n";
+      socket
+          .getOutputStream()
+          .write((head + "x".repeat(1_001)).getBytes(StandardCharsets.US_ASCII));
+
+      assertEquals("none", await(result));
+    }
+  }
 }
