--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
@@ -233,7 +233,10 @@
     return taken;
   }
 
-  /** Returns when the target last sent a head, an event or part of a body, or the start. */
+  /**
+   * Returns when the target last sent a head, an event or part of a plain body, or when the attempt
+   * started.
+   */
   long lastProgressAt() {
     return lastProgressAt;
   }
