An unusable document of another host does not keep the refresh open

What callers saw: nothing known; found by reading the change again. While the reader answers with a document that cannot be used, its askers neither use the others of the answer nor read the store.

Cause: the exception left the round, which ended only by its time limit.

Evidence: DocumentRefresherTest.unusableDocumentOfAnotherHostDoesNotKeepTheRefreshOpen, red before (NullPointerException leaves the refresh), green after.

Why it works: each document is used by itself, and the round goes on to decide where else to read.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
@@ -276,7 +276,7 @@
     }
 
     private void updateAll(Optional<List<DocumentSources.PeerDocument>> response, long sentAt) {
-      response.orElse(List.of()).forEach(document -> updateFromPeer(document, sentAt));
+      response.orElse(List.of()).forEach(document -> tryUpdateFromPeer(document, sentAt));
     }
   }
 
@@ -337,6 +337,15 @@
     return unconfirmed;
   }
 
+  /** A document of another host that cannot be used must not keep the refresh open. */
+  private void tryUpdateFromPeer(DocumentSources.PeerDocument document, long sentAt) {
+    try {
+      updateFromPeer(document, sentAt);
+    } catch (RuntimeException e) {
+      context.logEvent(EventCode.CONFIGURATION_INVALID, "document of another host", e.toString());
+    }
+  }
+
   private void updateFromPeer(DocumentSources.PeerDocument document, long sentAt) {
     Optional<SharedDocument> known = cache.find(document.kind());
     Optional<String> content =
--- a/gatereel-core/src/test/java/org/gatereel/core/document/DocumentRefresherTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/DocumentRefresherTest.java
@@ -307,4 +307,20 @@
 
     assertEquals(Optional.of(PEER), directory.reader(5_000));
   }
+
+  /** Guards against a refresh that stays open because a document of another host has no kind. */
+  @Test
+  void unusableDocumentOfAnotherHostDoesNotKeepTheRefreshOpen() {
+    listReader(NORTH);
+    refresh(5_000);
+    sources.peerListener.accept(
+        Optional.of(
+            List.of(
+                document(null, 7, 0),
+                document(DocumentKind.CONFIGURATION, 7, 0),
+                document(DocumentKind.TARGETS, 7, 0))));
+
+    assertEquals(Optional.empty(), problem);
+    assertEquals(2, updates.size());
+  }
 }
