Review case 4: a path is refused after four engines have ended

Broken: RECOVER. Four of 24 engines crash one after the other before any stream of a tenant at one path has begun. All its requests there get 502 and then 503 on all hosts, whatever their prompts, also after a final fault in which all hosts are killed and started again.

At fault: RequestFeatures and PoisonLedger charge the end of an engine also to the request with any prompt, and hold that back for an hour after four ends; PoisonRows brings the verdict back after a start, and no held request is tried.

--- /dev/null
+++ b/review/standins-2/org/gatereel/secondreview/HeldBackPath.java
@@ -0,0 +1,162 @@
+package org.gatereel.secondreview;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Callers ask for streams at one path, each with a prompt of its own. The four of 24 engines that
+ * have the most of them crash one after the other before any stream has begun; later all hosts are
+ * killed and started again.
+ *
+ * <p>Exits with 1 if under a quarter of the requests is served after the recovery, though a quarter
+ * or more was served before.
+ */
+public final class HeldBackPath {
+  private static final int HOSTS = 3;
+  private static final int ENGINES = 24;
+  private static final int CRASHES = 4;
+  private static final long CRASH_DOWN_MILLIS = 4_500;
+  private static final long FIRST_CRASH_MILLIS = 50;
+  private static final long CRASHES_APART_MILLIS = 530;
+  private static final int CALLERS_PER_HOST = 12;
+  private static final long ROUND_MILLIS = 7_000;
+  private static final long QUIET_MILLIS = 60_000;
+  private static final long DOWN_MILLIS = 700;
+  private static final long RECOVERY_MILLIS = 12_000;
+  private static final long REMAINING_MILLIS = 25_000;
+
+  private final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+  private final Record record = new Record();
+  private final Store store = new Store();
+  private final AtomicInteger numbers = new AtomicInteger();
+  private final List<Outcome> outcomes = new CopyOnWriteArrayList<>();
+
+  private record Outcome(long sentAt, boolean served) {}
+
+  public static void main(String[] arguments) throws Exception {
+    Path folder = Path.of(arguments[0]);
+    HeldBackPath test = new HeldBackPath();
+    int result = 2;
+    try {
+      result = test.run() ? 0 : 1;
+    } catch (IOException e) {
+      test.record.add("the case could not run: " + e);
+    }
+    test.record.write(folder.resolve("record.txt"));
+    System.exit(result);
+  }
+
+  private boolean run() throws IOException, InterruptedException {
+    Path temporary = Files.createTempDirectory("gatereel-review");
+    List<Host> hosts = new ArrayList<>();
+    List<CrashingEngine> engines = new ArrayList<>();
+    store.put("op", "config", Deployment.configuration(1));
+    for (int number = 0; number < ENGINES; number++) {
+      engines.add(new CrashingEngine("i-engine-" + number, store, record));
+    }
+    for (int number = 0; number < HOSTS; number++) {
+      hosts.add(new Host(temporary, "front-a-" + number, store.door().address()));
+    }
+    startAll(hosts);
+    askAll(hosts);
+    Thread.sleep(ROUND_MILLIS + QUIET_MILLIS);
+    askAll(hosts);
+    Thread.sleep(FIRST_CRASH_MILLIS);
+    for (int crash = 0; trouble && crash < CRASHES; crash++) {
+      engines.stream()
+          .max(Comparator.comparingInt(CrashingEngine::running))
+          .orElseThrow()
+          .crash(CRASH_DOWN_MILLIS);
+      Thread.sleep(CRASHES_APART_MILLIS);
+    }
+    Thread.sleep(ROUND_MILLIS);
+    store.put("op", "config", Deployment.configuration(2));
+    long finalFaultAt = Clock.millis();
+    record.add("configuration 2 is acknowledged");
+    if (trouble) {
+      killAll(hosts);
+    }
+    long recoveredAt = Clock.millis() + RECOVERY_MILLIS;
+    Clock.sleepUntil(recoveredAt);
+    askAll(hosts);
+    Thread.sleep(ROUND_MILLIS);
+    boolean held = isHeld(finalFaultAt, recoveredAt);
+    for (Host host : hosts) {
+      host.close();
+    }
+    return held;
+  }
+
+  private void startAll(List<Host> hosts) throws IOException, InterruptedException {
+    for (Host host : hosts) {
+      host.start();
+    }
+    for (Host host : hosts) {
+      host.awaitReady();
+    }
+    record.add("the hosts are ready");
+    Thread.sleep(Deployment.CONTACT_MILLIS);
+  }
+
+  private void killAll(List<Host> hosts) throws IOException, InterruptedException {
+    record.add("all hosts are killed");
+    for (Host host : hosts) {
+      host.kill();
+    }
+    Thread.sleep(DOWN_MILLIS);
+    for (Host host : hosts) {
+      host.start();
+    }
+    record.add("all hosts are started again");
+  }
+
+  private void askAll(List<Host> hosts) {
+    for (Host host : hosts) {
+      for (int caller = 0; caller < CALLERS_PER_HOST; caller++) {
+        LoopbackServer.start(() -> ask(host));
+      }
+    }
+  }
+
+  private void ask(Host host) {
+    int number = numbers.incrementAndGet();
+    String id = "stream-%03d".formatted(number);
+    String prompt = "X-Prompt-Prefix: %x:200,%x:14200".formatted(0x5c1e0000 + number, 0x91bd0000L + number);
+    String request =
+        Caller.request("POST", "/stream/2f", id, REMAINING_MILLIS)
+            .replace("\r\n\r\n", "\r\nX-Model: m\r\nX-Token-Counts: 14400,200\r\n" + prompt + "\r\n\r\n");
+    long sentAt = Clock.millis();
+    record.addAt(sentAt, id + " sent");
+    boolean served = false;
+    try (Caller caller = new Caller(host.callers())) {
+      Message answer = caller.exchange(request);
+      served = answer.status() == 200;
+      record.add(id + " answered with " + answer.status());
+    } catch (IOException e) {
+      record.add(id + " not answered: " + e.getMessage());
+    }
+    outcomes.add(new Outcome(sentAt, served));
+  }
+
+  private boolean isHeld(long finalFaultAt, long recoveredAt) {
+    long before = outcomes.stream().filter(each -> each.sentAt() < finalFaultAt).count();
+    long servedBefore =
+        outcomes.stream().filter(each -> each.sentAt() < finalFaultAt && each.served()).count();
+    long after = outcomes.stream().filter(each -> each.sentAt() >= recoveredAt).count();
+    long servedAfter =
+        outcomes.stream().filter(each -> each.sentAt() >= recoveredAt && each.served()).count();
+    boolean held = 4 * servedBefore < before || 4 * servedAfter >= after;
+    String verdict =
+        "%s: %d of %d served before the final fault, %d of %d after the recovery"
+            .formatted(held ? "held" : "RECOVER broken", servedBefore, before, servedAfter, after);
+    record.add(verdict);
+    System.out.println(verdict);
+    return held;
+  }
+}
