--- a/review/standins-2/org/gatereel/secondreview/HeldBackPath.java
+++ b/review/standins-2/org/gatereel/secondreview/HeldBackPath.java
@@ -1,7 +1,6 @@
 package org.gatereel.secondreview;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -14,7 +13,7 @@
  * have the most of them crash one after the other before any stream has begun; later all hosts are
  * killed and started again.
  *
- * <p>Exits with 1 if under a quarter of the requests is served after the recovery, though a quarter
+ * <p>The rule is broken if under a quarter of the requests is served after the recovery, though a quarter
  * or more was served before.
  */
 public final class HeldBackPath {
@@ -39,21 +38,15 @@
 
   private record Outcome(long sentAt, boolean served) {}
 
-  public static void main(String[] arguments) throws Exception {
-    Path folder = Path.of(arguments[0]);
+  /** Plays the case; the arguments are the file for the record and a temporary folder. */
+  public static void main(String[] arguments) throws IOException {
     HeldBackPath test = new HeldBackPath();
-    int result = 2;
-    try {
-      result = test.run() ? 0 : 1;
-    } catch (IOException e) {
-      test.record.add("the case could not run: " + e);
-    }
-    test.record.write(folder.resolve("record.txt"));
+    int result = test.record.judge(() -> test.run(Path.of(arguments[1])));
+    test.record.write(Path.of(arguments[0]));
     System.exit(result);
   }
 
-  private boolean run() throws IOException, InterruptedException {
-    Path temporary = Files.createTempDirectory("gatereel-review");
+  private boolean run(Path temporary) throws IOException, InterruptedException {
     List<Host> hosts = new ArrayList<>();
     List<CrashingEngine> engines = new ArrayList<>();
     store.put("op", "config", Deployment.configuration(1));
@@ -84,6 +77,11 @@
     }
     long recoveredAt = Clock.millis() + RECOVERY_MILLIS;
     Clock.sleepUntil(recoveredAt);
+    for (Host host : hosts) {
+      if (!host.isRunning()) {
+        throw new IOException("a host could not be started again");
+      }
+    }
     askAll(hosts);
     Thread.sleep(ROUND_MILLIS);
     boolean held = isHeld(finalFaultAt, recoveredAt);
--- a/review/standins-2/org/gatereel/secondreview/LeavingTarget.java
+++ b/review/standins-2/org/gatereel/secondreview/LeavingTarget.java
@@ -1,7 +1,6 @@
 package org.gatereel.secondreview;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Set;
@@ -12,7 +11,7 @@
 /**
  * A server leaves without saying {@code draining}, just after its host has reached the store again.
  *
- * <p>Exits with 1 if the server gets a request later than {@code drain_ms} after its entry went,
+ * <p>The rule is broken if the server gets a request later than {@code drain_ms} after its entry went,
  * from a host that has been in touch for {@code contact_ms}.
  */
 public final class LeavingTarget {
@@ -39,21 +38,15 @@
   private final AtomicLong requests = new AtomicLong();
   private final Set<String> succeeded = ConcurrentHashMap.newKeySet();
 
-  public static void main(String[] arguments) throws Exception {
-    Path folder = Path.of(arguments[0]);
+  /** Plays the case; the arguments are the file for the record and a temporary folder. */
+  public static void main(String[] arguments) throws IOException {
     LeavingTarget test = new LeavingTarget();
-    int result = 2;
-    try {
-      result = test.run() ? 0 : 1;
-    } catch (IOException e) {
-      test.record.add("the case could not run: " + e);
-    }
-    test.record.write(folder.resolve("record.txt"));
+    int result = test.record.judge(() -> test.run(Path.of(arguments[1])));
+    test.record.write(Path.of(arguments[0]));
     System.exit(result);
   }
 
-  private boolean run() throws IOException, InterruptedException {
-    Path temporary = Files.createTempDirectory("gatereel-review");
+  private boolean run(Path temporary) throws IOException, InterruptedException {
     try (Store.Door door = store.door();
         Target first = new Target("i-first", WORK_MILLIS);
         Target second = new Target("i-second", WORK_MILLIS);
--- a/review/standins-2/org/gatereel/secondreview/SilentAfterStream.java
+++ b/review/standins-2/org/gatereel/secondreview/SilentAfterStream.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,7 +10,7 @@
  * An engine sends a whole stream without a length, closes its connection in order, and is silent for
  * a second after that; the host has just got SIGHUP.
  *
- * <p>Exits with 1 if the host ends a caller's connection without a complete answer.
+ * <p>The rule is broken if the host ends a caller's connection without a complete answer.
  */
 public final class SilentAfterStream {
   private static final int ENGINES = 8;
@@ -24,21 +23,15 @@
   private final Record record = new Record();
   private final Store store = new Store();
 
-  public static void main(String[] arguments) throws Exception {
-    Path folder = Path.of(arguments[0]);
+  /** Plays the case; the arguments are the file for the record and a temporary folder. */
+  public static void main(String[] arguments) throws IOException {
     SilentAfterStream test = new SilentAfterStream();
-    int result = 2;
-    try {
-      result = test.run() ? 0 : 1;
-    } catch (IOException e) {
-      test.record.add("the case could not run: " + e);
-    }
-    test.record.write(folder.resolve("record.txt"));
+    int result = test.record.judge(() -> test.run(Path.of(arguments[1])));
+    test.record.write(Path.of(arguments[0]));
     System.exit(result);
   }
 
-  private boolean run() throws IOException, InterruptedException {
-    Path temporary = Files.createTempDirectory("gatereel-review");
+  private boolean run(Path temporary) throws IOException, InterruptedException {
     List<StreamingEngine> engines = new ArrayList<>();
     try (Store.Door door = store.door();
         Host host = new Host(temporary, "front-a-1", door.address())) {
