--- a/review/standins-2/org/gatereel/secondreview/CrashingEngine.java
+++ b/review/standins-2/org/gatereel/secondreview/CrashingEngine.java
@@ -4,11 +4,13 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 
 /** A sound model engine that reads a prompt, answers with a stream, and may crash and return. */
 final class CrashingEngine implements AutoCloseable {
-  private static final long PROMPT_MILLIS = 1_800;
-  private static final int EVENTS = 20;
+  private static final int TOKENS_PER_MILLI = 8;
+  private static final int TOKENS_PER_EVENT = 10;
   private static final long EVENT_MILLIS = 30;
   private static final long HEARTBEATS_MILLIS = 3_600;
   private static final String HEAD =
@@ -27,10 +29,17 @@
   private LoopbackServer server;
   private String id;
   private int starts;
-  private int running;
-
-  CrashingEngine(String name, Store store, Record record) throws IOException {
+  private final String path;
+  private List<Long> beginnings = new ArrayList<>();
+
+  /**
+   * Starts an engine.
+   *
+   * @param path the end of the path whose streams are counted
+   */
+  CrashingEngine(String name, String path, Store store, Record record) throws IOException {
     this.name = name;
+    this.path = path;
     this.store = store;
     this.record = record;
     start();
@@ -54,15 +63,23 @@
         .formatted(server.address());
   }
 
-  /** Returns how many streams run here; 0 while the engine is down. */
+  /** Returns how many counted streams run here; 0 while the engine is down. */
   synchronized int running() {
-    return running;
+    return beginnings.size();
   }
 
-  private synchronized void adjustRunning(String own, int change) {
-    if (own.equals(id)) {
-      running += change;
-    }
+  /** Returns whether counted streams run here, all of which have begun since a time. */
+  synchronized boolean runsOnlySince(long since) {
+    return !beginnings.isEmpty() && beginnings.stream().allMatch(each -> each >= since);
+  }
+
+  private synchronized List<Long> begin(Long at) {
+    beginnings.add(at);
+    return beginnings;
+  }
+
+  private synchronized void end(List<Long> ownBeginnings, Long at) {
+    ownBeginnings.remove(at);
   }
 
   /** Crashes; its entry goes after three heartbeats of silence, and a new incarnation starts. */
@@ -71,7 +88,7 @@
     record.add(id + " crashes");
     String ended = id;
     id = "down";
-    running = 0;
+    beginnings = new ArrayList<>();
     LoopbackServer.start(() -> comeBack(ended, downMillis));
   }
 
@@ -102,7 +119,7 @@
     } else if (requestId.isEmpty()) {
       output.write(Message.response(400, "X-Not-Executed: 1\r\n", ""));
     } else {
-      stream(own, requestId, request.header("last-event-id"), output);
+      stream(own, request, output);
     }
     return true;
   }
@@ -115,23 +132,32 @@
         """;
   }
 
-  private void stream(String own, String requestId, String lastEvent, OutputStream output)
+  private void stream(String own, Message request, OutputStream output)
       throws IOException, InterruptedException {
-    record.add(requestId + " begins at " + own);
-    adjustRunning(own, 1);
+    record.add(request.header("x-attempt-id") + " begins at " + own);
+    if (!request.path().endsWith(path)) {
+      sendStream(own, request, output);
+      return;
+    }
+    Long begunAt = Clock.millis();
+    List<Long> ownBeginnings = begin(begunAt);
     try {
-      sendStream(own, requestId, lastEvent, output);
+      sendStream(own, request, output);
     } finally {
-      adjustRunning(own, -1);
+      end(ownBeginnings, begunAt);
     }
   }
 
-  private void sendStream(String own, String requestId, String lastEvent, OutputStream output)
+  private void sendStream(String own, Message request, OutputStream output)
       throws IOException, InterruptedException {
-    Thread.sleep(PROMPT_MILLIS);
+    String requestId = request.header("x-attempt-id");
+    String lastEvent = request.header("last-event-id");
+    String[] tokens = request.header("x-token-counts").split(",");
+    Thread.sleep(Integer.parseInt(tokens[0]) / TOKENS_PER_MILLI);
     output.write(HEAD.formatted(requestId, own).getBytes(StandardCharsets.ISO_8859_1));
     int first = lastEvent.isEmpty() ? 1 : Integer.parseInt(lastEvent) + 1;
-    for (int event = first; event <= EVENTS; event++) {
+    int events = Integer.parseInt(tokens[1]) / TOKENS_PER_EVENT;
+    for (int event = first; event <= events; event++) {
       writeChunk(output, "id: %d\ndata: %d\n\n".formatted(event, event));
       Thread.sleep(EVENT_MILLIS);
     }
--- a/review/standins-2/org/gatereel/secondreview/Host.java
+++ b/review/standins-2/org/gatereel/secondreview/Host.java
@@ -1,12 +1,14 @@
 package org.gatereel.secondreview;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -14,6 +16,9 @@
 /** An entry host as its own process, started by the command of the deploy file. */
 final class Host implements AutoCloseable {
   private static final long READY_TIMEOUT_MILLIS = 20_000;
+  private static final int FIRST_PORT = 12_000;
+  private static final int FIRST_EPHEMERAL_PORT = 32_000;
+  private static final int MAX_PORT_ATTEMPTS = 50;
   private static final Pattern RUN = Pattern.compile("(?m)^run = \"([^\"]*)\"");
 
   private final Path folder;
@@ -36,10 +41,18 @@
     }
   }
 
+  /** Returns an address with a port that the system does not give to other sockets by itself. */
   private static String freeAddress() throws IOException {
-    try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return "127.0.0.1:" + probe.getLocalPort();
+    InetAddress loopback = InetAddress.getByName("127.0.0.1");
+    for (int attempt = 0; attempt < MAX_PORT_ATTEMPTS; attempt++) {
+      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, FIRST_EPHEMERAL_PORT);
+      try (ServerSocket probe = new ServerSocket(port, 1, loopback)) {
+        return "127.0.0.1:" + probe.getLocalPort();
+      } catch (BindException e) {
+        // Another process has this port.
+      }
     }
+    throw new IOException("no free port");
   }
 
   /** The template of the deploy file, filled in with the figures of the smallest deployment. */
