Do not blame a target that has nothing to add to a stream

What callers saw: after a stream had broken behind its last event, each target that was asked to resume it was avoided for a while.

Cause: a resumed stream that ends by its connection without an event counted as RESET, a fault of the target, though a sound target answers so when the caller has all events.

Why it works: NO_FURTHER_EVENT is no fault, and no confirmation either. Crashes during a resumption are still found by the probe of the exit detector.

--- a/gatereel-core/src/main/java/org/gatereel/core/event/TargetFailure.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/TargetFailure.java
@@ -14,6 +14,11 @@
   RESTING(true, false),
   /** The connection broke after the request had been sent. */
   RESET(false, true),
+  /**
+   * The target had no event to add to a resumed stream and did not mark its end, which a sound
+   * target does too if the caller has all events.
+   */
+  NO_FURTHER_EVENT(false, false),
   /** The target responded with an error. */
   ERROR(false, false),
   /** The target sent bytes that are no response, or that do not end. */
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/PoisonDetector.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/PoisonDetector.java
@@ -110,7 +110,8 @@
    */
   private boolean mayHaveCrashedTarget(Attempt attempt, TargetFailure failure) {
     boolean isTimeout = failure == TargetFailure.TIMEOUT;
-    boolean isBroken = isTimeout || failure == TargetFailure.RESET;
+    boolean isBroken =
+        isTimeout || failure == TargetFailure.RESET || failure == TargetFailure.NO_FURTHER_EVENT;
     long until = isTimeout ? attempt.lastDataAt() : now();
     boolean isJustStarted = !harmless && executionMillis(attempt, until) <= MAX_CRASH_DELAY_MILLIS;
     return isBroken && isJustStarted && !attempt.wasProbed();
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ResponseEndCheck.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ResponseEndCheck.java
@@ -55,7 +55,9 @@
         return ResponseEndVerdict.BEHIND_CALLER;
       }
       if (!from.end().isConfirmedByTarget() && !from.hasReceivedEvents()) {
-        return ResponseEndVerdict.WITHOUT_EVENT;
+        return relay.lastEventId().isPresent()
+            ? ResponseEndVerdict.NOTHING_TO_ADD
+            : ResponseEndVerdict.WITHOUT_EVENT;
       }
     }
     return from.end().isConfirmedByTarget()
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ResponseEndVerdict.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ResponseEndVerdict.java
@@ -24,6 +24,10 @@
   WITHIN_EVENT(Optional.of(TargetFailure.RESET)),
   /** The connection was closed before any event, so nothing shows that the request executed. */
   WITHOUT_EVENT(Optional.of(TargetFailure.RESET)),
+  /**
+   * The connection of a resumed stream was closed before any event; the caller may have them all.
+   */
+  NOTHING_TO_ADD(Optional.of(TargetFailure.NO_FURTHER_EVENT)),
   /** The stream ended before the last event that the caller has, so it is a different stream. */
   BEHIND_CALLER(Optional.of(TargetFailure.ERROR));
 
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/StreamEndTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/StreamEndTest.java
@@ -10,6 +10,7 @@
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.ForwardWorld.Caller;
+import org.gatereel.core.model.TargetId;
 import org.junit.jupiter.api.Test;
 
 /** When a stream is complete, and how it continues after a failure. */
@@ -374,4 +375,16 @@
       }
     }
   }
+
+  /** Guards against avoiding sound targets that have nothing to add to a stream. */
+  @Test
+  void targetWithNothingToAddIsNotTakenForFailing() {
+    ForwardWorld.SentCall second = continueAfterReset().accept().respondHead(200, true);
+
+    close(second);
+
+    TargetId id = second.dispatch.target().id();
+    assertFalse(world.targets.find(id).orElseThrow().isFailing(world.context.now()));
+    assertEquals(3, world.sentCalls.size());
+  }
 }
