Keep a response in doubt until its target confirms or denies it

Cause: a doubt was made into an end. After two probes without an answer the request went elsewhere, which closed the attempt; the probe that was answered 0.5 s later was ignored. The others had nothing to add, five executions were used up, and the response was aborted.

Ruled out: SIGHUP (the test has none), and the uncounted resumptions alone: with those not blamed, the stream would still end unconfirmed.

Why it works: the target is probed on while the request is elsewhere. Its confirmation completes the response as long as no other target has added an event; a denial, an event or a marked end of another target decides as before. The request is sent elsewhere at the same time as before, so that a real end is replaced as fast.

--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -62,6 +62,9 @@
       330, "Engines were asked which of them has cached the prompt of a resumed stream."),
   EVENT_MISPLACED(
       331, "An event of a target's stream is out of order or has no position; the attempt ends."),
+  CONFIRMATION_AWAITED(
+      332,
+      "No other target ends a response that may be whole; its target is probed until the deadline."),
   POISON_SUSPECTED(
       340,
       "A target's process ended while it started a request; other requests may have caused it."),
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Attempt.java
@@ -147,6 +147,11 @@
     return head.isEventStream() && head.status() == OK_STATUS;
   }
 
+  /** Returns whether the response's status is that of an error. */
+  boolean isError() {
+    return new TargetResponse(head, new byte[0]).isError();
+  }
+
   /** Returns whether events of this attempt were forwarded to the caller. */
   boolean hasForwardedEvents() {
     return forwardedEventCount > 0;
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -51,6 +51,7 @@
   private final PoisonDetector poison;
   private Attempt attempt;
   private boolean mayHaveExecuted;
+  private boolean awaitsConfirmation;
   private boolean finished;
 
   Exchange(
@@ -160,7 +161,7 @@
 
   /** Ends the search for a target because this host is shutting down. */
   void onSearchStopped() {
-    if (currentTarget().isPresent()) {
+    if (currentTarget().isPresent() || endCheck.isInDoubt()) {
       replacement.callOff();
     } else {
       endForShutdown();
@@ -232,11 +233,32 @@
   void onNoNextAttempt(Rejection rejection, long retryAfterMillis, String inputs) {
     if (currentTarget().isPresent()) {
       replacement.callOff();
-    } else {
+    } else if (!awaitConfirmation()) {
       failRequest(rejection, retryAfterMillis, inputs);
     }
   }
 
+  /**
+   * Waits until the target of a response in doubt confirms it, has ended, or the deadline is over;
+   * returns false if no response is in doubt.
+   */
+  boolean awaitConfirmation() {
+    if (!endCheck.isInDoubt()) {
+      return false;
+    }
+    awaitsConfirmation = true;
+    log.log(EventCode.CONFIRMATION_AWAITED, "");
+    return true;
+  }
+
+  /** Returns whether an attempt's response, once confirmed, would be the whole response. */
+  boolean canCompleteWith(Attempt from) {
+    if (from == attempt && !from.isClosed()) {
+      return true;
+    }
+    return from.isEventStream() ? relay.isAtEndOf(from) : !callerResponse.hasBegun();
+  }
+
   void onNoNextAttempt(Rejection rejection) {
     onNoNextAttempt(rejection, forwarder.policy().retryAfterMillis(), "");
   }
@@ -244,11 +266,20 @@
   /** Ends a request that has been quarantined, unless its stream is already being delivered. */
   void onQuarantined() {
     boolean isDelivering = attempt != null && !attempt.isClosed() && attempt.hasForwardedEvents();
-    if (!finished && !isDelivering) {
+    if (!finished && !isDelivering && !awaitConfirmationAlone()) {
       failRequest(mayHaveExecuted || isExecuting() ? Rejection.TARGET_FAILED : Rejection.HELD_BACK);
     }
   }
 
+  private boolean awaitConfirmationAlone() {
+    boolean awaits = awaitConfirmation();
+    if (awaits) {
+      closeAttempt();
+      replacement.callOff();
+    }
+    return awaits;
+  }
+
   void startNextAttempt() {
     if (poison.isQuarantined()) {
       onNoNextAttempt(rejectionWhenUnserved(Rejection.HELD_BACK));
@@ -390,6 +421,30 @@
     endCheck.onResponseEnd(from, end);
   }
 
+  /** Completes the request with a response, unless it is an error and another may follow. */
+  void onResponseConfirmed(Attempt from) {
+    boolean isReplaced = from != attempt || from.isClosed();
+    if (!isReplaced || awaitsConfirmation) {
+      awaitsConfirmation = false;
+      onCompleteResponse(from);
+    } else if (from.isError()) {
+      callerResponse.holdError(from.takeResponse());
+    } else {
+      closeAttempt();
+      replacement.callOff();
+      onCompleteResponse(from);
+    }
+  }
+
+  /** Handles a response that is not whole; retries the request unless that has been done. */
+  void onResponseBroken(Attempt from, TargetFailure failure) {
+    if (from == attempt && !from.isClosed()) {
+      onAttemptFailed(from, failure);
+    } else if (awaitsConfirmation) {
+      retryOrFail(from, true);
+    }
+  }
+
   /**
    * Handles a complete response: an error is held and the request retried if allowed; otherwise the
    * response is delivered.
@@ -437,9 +492,18 @@
     if (possiblyExecuted) {
       search.copies().onAttemptBroken(from);
     }
+    endCheck.settle(from);
     recordFailedAttempt(from, failure);
+    // Targets that have nothing to add to a stream cannot confirm its end either.
+    if (failure != TargetFailure.NO_FURTHER_EVENT || !awaitConfirmation()) {
+      retryOrFail(from, possiblyExecuted);
+    }
+  }
+
+  private void retryOrFail(Attempt failed, boolean possiblyExecuted) {
+    awaitsConfirmation = false;
     poison.beforeNextAttempt(
-        from, () -> steps.run(() -> retries.retryOrFail(from, possiblyExecuted)));
+        failed, () -> steps.run(() -> retries.retryOrFail(failed, possiblyExecuted)));
   }
 
   /** Closes a failed attempt and records its failure; starts no other one. */
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ResponseEndCheck.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ResponseEndCheck.java
@@ -1,13 +1,20 @@
 package org.gatereel.core.forward;
 
+import java.util.LinkedHashSet;
+import java.util.Set;
+
 /**
  * Decides whether a target's response has ended completely.
  *
  * <p>A response whose end the target marked is complete. After a closed connection the target is
- * probed, since the crash of its process looks the same; the attempt stays open until the probe
+ * probed, since the crash of its process looks the same; the response is in doubt until a probe
  * shows whether the target is alive. Each end gets a probe of its own, because the result of an
  * earlier probe is outdated. A stream without events that ends by a closed connection has failed: a
  * live process does not show that the request executed.
+ *
+ * <p>While a target is silent, the request is also sent to another one. The response stays in doubt
+ * then, and completes the request once its target confirms it, unless another target has continued
+ * it by then.
  */
 final class ResponseEndCheck {
   private static final int FIRST_PROBE = 1;
@@ -28,6 +35,7 @@
   private final Exchange exchange;
   private final StreamRelay relay;
   private final ExchangeLog log;
+  private final Set<Attempt> inDoubt = new LinkedHashSet<>();
 
   ResponseEndCheck(Forwarder forwarder, Exchange exchange, StreamRelay relay, ExchangeLog log) {
     this.forwarder = forwarder;
@@ -42,10 +50,22 @@
     ResponseEndVerdict verdict = verdict(from);
     apply(from, verdict);
     if (verdict == ResponseEndVerdict.IN_DOUBT) {
+      inDoubt.add(from);
       probe(from, FIRST_PROBE);
     }
   }
 
+  /** Returns whether a response that may be whole waits for the confirmation of its target. */
+  boolean isInDoubt() {
+    inDoubt.removeIf(from -> !exchange.canCompleteWith(from));
+    return !inDoubt.isEmpty();
+  }
+
+  /** Ends the doubt about an attempt's response, which has failed. */
+  void settle(Attempt from) {
+    inDoubt.remove(from);
+  }
+
   private ResponseEndVerdict verdict(Attempt from) {
     if (from.isEventStream()) {
       if (from.events().isWithinEvent()) {
@@ -65,9 +85,8 @@
         : ResponseEndVerdict.IN_DOUBT;
   }
 
-  /** The attempt may have been closed since the probe was scheduled. */
   private void probe(Attempt from, int number) {
-    if (from.isClosed()) {
+    if (!isPending(from)) {
       return;
     }
     from.recordProbed();
@@ -80,6 +99,10 @@
             result -> exchange.steps().run(() -> onProbeResult(from, number, nextAt, result)));
   }
 
+  private boolean isPending(Attempt from) {
+    return !exchange.isFinished() && isInDoubt() && inDoubt.contains(from);
+  }
+
   /** Doubles the timeout with each probe, since a busy target responds slowly. */
   private long probeTimeoutMillis(int number) {
     return forwarder.policy().probeTimeoutMillis()
@@ -87,23 +110,31 @@
   }
 
   private void onProbeResult(Attempt from, int number, long nextAt, ProbeResult result) {
-    if (from.isClosed()) {
+    if (!isPending(from)) {
       return;
     }
     switch (result) {
-      case ALIVE -> apply(from, ResponseEndVerdict.TARGET_ALIVE);
+      case ALIVE -> {
+        settle(from);
+        apply(from, ResponseEndVerdict.TARGET_ALIVE);
+      }
       case GONE -> {
+        settle(from);
         exchange.poison().recordTargetGone(from);
         apply(from, ResponseEndVerdict.TARGET_GONE);
       }
       case ANSWERED -> failOrProbeAgain(from, number, nextAt);
-      case UNKNOWN -> replaceOrProbeAgain(from, number, nextAt);
+      case UNKNOWN -> {
+        retryBesides(from, number, ResponseEndVerdict.TARGET_SILENT);
+        probeAgain(from, number, nextAt);
+      }
     }
   }
 
   /** A target that responds without naming its incarnation is not silent, and not confirmed. */
   private void failOrProbeAgain(Attempt from, int number, long nextAt) {
     if (exchange.canMove() && number >= PROBES_BEFORE_REPLACEMENT) {
+      settle(from);
       apply(from, ResponseEndVerdict.TARGET_UNCONFIRMED);
     } else {
       probeAgain(from, number, nextAt);
@@ -111,19 +142,23 @@
   }
 
   /**
-   * Probes again, but not before the last probe's timeout is over, and until the request's deadline
-   * or until the request has moved to another target.
+   * Sends the request to another target as well, if possible, after several probes without a
+   * confirmation.
    */
-  private void replaceOrProbeAgain(Attempt from, int number, long nextAt) {
-    if (exchange.canMove() && number >= PROBES_BEFORE_REPLACEMENT) {
-      if (number == PROBES_BEFORE_REPLACEMENT) {
-        log.logResponseEnded(from, ResponseEndVerdict.TARGET_SILENT);
-      }
-      ResponseEndVerdict.TARGET_SILENT.failure().ifPresent(exchange::onTargetSilent);
+  private void retryBesides(Attempt from, int number, ResponseEndVerdict verdict) {
+    if (!exchange.canMove() || number < PROBES_BEFORE_REPLACEMENT || from.isClosed()) {
+      return;
     }
-    probeAgain(from, number, nextAt);
+    if (number == PROBES_BEFORE_REPLACEMENT) {
+      log.logResponseEnded(from, verdict);
+    }
+    verdict.failure().ifPresent(exchange::onTargetSilent);
   }
 
+  /**
+   * Probes again, but not before the last probe's timeout is over, and until the request's deadline
+   * or until the doubt has ended.
+   */
   private void probeAgain(Attempt from, int number, long nextAt) {
     long delayMillis = Math.max(0, nextAt - forwarder.context().now());
     exchange.steps().schedule(delayMillis, () -> probe(from, number + 1));
@@ -134,9 +169,9 @@
       log.logResponseEnded(from, verdict);
     }
     if (verdict.failure().isPresent()) {
-      exchange.onAttemptFailed(from, verdict.failure().get());
+      exchange.onResponseBroken(from, verdict.failure().get());
     } else if (verdict != ResponseEndVerdict.IN_DOUBT) {
-      exchange.onCompleteResponse(from);
+      exchange.onResponseConfirmed(from);
     }
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RetryController.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RetryController.java
@@ -102,7 +102,7 @@
     if (!mayContinueElsewhere()) {
       exchange.abortResponse("ANSWER_BROKEN");
     } else if (mayHaveExecuted && !mayExecuteAgain()) {
-      exchange.failRequest(Rejection.TARGET_FAILED);
+      exchange.onNoNextAttempt(Rejection.TARGET_FAILED);
     } else if (failed.mayHaveExecuted()) {
       retry();
     } else if (!exchange.replacement().isInProgress()) {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/StreamRelay.java
@@ -54,6 +54,11 @@
     return !hasEventWithoutId && (lastEventId.isPresent() || hasNoEventsYet);
   }
 
+  /** Returns whether the caller has exactly the events up to the last one of an attempt. */
+  boolean isAtEndOf(Attempt attempt) {
+    return !hasEventWithoutId && lastEventId.equals(attempt.lastReceivedEventId());
+  }
+
   /** Returns whether an attempt's events end before the last event that the caller has. */
   boolean isCallerAheadOf(Attempt attempt) {
     OptionalLong lastReceived = attempt.lastReceivedEventId();
