Keep a response in doubt while its target answers without its incarnation

A response that cannot be replaced, such as a plain one of more than 256 KB without a length, was cut some 300 ms after its end when its target answered two probes without naming its incarnation, as a target that is full does.

Cause: two such answers were taken for the failure of the attempt, though they deny nothing.

Evidence: ResponseInDoubtTest.longResponseOfBusyTargetIsCompletedOnceItNamesItsIncarnation, red before (aborted at the second answer), green after.

Why it works: these answers are handled as silence is. The request goes elsewhere where it may; the response is completed once its target names its incarnation.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -229,6 +229,15 @@
     }
   }
 
+  /** Retries the request beside the open attempt, whose response its target does not confirm. */
+  void onTargetUnconfirmed(TargetFailure failure) {
+    if (retries.mayReplace(attempt)) {
+      search.copies().onAttemptBroken(attempt);
+      recordFailedAttempt(attempt, failure);
+      retryOrFail(attempt, true);
+    }
+  }
+
   /** Ends the request because no other attempt is possible, unless one is still open. */
   void onNoNextAttempt(Rejection rejection, long retryAfterMillis, String inputs) {
     if (currentTarget().isPresent()) {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ResponseEndCheck.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ResponseEndCheck.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashSet;
 import java.util.Set;
+import org.gatereel.core.event.TargetFailure;
 
 /**
  * Decides whether a target's response has ended completely.
@@ -123,7 +124,10 @@
         exchange.poison().recordTargetGone(from);
         apply(from, ResponseEndVerdict.TARGET_GONE);
       }
-      case ANSWERED -> failOrProbeAgain(from, number, nextAt);
+      case ANSWERED -> {
+        retryBesides(from, number, ResponseEndVerdict.TARGET_UNCONFIRMED);
+        probeAgain(from, number, nextAt);
+      }
       case UNKNOWN -> {
         retryBesides(from, number, ResponseEndVerdict.TARGET_SILENT);
         probeAgain(from, number, nextAt);
@@ -131,16 +135,6 @@
     }
   }
 
-  /** A target that responds without naming its incarnation is not silent, and not confirmed. */
-  private void failOrProbeAgain(Attempt from, int number, long nextAt) {
-    if (exchange.canMove() && number >= PROBES_BEFORE_REPLACEMENT) {
-      settle(from);
-      apply(from, ResponseEndVerdict.TARGET_UNCONFIRMED);
-    } else {
-      probeAgain(from, number, nextAt);
-    }
-  }
-
   /**
    * Sends the request to another target as well, if possible, after several probes without a
    * confirmation.
@@ -152,7 +146,12 @@
     if (number == PROBES_BEFORE_REPLACEMENT) {
       log.logResponseEnded(from, verdict);
     }
-    verdict.failure().ifPresent(exchange::onTargetSilent);
+    TargetFailure failure = verdict.failure().orElseThrow();
+    if (verdict == ResponseEndVerdict.TARGET_SILENT) {
+      exchange.onTargetSilent(failure);
+    } else {
+      exchange.onTargetUnconfirmed(failure);
+    }
   }
 
   /**
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ResponseInDoubtTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ResponseInDoubtTest.java
@@ -227,4 +227,22 @@
     assertTrue(caller.finished);
     assertEquals(body, caller.body.toString());
   }
+
+  /** Guards against aborting a long response whose busy target answers without its incarnation. */
+  @Test
+  void longResponseOfBusyTargetIsCompletedOnceItNamesItsIncarnation() {
+    world.submit("/safe/x", caller);
+    String body = "x".repeat(ForwardPolicy.STANDARD.maxBufferedBytes() + 1);
+    SentCall call = world.lastCall().accept().respondHead(200, false).text(body);
+    close(call);
+    for (int probe = 0; probe < 4; probe++) {
+      respondAgain(call.target(), ProbeResult.ANSWERED);
+      assertFalse(caller.isFinal());
+    }
+
+    respondAgain(call.target(), ProbeResult.ALIVE);
+
+    assertTrue(caller.finished);
+    assertEquals(body, caller.body.toString());
+  }
 }
