Do not take a host's own gap between lists for an outage of the store

Cause: a gap between this host's own lists stood for an outage of the store, in which entries of live targets expire. A start counted as one, a cut of the host alone too. All that went missing then was kept for 2 s, and until the next list.

Change: only what the first list after a gap lacks is kept, a start keeps nothing. If most entries are missing, or one returns, the others have 2 s, else half of the bound. A timer ends it.

Why it works: what an outage expires is gone when the store is back; what goes later has left, whatever the host's own connection did.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
@@ -1,36 +1,62 @@
 package org.gatereel.core.document;
 
+import java.util.HashSet;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.gatereel.core.event.EventCode;
+import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.internal.TimerQueue;
 import org.gatereel.core.model.HostList;
+import org.gatereel.core.model.TargetDescription;
+import org.gatereel.core.model.TargetId;
 import org.gatereel.core.target.TargetRegistry;
+import org.gatereel.core.target.TargetState;
 
 /**
  * Applies the platform's list of targets to the {@link TargetRegistry}.
  *
  * <p>During an outage of the store the entries of live targets expire; targets register again soon
- * after the store recovers. Until then an entry missing from the list does not mean that its target
- * has ended.
+ * after the store recovers. So entries that disappeared between two lists with a long gap are
+ * retained for a while. The gap alone does not show an outage, since the host itself may have been
+ * disconnected or suspended: then the entries are of targets that have left. An outage is assumed
+ * if most entries have disappeared or one of them returns. Entries that disappear later are of
+ * targets that have left, as are those of any list after the first one since the host's start.
  */
 public final class TargetListUpdater {
   /** Entries do not expire during shorter outages. */
   private static final long MIN_OUTAGE_MILLIS = 2_500;
 
+  /** Live targets register again within this time after the store has recovered. */
   private static final long REREGISTRATION_PERIOD_MILLIS = 2_000;
+
+  /** The part of the bound that the intervals between lists leave. */
+  private static final double REMAINING_BOUND_RATIO = 0.5;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
 
+  private final CoreContext context;
   private final TargetRegistry targets;
   private final long outageMillis;
+  private final long unconfirmedPeriodMillis;
+  private final Set<TargetId> retained = new HashSet<>();
+  private HostList lastList;
   private long lastQueryAt = NEVER;
-  private long recoveredAt = NEVER;
+  private long reconnectedAt = NEVER;
+  private boolean isOutageConfirmed;
+  private TimerQueue.Timer expiryTimer;
 
   /**
    * Creates an updater.
    *
-   * @param boundMillis the longest interval between two lists in normal operation; a longer one
-   *     means that the store was unavailable
+   * @param boundMillis the time within which a target that has left must be removed, and the
+   *     longest interval between two lists in normal operation
    */
-  public TargetListUpdater(TargetRegistry targets, long boundMillis) {
+  public TargetListUpdater(CoreContext context, TargetRegistry targets, long boundMillis) {
+    this.context = context;
     this.targets = targets;
     this.outageMillis = Math.max(MIN_OUTAGE_MILLIS, boundMillis);
+    this.unconfirmedPeriodMillis =
+        Math.min(REREGISTRATION_PERIOD_MILLIS, (long) (REMAINING_BOUND_RATIO * boundMillis));
   }
 
   /**
@@ -43,14 +69,70 @@
     if (queriedAt < lastQueryAt) {
       return;
     }
-    if (queriedAt - lastQueryAt > outageMillis) {
-      recoveredAt = queriedAt;
+    Set<TargetId> listed =
+        list.targets().stream().map(TargetDescription::id).collect(Collectors.toSet());
+    if (lastList != null && queriedAt - lastQueryAt > outageMillis) {
+      beginRetention(listed, queriedAt);
+    } else if (retained.removeAll(listed)) {
+      isOutageConfirmed = true;
     }
     lastQueryAt = queriedAt;
-    if (queriedAt - recoveredAt < REREGISTRATION_PERIOD_MILLIS) {
-      targets.applyPartialList(list);
-    } else {
-      targets.applyList(list);
+    lastList = list;
+    endRetentionIfDue(queriedAt);
+    targets.applyList(list, retained);
+    scheduleExpiry();
+  }
+
+  private void beginRetention(Set<TargetId> listed, long queriedAt) {
+    Set<TargetId> known =
+        targets.all().stream()
+            .map(TargetState::description)
+            .map(TargetDescription::id)
+            .collect(Collectors.toSet());
+    retained.clear();
+    known.stream().filter(id -> !listed.contains(id)).forEach(retained::add);
+    reconnectedAt = queriedAt;
+    isOutageConfirmed = 2 * retained.size() > known.size();
+    if (!retained.isEmpty()) {
+      log(EventCode.ENTRIES_RETAINED, "gapMillis=" + (queriedAt - lastQueryAt));
+    }
+  }
+
+  private long retentionEndAt() {
+    return reconnectedAt
+        + (isOutageConfirmed ? REREGISTRATION_PERIOD_MILLIS : unconfirmedPeriodMillis);
+  }
+
+  private void endRetentionIfDue(long now) {
+    if (!retained.isEmpty() && now >= retentionEndAt()) {
+      log(EventCode.RETENTION_ENDED, "afterMillis=" + (now - reconnectedAt));
+      retained.clear();
     }
   }
+
+  private void scheduleExpiry() {
+    if (expiryTimer != null) {
+      expiryTimer.cancel();
+      expiryTimer = null;
+    }
+    if (!retained.isEmpty()) {
+      long delayMillis = Math.max(0, retentionEndAt() - context.nowIncludingSuspensions());
+      expiryTimer = context.schedule(delayMillis, this::onExpiry);
+    }
+  }
+
+  /** Without a second list since the gap, the store may be away again; the next list decides. */
+  private void onExpiry() {
+    if (lastQueryAt > reconnectedAt) {
+      endRetentionIfDue(context.nowIncludingSuspensions());
+      targets.applyList(lastList, retained);
+    }
+  }
+
+  private void log(EventCode code, String inputs) {
+    context.logEvent(
+        code,
+        "targets",
+        "retained=" + retained.size() + " outage=" + isOutageConfirmed + " " + inputs);
+  }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -107,6 +107,9 @@
   LEAVING_CONTRADICTED(
       510, "A target no longer announces that it is draining; it still receives no new requests."),
   ENTRY_FIELD_UNKNOWN(511, "Entries of targets have an unknown field."),
+  ENTRIES_RETAINED(
+      512, "Entries are missing after a gap between lists; their targets are kept for a while."),
+  RETENTION_ENDED(513, "Targets whose entries have not returned after a gap are removed."),
   CONNECTION_LOST(
       514, "This host can no longer connect to a target; reported when the failure changes."),
   CONNECTION_REGAINED(515, "This host can connect to a target again."),
--- a/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
@@ -1,5 +1,6 @@
 package org.gatereel.core.target;
 
+import com.google.common.collect.Sets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -53,23 +54,22 @@
     leavingListeners.add(listener);
   }
 
-  /**
-   * Applies a complete target list of the platform, unless a later one was applied; removes targets
-   * that it does not name.
-   */
+  /** Applies a complete target list, without targets to retain. */
   public void applyList(HostList list) {
-    if (list.version() >= listVersion) {
-      TargetListChanges changes = new TargetListChanges();
-      removeUnlisted(applyTargets(list, changes), changes);
-      changes.log(context, listVersion, targets.size());
-    }
+    applyList(list, Set.of());
   }
 
-  /** Applies a target list that may be incomplete; keeps targets that it does not name. */
-  public void applyPartialList(HostList list) {
+  /**
+   * Applies a target list of the platform, unless a later one was applied; removes targets that it
+   * does not name.
+   *
+   * @param retained targets that are kept although the list does not name them
+   */
+  public void applyList(HostList list, Set<TargetId> retained) {
     if (list.version() >= listVersion) {
       TargetListChanges changes = new TargetListChanges();
-      applyTargets(list, changes);
+      Set<TargetId> listed = applyTargets(list, changes);
+      removeUnlisted(Sets.union(listed, retained), changes);
       changes.log(context, listVersion, targets.size());
     }
   }
--- a/gatereel-core/src/test/java/org/gatereel/core/document/TargetListUpdaterTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/TargetListUpdaterTest.java
@@ -28,7 +28,7 @@
   private final CoreContext context =
       new CoreContext(new HostId("host"), NORTH, new SplittableRandom(1));
   private final TargetRegistry registry = new TargetRegistry(context, new PolicyTable());
-  private final TargetListUpdater updater = new TargetListUpdater(registry, 2_000);
+  private final TargetListUpdater updater = new TargetListUpdater(context, registry, 2_000);
   private long version;
 
   private HostList list(String... ids) {
@@ -75,10 +75,70 @@
     assertEquals(Set.of("e1"), usable());
   }
 
+  private void advanceTo(long time) {
+    context.advanceTo(time);
+    context.timers().runDue(time);
+  }
+
+  /** Guards against keeping targets that leave just after the start of this host. */
+  @Test
+  void targetThatLeavesAfterTheFirstListIsRemovedAtOnce() {
+    updater.update(list("e1", "e2"), 0);
+    updater.update(list("e1"), 600);
+    assertEquals(Set.of("e1"), usable());
+  }
+
+  /** Guards against keeping targets that leave just after this host was disconnected. */
+  @Test
+  void targetThatLeavesAfterTheFirstListSinceAGapIsRemovedAtOnce() {
+    updater.update(list("e1", "e2", "e3"), 0);
+    updater.update(list("e1", "e2", "e3"), 5_000);
+    updater.update(list("e1", "e2"), 5_600);
+    assertEquals(Set.of("e1", "e2"), usable());
+  }
+
+  /** Guards against keeping targets that left during the gap until the list after the next one. */
+  @Test
+  void targetThatLeftDuringAGapIsRemovedWithinTheBoundWithoutAnotherList() {
+    advanceTo(5_000);
+    updater.update(list("e1", "e2", "e3"), 0);
+    HostList afterGap = list("e1", "e2");
+    updater.update(afterGap, 5_000);
+    updater.update(afterGap, 5_600);
+    assertEquals(Set.of("e1", "e2", "e3"), usable());
+    advanceTo(6_000);
+    assertEquals(Set.of("e1", "e2"), usable());
+  }
+
+  /** Guards against dropping live targets that register again late after an outage. */
+  @Test
+  void returningEntryExtendsTheTimeForTheOthersToRegisterAgain() {
+    advanceTo(5_000);
+    updater.update(list("e1", "e2", "e3", "e4", "e5"), 0);
+    updater.update(list("e1", "e2", "e3"), 5_000);
+    updater.update(list("e1", "e2", "e3", "e4"), 5_600);
+    advanceTo(6_999);
+    assertEquals(Set.of("e1", "e2", "e3", "e4", "e5"), usable());
+    advanceTo(7_000);
+    assertEquals(Set.of("e1", "e2", "e3", "e4"), usable());
+  }
+
+  /** Guards against dropping live targets while the store is away again. */
+  @Test
+  void targetsAreRetainedWhileNoOtherListFollowsTheGap() {
+    advanceTo(5_000);
+    updater.update(list("e1", "e2", "e3"), 0);
+    updater.update(list("e1"), 5_000);
+    advanceTo(9_000);
+    assertEquals(Set.of("e1", "e2", "e3"), usable());
+    updater.update(list("e1", "e2"), 9_000);
+    assertEquals(Set.of("e1", "e2", "e3"), usable());
+  }
+
   /** With a long bound, lists arrive rarely without a store outage. */
   @Test
   void longUpdateIntervalsAreNotTreatedAsStoreOutage() {
-    TargetListUpdater infrequentUpdater = new TargetListUpdater(registry, 12_000);
+    TargetListUpdater infrequentUpdater = new TargetListUpdater(context, registry, 12_000);
     infrequentUpdater.update(list("e1", "e2"), 0);
     infrequentUpdater.update(list("e1", "e2"), 3_600);
     infrequentUpdater.update(list("e1"), 7_200);
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/RestartedTargetTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/RestartedTargetTest.java
@@ -88,11 +88,12 @@
   }
 
   @Test
-  void nextIncarnationReplacesPreviousOneInPartialList() {
+  void nextIncarnationReplacesPreviousOneThatIsRetained() {
     world.list(incarnation("e1", FIRST, "north"));
 
-    world.targets.applyPartialList(
-        new HostList(9, List.of(), List.of(incarnation("e1", SECOND, "north"))));
+    world.targets.applyList(
+        new HostList(9, List.of(), List.of(incarnation("e1", SECOND, "north"))),
+        Set.of(incarnation("e1", FIRST, "north").id()));
 
     assertFalse(isUsable(FIRST));
     assertTrue(isUsable(SECOND));
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -98,7 +98,7 @@
                 bounds.revocationMillis(),
                 bounds.configurationMillis()));
     targets = new TargetRegistry(context, new PolicyTable());
-    targetList = new TargetListUpdater(targets, bounds.maxStalenessMillis());
+    targetList = new TargetListUpdater(context, targets, bounds.maxStalenessMillis());
     Address peerAddress = ForwardSettings.address(settings.peers());
     directory = new HostDirectory(context, peerAddress);
     tokenClient = new TokenClient(control);
