Wait for the target of a response in doubt when a stop ends the search

Found by reading the change again: a stop that ends a search while a response is in doubt neither ended the request nor noted that it waits, so that a target found to have ended would have left the request open until its deadline.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -161,9 +161,9 @@
 
   /** Ends the search for a target because this host is shutting down. */
   void onSearchStopped() {
-    if (currentTarget().isPresent() || endCheck.isInDoubt()) {
+    if (currentTarget().isPresent()) {
       replacement.callOff();
-    } else {
+    } else if (!awaitConfirmation()) {
       endForShutdown();
     }
   }
