Leave one execution open that can refute the quarantine of a shared feature

Cause: the verdict on a feature that different requests share cancelled all executions with it, also those at sound engines, any of which would have absolved it.

Why it works: a sound execution absolves the feature at all hosts once it has lasted for a second. A fatal one ends one more target, and was sent before the verdict.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -168,7 +168,8 @@
     }
   }
 
-  private boolean isExecuting() {
+  /** Returns whether the target of the open attempt may be executing the request. */
+  boolean isExecuting() {
     return attempt != null && !attempt.isClosed() && attempt.mayHaveExecuted();
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -1,5 +1,6 @@
 package org.gatereel.core.forward;
 
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -292,14 +293,27 @@
   }
 
   /**
-   * Ends the exchanges of a quarantined request, except streams that are already being delivered.
+   * Ends the exchanges with a quarantined feature, except streams that are already being delivered.
+   *
+   * <p>If requests of other content share the feature, and this host has observed its last end, one
+   * attempt stays open: its success shows that targets have ended for other reasons.
    */
-  private void onQuarantined(Fingerprint feature) {
-    List.copyOf(exchanges).stream()
-        .filter(exchange -> exchange.poison().has(feature))
+  private void onQuarantined(Fingerprint feature, PoisonControl.Source source) {
+    List<Exchange> affected =
+        exchanges.stream().filter(exchange -> exchange.poison().has(feature)).toList();
+    boolean keepsOne = feature.isPart() && source == PoisonControl.Source.HERE;
+    Optional<Exchange> kept = keepsOne ? oldestExecuting(affected) : Optional.empty();
+    affected.stream()
+        .filter(exchange -> kept.isEmpty() || exchange != kept.get())
         .forEach(exchange -> exchange.steps().run(exchange::onQuarantined));
   }
 
+  private static Optional<Exchange> oldestExecuting(List<Exchange> among) {
+    return among.stream()
+        .filter(Exchange::isExecuting)
+        .min(Comparator.comparingLong(exchange -> exchange.attempt().startedAt()));
+  }
+
   @Override
   public void issue(TokenRequest subject, int count, Consumer<Optional<TokenGrant>> callback) {
     if (subject instanceof TokenRequest.LimitTokens requests) {
--- a/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonControl.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
@@ -30,7 +29,7 @@
   private final RecentSuccesses requestSuccesses = new RecentSuccesses();
   private final RecentSuccesses partSuccesses = new RecentSuccesses();
   private final List<BiConsumer<PoisonFact, Source>> factListeners = new ArrayList<>();
-  private final List<Consumer<Fingerprint>> quarantineListeners = new ArrayList<>();
+  private final List<BiConsumer<Fingerprint, Source>> quarantineListeners = new ArrayList<>();
   private boolean expiryScheduled;
 
   /** The origin of a fact. */
@@ -52,8 +51,11 @@
     factListeners.add(listener);
   }
 
-  /** Adds a listener that is called once for each request that is quarantined. */
-  public void onQuarantined(Consumer<Fingerprint> listener) {
+  /**
+   * Adds a listener that is called once for each feature that is quarantined, with the source of
+   * the last fact.
+   */
+  public void onQuarantined(BiConsumer<Fingerprint, Source> listener) {
     quarantineListeners.add(listener);
   }
 
@@ -185,7 +187,7 @@
     boolean evaluationNeeded = newFacts.stream().anyMatch(this::mayCauseQuarantine);
     List<Fingerprint> quarantined = evaluationNeeded ? ledger.quarantineDue() : List.of();
     newFacts.forEach(fact -> factListeners.forEach(listener -> listener.accept(fact, source)));
-    quarantined.forEach(this::announceQuarantine);
+    quarantined.forEach(feature -> announceQuarantine(feature, source));
   }
 
   /**
@@ -222,12 +224,12 @@
     }
   }
 
-  private void announceQuarantine(Fingerprint request) {
+  private void announceQuarantine(Fingerprint request, Source source) {
     context.logEvent(
         EventCode.POISON_HELD,
         request.toString(),
         "ends=" + ledger.endCount(request) + " held=" + quarantinedCount());
-    quarantineListeners.forEach(listener -> listener.accept(request));
+    quarantineListeners.forEach(listener -> listener.accept(request, source));
   }
 
   private void scheduleExpiry() {
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ForwardWorld.java
@@ -161,6 +161,11 @@
       Optional<String> promptPart,
       String content)
       implements ForwardRequest {
+    @Override
+    public String prompt() {
+      return promptPart.orElse("");
+    }
+
     @Override
     public HashCode contentDigest() {
       return Hashing.sha256().hashString(path + content, StandardCharsets.UTF_8);
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/PoisonForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/PoisonForwardingTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.hash.HashCode;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -18,12 +19,14 @@
 import org.gatereel.core.model.TargetId;
 import org.gatereel.core.poison.Fingerprint;
 import org.gatereel.core.poison.PoisonFact;
+import org.gatereel.core.poison.RequestFeatures;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Detection and quarantine of requests under which targets exit. */
 class PoisonForwardingTest {
   private static final int TARGETS = 40;
+  private static final int PART_ENDS = 4;
 
   /**
    * Short enough not to count as a stall; three pauses exceed the time in which a target exit
@@ -290,6 +293,54 @@
     assertEquals(1, countSentFor("/stream/x", "same"));
   }
 
+  private SentCall submitWithPrompt(String prompt) {
+    world.promptPart = Optional.of(prompt);
+    return submit("/stream/x", "");
+  }
+
+  /** Guards against a verdict on sound requests with different prompts that nothing can refute. */
+  @Test
+  void oldestExecutionWithAQuarantinedFeatureMayClearIt() {
+    SentCall oldest = submitWithPrompt("oldest").accept();
+    SentCall later = submitWithPrompt("later").accept();
+    for (int crash = 0; crash < PART_ENDS; crash++) {
+      endTarget(submitWithPrompt("crashed-" + crash));
+    }
+    assertEquals(1, world.poison.quarantinedCount());
+    assertFalse(oldest.cancelled);
+    assertTrue(later.cancelled);
+
+    oldest.respondHead(200, true);
+    for (long id = 1; id <= 9; id++) {
+      world.advanceTime(150);
+      oldest.event(id);
+    }
+
+    assertEquals(0, world.poison.quarantinedCount());
+    assertFalse(submitWithPrompt("next").cancelled);
+  }
+
+  /** Guards against more crashes after a verdict than one at the host that observed the last. */
+  @Test
+  void executionsWithAFeatureThatOtherHostsQuarantinedAreCancelled() {
+    SentCall open = submitWithPrompt("open").accept();
+    HashCode content = world.request("/stream/x").contentDigest();
+    Fingerprint anyPrompt =
+        RequestFeatures.of(Optional.of(new AccountId("a1")), () -> content, "x", List.of())
+            .parts()
+            .get(0);
+    List<PoisonFact> facts = new ArrayList<>();
+    for (int end = 0; end < PART_ENDS; end++) {
+      long at = world.context.now() + end;
+      facts.add(PoisonFact.end(anyPrompt, new TargetId("ended-" + end), at, at));
+    }
+
+    world.poison.merge(facts);
+
+    assertEquals(1, world.poison.quarantinedCount());
+    assertTrue(open.cancelled);
+  }
+
   /**
    * All streams of an exited target move at once; only the one that causes the exits is
    * quarantined.
