Log delays of the event loop, and the source of a changed document

EVENT_LOOP_DELAYED (114) is logged when the next timer is overdue by 500 ms or more; DOCUMENT_CHANGED (607) for each changed configuration or list of targets. No logic changed.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
@@ -55,6 +55,8 @@
    */
   private static final double MIN_STORE_BACKOFF_RATIO = 0.5;
 
+  private static final String STORE = "store";
+
   private static final Set<DocumentKind> URGENT_KINDS =
       Stream.of(DocumentKind.values())
           .filter(DocumentKind::isUrgent)
@@ -121,7 +123,7 @@
     private void onReaderResponse(Optional<List<DocumentSources.PeerDocument>> response) {
       intervalMillis = followerIntervalMillis;
       readerResponded = response.isPresent();
-      updateAll(response, queriedAt);
+      updateAll(reader.orElseThrow(), response, queriedAt);
       Set<DocumentKind> outdated = documentsUnconfirmedSince(queriedAt - freshMillis);
       if (outdated.isEmpty()) {
         completion.complete(Optional.empty());
@@ -261,7 +263,7 @@
       queryPeer(
           otherHost.get(),
           response -> {
-            updateAll(response, secondQueriedAt);
+            updateAll(otherHost.get(), response, secondQueriedAt);
             completeAfterProblem();
           });
     }
@@ -275,8 +277,9 @@
       }
     }
 
-    private void updateAll(Optional<List<DocumentSources.PeerDocument>> response, long sentAt) {
-      response.orElse(List.of()).forEach(document -> tryUpdateFromPeer(document, sentAt));
+    private void updateAll(
+        Address peer, Optional<List<DocumentSources.PeerDocument>> response, long sentAt) {
+      response.orElse(List.of()).forEach(document -> tryUpdateFromPeer(peer, document, sentAt));
     }
   }
 
@@ -338,15 +341,15 @@
   }
 
   /** A document of another host that cannot be used must not keep the refresh open. */
-  private void tryUpdateFromPeer(DocumentSources.PeerDocument document, long sentAt) {
+  private void tryUpdateFromPeer(Address peer, DocumentSources.PeerDocument document, long sentAt) {
     try {
-      updateFromPeer(document, sentAt);
+      updateFromPeer(peer, document, sentAt);
     } catch (RuntimeException e) {
       context.logEvent(EventCode.CONFIGURATION_INVALID, "document of another host", e.toString());
     }
   }
 
-  private void updateFromPeer(DocumentSources.PeerDocument document, long sentAt) {
+  private void updateFromPeer(Address peer, DocumentSources.PeerDocument document, long sentAt) {
     Optional<SharedDocument> known = cache.find(document.kind());
     Optional<String> content =
         document
@@ -364,19 +367,24 @@
                     text,
                     document.digest(),
                     document.version(),
-                    sentAt - document.ageMillis())));
+                    sentAt - document.ageMillis()),
+                peer.toString()));
   }
 
   /** Updates the cache from a store response that was read outside the regular refreshes. */
   public void update(DocumentKind kind, DocumentSources.StoreResponse.Read read, long queriedAt) {
-    update(new SharedDocument(kind, read.content(), read.digest(), read.version(), queriedAt));
+    update(
+        new SharedDocument(kind, read.content(), read.digest(), read.version(), queriedAt), STORE);
   }
 
-  private void update(SharedDocument document) {
+  private void update(SharedDocument document, String source) {
     DocumentCache.UpdateResult result = cache.update(document);
     if (result == DocumentCache.UpdateResult.OUTDATED) {
       return;
     }
+    if (result == DocumentCache.UpdateResult.CHANGED && document.kind().isUrgent()) {
+      logChange(document, source);
+    }
     try {
       updateListener.accept(document, result);
     } catch (RuntimeException e) {
@@ -387,4 +395,12 @@
           "version=" + document.version() + " " + e);
     }
   }
+
+  private void logChange(SharedDocument document, String source) {
+    long ageMillis = context.nowIncludingSuspensions() - document.confirmedAt();
+    context.logEvent(
+        EventCode.DOCUMENT_CHANGED,
+        document.kind().name(),
+        "storeVersion=" + document.version() + " source=" + source + " ageMillis=" + ageMillis);
+  }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -10,6 +10,8 @@
   PEER_LOST(111, "A peer does not respond."),
   PAUSE_NOTICED(112, "This host was paused; its timeouts are restarted."),
   HOST_SUSPENDED(113, "The host was suspended; all its information is older by that time."),
+  EVENT_LOOP_DELAYED(
+      114, "The event loop stood still; what arrived meanwhile is handled after that time."),
   GENERATION_ACCEPTED(200, "A generation was accepted from a caller."),
   ATTEMPT_STARTED(201, "An engine was sent the prompt and the tokens accepted so far."),
   FIRST_TOKEN(202, "An attempt delivered its first token."),
@@ -133,6 +135,8 @@
       604, "A document cannot be read from the store; the others are still refreshed."),
   DOCUMENT_READ_AGAIN(605, "A document that could not be read was read from the store again."),
   PEER_QUERY_FAILED(606, "The query of another host for documents could not be sent."),
+  DOCUMENT_CHANGED(
+      607, "A changed document was received; the detail contains its source and its age."),
   LOADS_HEARD(610, "Another host started to report its open requests at engines."),
   LOADS_LAPSED(
       611, "A host has not reported its load for too long; its load is no longer counted."),
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ControlThread.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ControlThread.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.gatereel.core.action.Action;
+import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.internal.SuspensionDetector;
 import org.gatereel.forward.log.ForwardLog;
@@ -16,6 +17,9 @@
  * gain. All methods must be called on the event loop, except {@link #nowMillis} and {@link #loop}.
  */
 public final class ControlThread {
+  /** Longer delays of a timer are logged. */
+  private static final long MIN_LOGGED_DELAY_MILLIS = 500;
+
   private final EventLoop loop;
   private final CoreContext context;
   private final ForwardLog log;
@@ -68,6 +72,7 @@
     inStep = true;
     try {
       updateClocks();
+      logDelay();
       runGuarded(step, onFailure);
       runDueTimers();
     } finally {
@@ -93,6 +98,14 @@
     }
   }
 
+  private void logDelay() {
+    long delayMillis = context.now() - context.timers().nextDeadline().orElse(context.now());
+    if (delayMillis >= MIN_LOGGED_DELAY_MILLIS) {
+      context.logEvent(
+          EventCode.EVENT_LOOP_DELAYED, context.self().value(), "millis=" + delayMillis);
+    }
+  }
+
   private void runDueTimers() {
     boolean allRun;
     do {
