Wait for a refresh before acting on documents that may be outdated

What callers saw: after a pause of their host (no processor for 2.6 s) a request with a key revoked 2.6 s before was answered 200, and one whose route had moved was run by the former service (CONFIG, bound 2.0 s).

Cause: a host that wakes reads its callers' sockets before the refresh that is due, and looks routes, keys and targets up in copies of any age. Class: a belief older than its bound is acted on although it could be asked about.

Change: DocumentFreshness tells a copy beyond 0.9 of the bound from one of a host whose refresh has failed. While a refresh can still tell, requests are held (RequestGate) and no target is chosen (Placement); the refresh begins at once (Poller.queryNow). A refresh during which the host stood still shows nothing; one that failed ends the wait, so that a host that is cut off goes on as before. Deadlines count from the receipt; held requests end with the caller, or with a shutdown.

--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentFreshness.java
@@ -0,0 +1,165 @@
+package org.gatereel.core.document;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
+import org.gatereel.core.event.EventCode;
+import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.internal.TimerQueue;
+
+/**
+ * Whether this host's copies of documents are recent enough to act on.
+ *
+ * <p>A copy that is older than the bound may be outdated: the host may have stood still since the
+ * last refresh. What depends on such a copy waits for the next refresh. A host whose refreshes fail
+ * reaches neither the store nor another host, and goes on with the copy that it has.
+ */
+public final class DocumentFreshness {
+  /** The rest of the bound is left for what follows a decision. */
+  private static final double MAX_AGE_RATIO = 0.9;
+
+  /** A refresh of a younger copy may fail since one of its sources was briefly away. */
+  private static final double MIN_AGE_AT_FAILED_REFRESH_RATIO = 0.5;
+
+  /** Above the delay of timers of a host that has not stood still. */
+  private static final long MAX_TIMER_DELAY_MILLIS = 200;
+
+  private static final long MAX_WAIT_MILLIS = 1_200;
+
+  private final CoreContext context;
+  private final long boundMillis;
+  private final Map<DocumentKind, Supplier<OptionalLong>> ages = new EnumMap<>(DocumentKind.class);
+  private final Map<DocumentKind, Long> unreachableAt = new EnumMap<>(DocumentKind.class);
+  private final List<Waiter> waiters = new ArrayList<>();
+  private Runnable refresh = () -> {};
+  private long refreshTimeoutMillis;
+  private long waitingSince;
+
+  private record Waiter(DocumentKind kind, Runnable step, TimerQueue.Timer timeout) {}
+
+  /**
+   * Creates an instance that tracks no documents, so that nothing waits.
+   *
+   * @param boundMillis the time within which a change must be known
+   */
+  public DocumentFreshness(CoreContext context, long boundMillis) {
+    this.context = context;
+    this.boundMillis = boundMillis;
+  }
+
+  /**
+   * Tracks a document.
+   *
+   * @param ageMillis returns the time since the copy in use was confirmed; empty without a copy
+   */
+  public void track(DocumentKind kind, Supplier<OptionalLong> ageMillis) {
+    ages.put(kind, ageMillis);
+  }
+
+  /**
+   * Sets how documents are refreshed.
+   *
+   * @param newRefresh begins a refresh, unless one is in progress
+   * @param timeoutMillis the longest time that a refresh takes
+   */
+  public void setRefresh(Runnable newRefresh, long timeoutMillis) {
+    refresh = newRefresh;
+    refreshTimeoutMillis = timeoutMillis;
+  }
+
+  /** Returns whether the copy may be outdated, and a refresh may still tell. */
+  public boolean isUncertain(DocumentKind kind) {
+    return ageMillis(kind) > MAX_AGE_RATIO * boundMillis && !isUnreachable(kind);
+  }
+
+  private long ageMillis(DocumentKind kind) {
+    Supplier<OptionalLong> age = ages.get(kind);
+    return age == null ? 0 : age.get().orElse(0);
+  }
+
+  private boolean isUnreachable(DocumentKind kind) {
+    Long since = unreachableAt.get(kind);
+    return since != null && context.nowIncludingSuspensions() - since <= boundMillis;
+  }
+
+  /**
+   * Runs a step once the copy is no longer uncertain, at the latest after {@link #MAX_WAIT_MILLIS}.
+   * The step must not throw.
+   */
+  public void await(DocumentKind kind, Runnable step) {
+    if (waiters.isEmpty()) {
+      waitingSince = context.now();
+      context.logEvent(EventCode.DOCUMENT_UNCONFIRMED, kind.name(), "ageMillis=" + ageMillis(kind));
+    }
+    TimerQueue.Timer timeout = context.schedule(MAX_WAIT_MILLIS, this::onWaitTimeout);
+    waiters.add(new Waiter(kind, step, timeout));
+    beginRefresh();
+  }
+
+  /** Begins a refresh after the current step, which a refresh that throws must not end. */
+  private void beginRefresh() {
+    context.schedule(0, refresh);
+  }
+
+  /** Lets all that has waited for a document go on if its copy is no longer uncertain. */
+  public void onConfirmed() {
+    release();
+  }
+
+  /**
+   * Records the end of a refresh, of which {@link #onConfirmed} has reported the successes.
+   *
+   * @param startedAt when it began, by {@link CoreContext#nowIncludingSuspensions}
+   */
+  public void onRefreshEnded(long startedAt) {
+    long durationMillis = context.nowIncludingSuspensions() - startedAt;
+    boolean isInterrupted = durationMillis > refreshTimeoutMillis + MAX_TIMER_DELAY_MILLIS;
+    for (DocumentKind kind : ages.keySet()) {
+      long ageAtStartMillis = ageMillis(kind) - durationMillis;
+      boolean mayTell = ageAtStartMillis >= MIN_AGE_AT_FAILED_REFRESH_RATIO * boundMillis;
+      if (!isInterrupted && mayTell) {
+        unreachableAt.put(kind, context.nowIncludingSuspensions());
+      }
+    }
+    release();
+    if (!waiters.isEmpty()) {
+      beginRefresh();
+    }
+  }
+
+  private void onWaitTimeout() {
+    for (DocumentKind kind : ages.keySet()) {
+      if (isUncertain(kind)) {
+        unreachableAt.put(kind, context.nowIncludingSuspensions());
+      }
+    }
+    release();
+  }
+
+  private void release() {
+    List<Waiter> released = waiters.stream().filter(waiter -> !isUncertain(waiter.kind())).toList();
+    if (released.isEmpty()) {
+      return;
+    }
+    waiters.removeAll(released);
+    DocumentKind kind = released.get(0).kind();
+    context.logEvent(
+        EventCode.DOCUMENT_WAIT_ENDED,
+        kind.name(),
+        "ageMillis="
+            + ageMillis(kind)
+            + " unreachable="
+            + isUnreachable(kind)
+            + " waitedMillis="
+            + (context.now() - waitingSince)
+            + " requests="
+            + released.size());
+    for (Waiter waiter : released) {
+      waiter.timeout().cancel();
+      waiter.step().run();
+    }
+  }
+}
--- a/gatereel-core/src/main/java/org/gatereel/core/document/Poller.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/Poller.java
@@ -1,9 +1,11 @@
 package org.gatereel.core.document;
 
 import java.util.Optional;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.internal.TimerQueue;
 
 /**
  * Queries a dependency repeatedly, and logs when it becomes unavailable and available again.
@@ -24,6 +26,8 @@
   private long completedQuery;
   private boolean unavailable;
   private boolean stopped;
+  private TimerQueue.Timer nextQuery;
+  private LongConsumer completionListener = startedAt -> {};
 
   /** Sends one query. */
   public interface Query {
@@ -66,6 +70,22 @@
     sendQuery();
   }
 
+  /**
+   * Sets a listener for the end of each query, which receives the time when the query was sent, by
+   * {@link CoreContext#nowIncludingSuspensions}.
+   */
+  public void setCompletionListener(LongConsumer listener) {
+    completionListener = listener;
+  }
+
+  /** Sends a query now unless one is open. */
+  public void queryNow() {
+    if (queryCount > 0 && completedQuery == queryCount) {
+      nextQuery.cancel();
+      sendQuery();
+    }
+  }
+
   /** Stops after the query that is open, if any. */
   public void stop() {
     stopped = true;
@@ -76,6 +96,7 @@
       return;
     }
     long queriedAt = context.now();
+    long ageReference = context.nowIncludingSuspensions();
     queryCount++;
     long number = queryCount;
     context.schedule(
@@ -84,32 +105,34 @@
             complete(
                 number,
                 queriedAt,
+                ageReference,
                 Optional.of("query did not complete within " + queryTimeoutMillis + " ms")));
     try {
-      query.send(
-          context.nowIncludingSuspensions(), problem -> complete(number, queriedAt, problem));
+      query.send(ageReference, problem -> complete(number, queriedAt, ageReference, problem));
     } catch (RuntimeException e) {
-      complete(number, queriedAt, Optional.of("query failed: " + e));
+      complete(number, queriedAt, ageReference, Optional.of("query failed: " + e));
       throw e;
     }
   }
 
-  private void complete(long number, long queriedAt, Optional<String> problem) {
+  private void complete(long number, long queriedAt, long ageReference, Optional<String> problem) {
     if (number != queryCount || number == completedQuery) {
       return;
     }
     completedQuery = number;
-    if (problem.isPresent()) {
-      onFailure(problem.get());
-      return;
-    }
+    problem.ifPresentOrElse(this::onFailure, () -> onSuccess(queriedAt));
+    completionListener.accept(ageReference);
+  }
+
+  private void onSuccess(long queriedAt) {
     retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
     if (unavailable) {
       unavailable = false;
       context.logEvent(EventCode.PLATFORM_REACHED, dependency, "");
     }
-    context.schedule(
-        Math.max(0, queriedAt + intervalMillis.getAsLong() - context.now()), this::sendQuery);
+    nextQuery =
+        context.schedule(
+            Math.max(0, queriedAt + intervalMillis.getAsLong() - context.now()), this::sendQuery);
   }
 
   private void onFailure(String problem) {
@@ -117,7 +140,7 @@
       unavailable = true;
       context.logEvent(EventCode.PLATFORM_LOST, dependency, problem);
     }
-    context.schedule(retryDelayMillis, this::sendQuery);
+    nextQuery = context.schedule(retryDelayMillis, this::sendQuery);
     retryDelayMillis = Math.min(intervalMillis.getAsLong(), retryDelayMillis * 2);
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
@@ -1,6 +1,7 @@
 package org.gatereel.core.document;
 
 import java.util.HashSet;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.gatereel.core.event.EventCode;
@@ -83,6 +84,16 @@
     scheduleExpiry();
   }
 
+  /**
+   * Returns the time since the query whose response held the last list, in milliseconds; empty
+   * before the first list.
+   */
+  public OptionalLong ageIfKnown() {
+    return lastList == null
+        ? OptionalLong.empty()
+        : OptionalLong.of(context.nowIncludingSuspensions() - lastQueryAt);
+  }
+
   private void beginRetention(Set<TargetId> listed, long queriedAt) {
     Set<TargetId> known =
         targets.all().stream()
--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -137,6 +137,10 @@
   PEER_QUERY_FAILED(606, "The query of another host for documents could not be sent."),
   DOCUMENT_CHANGED(
       607, "A changed document was received; the detail contains its source and its age."),
+  DOCUMENT_UNCONFIRMED(
+      608, "A copy of a document may be outdated; requests wait for the next refresh."),
+  DOCUMENT_WAIT_ENDED(
+      609, "Requests go on: a document was confirmed, or no refresh can confirm it now."),
   LOADS_HEARD(610, "Another host started to report its open requests at engines."),
   LOADS_LAPSED(
       611, "A host has not reported its load for too long; its load is no longer counted."),
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ConfigurationHolder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ConfigurationHolder.java
@@ -1,6 +1,7 @@
 package org.gatereel.core.forward;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.gatereel.core.configuration.AccountConfiguration;
 import org.gatereel.core.configuration.Configuration;
 import org.gatereel.core.configuration.Route;
@@ -62,6 +63,11 @@
     return context.nowIncludingSuspensions() - confirmedAt;
   }
 
+  /** Returns the time since the last confirmation, in milliseconds; empty without configuration. */
+  public OptionalLong ageIfKnown() {
+    return current.isPresent() ? OptionalLong.of(ageMillis()) : OptionalLong.empty();
+  }
+
   /**
    * Updates the configuration from the platform's response to a query sent at {@code queriedAt};
    * older versions are ignored.
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -25,7 +25,7 @@
  * starts. {@link RetryController} decides whether a request is retried, and {@link Replacement}
  * searches for another target while an attempt is silent.
  */
-public final class Exchange {
+public final class Exchange implements AcceptedRequest {
   private final Forwarder forwarder;
   private final CoreContext context;
   private final ForwardRequest request;
@@ -59,7 +59,8 @@
       ForwardRequest request,
       CallerResponse callerResponse,
       RequestSteps steps,
-      ConfigurationHolder.Lookup.Allowed allowed) {
+      ConfigurationHolder.Lookup.Allowed allowed,
+      long receivedAt) {
     this.forwarder = forwarder;
     this.context = forwarder.context();
     this.request = request;
@@ -80,7 +81,7 @@
             route,
             service,
             allowed.configuration().service(service).flatMap(ServiceConfiguration::engine));
-    this.startedAt = context.now();
+    this.startedAt = receivedAt;
     this.deadline =
         startedAt
             + Math.min(route.timeoutMillis(), request.remainingMillis().orElse(Long.MAX_VALUE));
@@ -133,7 +134,7 @@
     placement.locatePrompt(this::startNextAttempt);
   }
 
-  /** Cancels the request after the caller closed its connection. */
+  @Override
   public void onCallerDisconnected() {
     steps.run(this::endForCaller);
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.gatereel.core.choice.TargetSelector;
 import org.gatereel.core.configuration.Route;
+import org.gatereel.core.document.DocumentFreshness;
 import org.gatereel.core.document.HostDirectory;
 import org.gatereel.core.estimate.FirstEventEstimates;
 import org.gatereel.core.event.EventCode;
@@ -65,6 +66,7 @@
   private final Optional<TargetSpeeds> speeds;
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
   private final Set<TargetId> probing = new HashSet<>();
+  private DocumentFreshness freshness;
 
   /**
    * Creates a forwarder.
@@ -121,6 +123,16 @@
     loads.setTargetFacts(facts);
     facts.onChange(this::onTargetFact);
     poison.onQuarantined(this::onQuarantined);
+    this.freshness = new DocumentFreshness(context, Long.MAX_VALUE);
+  }
+
+  /** Sets whether the list of targets is recent enough; without it, it always is. */
+  public void setFreshness(DocumentFreshness documents) {
+    freshness = documents;
+  }
+
+  DocumentFreshness freshness() {
+    return freshness;
   }
 
   private Optional<EngineLimits> engineLimits(ServiceName service) {
@@ -144,15 +156,24 @@
    * <p>Returns the exchange, or empty if the request was rejected before one was created.
    */
   public Optional<Exchange> accept(ForwardRequest request, CallerPort caller) {
+    return accept(request, caller, context.now());
+  }
+
+  /**
+   * Accepts a request like {@link #accept(ForwardRequest, CallerPort)}.
+   *
+   * @param receivedAt when the request was received, from which its deadline counts
+   */
+  Optional<Exchange> accept(ForwardRequest request, CallerPort caller, long receivedAt) {
     CallerResponse response = new CallerResponse(caller);
     RequestSteps steps =
         new RequestSteps(
             context, observer, request.id(), () -> rejectAfterFailure(request, response));
-    return steps.call(() -> accept(request, response, steps));
+    return steps.call(() -> accept(request, response, steps, receivedAt));
   }
 
   private Optional<Exchange> accept(
-      ForwardRequest request, CallerResponse response, RequestSteps steps) {
+      ForwardRequest request, CallerResponse response, RequestSteps steps, long receivedAt) {
     ConfigurationHolder.Lookup found =
         configuration.lookUp(request.hostName(), request.path(), request.key());
     if (found instanceof ConfigurationHolder.Lookup.Allowed allowed) {
@@ -160,7 +181,7 @@
         reject(request, response, Rejection.STOPPING);
         return Optional.empty();
       }
-      Exchange exchange = new Exchange(this, request, response, steps, allowed);
+      Exchange exchange = new Exchange(this, request, response, steps, allowed, receivedAt);
       exchanges.add(exchange);
       steps.run(exchange::start);
       return Optional.of(exchange);
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import org.gatereel.core.choice.TargetChoice;
 import org.gatereel.core.configuration.Route;
+import org.gatereel.core.document.DocumentKind;
 import org.gatereel.core.target.TargetState;
 
 /**
@@ -91,8 +92,27 @@
     }
   }
 
-  /** Finds a target for the next attempt and sends the request there, or rejects the request. */
+  /**
+   * Finds a target for the next attempt and sends the request there, or rejects the request. Waits
+   * first while the list of targets may be outdated.
+   */
   void placeNextAttempt() {
+    whenTargetsAreCertain(this::beginPlacement);
+  }
+
+  private void whenTargetsAreCertain(Runnable step) {
+    if (forwarder.freshness().isUncertain(DocumentKind.TARGETS)) {
+      int round = exchange.replacement().round();
+      forwarder
+          .freshness()
+          .await(
+              DocumentKind.TARGETS, () -> exchange.steps().run(() -> runInSameRound(round, step)));
+    } else {
+      step.run();
+    }
+  }
+
+  private void beginPlacement() {
     waitUntil = forwarder.context().now() + maxWaitMillis();
     denials = 0;
     search.includeLimitedTargets();
@@ -107,6 +127,10 @@
   }
 
   private void choose() {
+    whenTargetsAreCertain(this::chooseNow);
+  }
+
+  private void chooseNow() {
     search
         .choose(retries.isResumableStream(), exchange.hasPartialResponse())
         .ifPresentOrElse(this::sendWhenRoom, this::onNoTarget);
@@ -205,11 +229,13 @@
   /** Returns a step that searches again, unless the search has been called off by then. */
   private Runnable chooseInSameRound() {
     int round = exchange.replacement().round();
-    return () -> {
-      if (exchange.replacement().isInRound(round)) {
-        choose();
-      }
-    };
+    return () -> runInSameRound(round, this::choose);
+  }
+
+  private void runInSameRound(int round, Runnable step) {
+    if (exchange.replacement().isInRound(round)) {
+      step.run();
+    }
   }
 
   /** Ends all waiting; safe to call more than once. */
--- /dev/null
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/RequestGateTest.java
@@ -0,0 +1,117 @@
+package org.gatereel.core.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.gatereel.core.configuration.RouteKind;
+import org.gatereel.core.document.DocumentFreshness;
+import org.gatereel.core.document.DocumentKind;
+import org.gatereel.core.forward.ForwardWorld.Caller;
+import org.gatereel.core.model.HostList;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests that are decided by documents which a pause has made outdated. */
+class RequestGateTest {
+  private static final long BOUND_MILLIS = 2_000;
+  private static final long PAUSE_MILLIS = 2_600;
+
+  private final ForwardWorld world = new ForwardWorld();
+  private final DocumentFreshness freshness = new DocumentFreshness(world.context, BOUND_MILLIS);
+  private final RequestGate gate = new RequestGate(world.context, freshness, world.forwarder);
+  private final Caller caller = new Caller();
+  private long listedAt = world.context.now();
+
+  @BeforeEach
+  void track() {
+    freshness.track(DocumentKind.CONFIGURATION, world.configurationHolder::ageIfKnown);
+    freshness.track(DocumentKind.TARGETS, () -> OptionalLong.of(world.context.now() - listedAt));
+    freshness.setRefresh(() -> {}, 1_200);
+    world.forwarder.setFreshness(freshness);
+  }
+
+  private void pause() {
+    world.context.advanceTo(world.context.now() + PAUSE_MILLIS);
+  }
+
+  private void confirmTargets() {
+    listedAt = world.context.now();
+    freshness.onConfirmed();
+  }
+
+  private void confirmConfiguration(long version) {
+    world.configurationHolder.update(
+        ForwardWorld.configuration(version).build(), world.context.now());
+    freshness.onConfirmed();
+  }
+
+  @Test
+  void requestAfterAPauseIsDecidedByTheNextConfiguration() {
+    pause();
+    Optional<AcceptedRequest> accepted = gate.accept(world.request("/new/x"), caller);
+    assertTrue(accepted.isPresent());
+    assertFalse(caller.isFinal());
+
+    world.configurationHolder.update(
+        ForwardWorld.configuration(2)
+            .add(ForwardWorld.route("/new/", RouteKind.REPEATABLE, ForwardWorld.COUNTERS, 2))
+            .build(),
+        world.context.now());
+    confirmTargets();
+
+    assertEquals(1, world.sentCalls.size());
+    assertEquals(0, gate.heldCount());
+  }
+
+  @Test
+  void requestAfterAPauseIsNotSentToATargetThatHasLeft() {
+    pause();
+    gate.accept(world.request("/safe/x"), caller);
+    confirmConfiguration(1);
+    assertEquals(List.of(), world.sentCalls);
+
+    world.targets.applyList(
+        new HostList(
+            100, List.of(), List.of(ForwardWorld.target("c3", ForwardWorld.COUNTERS, "west"))));
+    confirmTargets();
+
+    assertEquals("c3", world.lastCall().target());
+  }
+
+  @Test
+  void heldRequestKeepsItsDeadline() {
+    pause();
+    gate.accept(world.request("/safe/x"), caller);
+    world.advanceTime(1_000);
+    confirmConfiguration(1);
+    confirmTargets();
+
+    assertEquals(ForwardWorld.TIMEOUT_MILLIS - 1_000, world.lastCall().dispatch.remainingMillis());
+  }
+
+  @Test
+  void heldRequestOfACallerThatLeftIsNotSent() {
+    pause();
+    gate.accept(world.request("/safe/x"), caller).orElseThrow().onCallerDisconnected();
+    confirmConfiguration(1);
+    confirmTargets();
+
+    assertEquals(List.of(), world.sentCalls);
+    assertEquals(0, gate.heldCount());
+  }
+
+  @Test
+  void heldRequestIsRejectedAtTheEndOfAShutdown() {
+    pause();
+    gate.accept(world.request("/safe/x"), caller);
+    world.forwarder.beginShutdown(world.context.now(), world.context.now() + 100);
+    gate.releaseAll();
+
+    assertEquals(Rejection.STOPPING, caller.rejection);
+    assertEquals(0, gate.heldCount());
+  }
+}
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ForwardHost.java
@@ -8,12 +8,15 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.gatereel.core.document.DocumentCache;
+import org.gatereel.core.document.DocumentFreshness;
+import org.gatereel.core.document.DocumentKind;
 import org.gatereel.core.document.HostDirectory;
 import org.gatereel.core.document.TargetListUpdater;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.forward.ConfigurationHolder;
 import org.gatereel.core.forward.ForwardPolicy;
 import org.gatereel.core.forward.Forwarder;
+import org.gatereel.core.forward.RequestGate;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.limit.TokenIssuer;
 import org.gatereel.core.load.LoadExchange;
@@ -64,7 +67,9 @@
   private final RolloutControl rollouts;
   private final TargetReachability reachability;
   private final RelayServer relayServer;
+  private final DocumentFreshness freshness;
   private final Forwarder forwarder;
+  private final RequestGate requests;
   private final ForwardMetrics metrics = new ForwardMetrics();
   private final CallerServer callers;
   private final StatusServer status;
@@ -127,15 +132,21 @@
             loadExchange,
             rollouts,
             poison);
+    freshness = new DocumentFreshness(context, bounds.maxStalenessMillis());
+    freshness.track(DocumentKind.CONFIGURATION, configuration::ageIfKnown);
+    freshness.track(DocumentKind.TARGETS, targetList::ageIfKnown);
+    forwarder.setFreshness(freshness);
+    requests = new RequestGate(context, freshness, forwarder);
     callers =
         new CallerServer(
-            control, configuration, forwarder, dialect.headers(), this::recordConnectionClosed);
+            control, configuration, requests, dialect.headers(), this::recordConnectionClosed);
     status = new StatusServer(loop).addPage(readyPath, this::readiness);
     metricsServer =
         new StatusServer(loop)
             .addPage("/metrics", () -> new StatusServer.Page(200, metrics.scrape()))
             .addPage("/rollouts", this::describeRollouts);
     metrics.gauge("open_requests", forwarder::openExchangeCount);
+    metrics.gauge("held_requests", requests::heldCount);
     metrics.gauge("waiting_requests", forwarder::waitingRequestCount);
     metrics.gauge("requests_waiting_for_room", forwarder.room()::waitingRequests);
     metrics.gauge("caller_connections", callers::openConnections);
@@ -208,6 +219,11 @@
     return targetList;
   }
 
+  /** Returns whether the configuration and the list of targets are recent enough to act on. */
+  public DocumentFreshness freshness() {
+    return freshness;
+  }
+
   /** Returns the documents that this host serves to other hosts. */
   public DocumentCache documents() {
     return documents;
@@ -308,7 +324,7 @@
    */
   public void drain() throws InterruptedException {
     stopping = true;
-    new GracefulShutdown(control, log, settings, callers, relayServer, forwarder).run();
+    new GracefulShutdown(control, log, settings, callers, relayServer, requests, forwarder).run();
   }
 
   @Override
--- a/gatereel-forward/src/main/java/org/gatereel/forward/GracefulShutdown.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/GracefulShutdown.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.forward.Forwarder;
+import org.gatereel.core.forward.RequestGate;
 import org.gatereel.forward.http.CallerServer;
 import org.gatereel.forward.log.ForwardLog;
 import org.gatereel.forward.relay.RelayServer;
@@ -34,6 +35,7 @@
   private final ForwardSettings settings;
   private final CallerServer callers;
   private final RelayServer relayServer;
+  private final RequestGate requests;
   private final Forwarder forwarder;
   private final CountDownLatch ended = new CountDownLatch(1);
   private final long balancerDeadlineMillis;
@@ -45,12 +47,14 @@
       ForwardSettings settings,
       CallerServer callers,
       RelayServer relayServer,
+      RequestGate requests,
       Forwarder forwarder) {
     this.control = control;
     this.log = log;
     this.settings = settings;
     this.callers = callers;
     this.relayServer = relayServer;
+    this.requests = requests;
     this.forwarder = forwarder;
     long nowMillis = ControlThread.nowMillis();
     balancerDeadlineMillis = nowMillis + BALANCER_DELAY_MILLIS;
@@ -70,10 +74,7 @@
     log.event(
         EventCode.HOST_DRAINING,
         settings.host(),
-        "openRequests="
-            + forwarder.openExchangeCount()
-            + " connections="
-            + callers.openConnections());
+        "openRequests=" + openRequests() + " connections=" + callers.openConnections());
     forwarder.beginShutdown(balancerDeadlineMillis, deadlineMillis);
     check();
   }
@@ -82,7 +83,7 @@
     long nowMillis = ControlThread.nowMillis();
     if (nowMillis >= deadlineMillis) {
       callers.stopListening();
-      control.run(forwarder::stopAll);
+      control.run(this::endRequests);
       finishWrites();
     } else if (nowMillis >= balancerDeadlineMillis && closeUnused()) {
       end(true);
@@ -91,10 +92,19 @@
     }
   }
 
+  private int openRequests() {
+    return requests.heldCount() + forwarder.openExchangeCount();
+  }
+
+  private void endRequests() {
+    requests.releaseAll();
+    forwarder.stopAll();
+  }
+
   /** Closes what nobody uses any more; returns whether nothing is left. */
   private boolean closeUnused() {
     callers.closeUnusedConnections();
-    boolean isIdle = forwarder.openExchangeCount() == 0 && relayServer.openCount() == 0;
+    boolean isIdle = openRequests() == 0 && relayServer.openCount() == 0;
     if (isIdle) {
       callers.stopListening();
     }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerConnection.java
@@ -14,7 +14,7 @@
 import java.io.IOException;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.gatereel.core.forward.Exchange;
+import org.gatereel.core.forward.AcceptedRequest;
 import org.gatereel.core.forward.Rejection;
 
 /**
@@ -49,7 +49,7 @@
   private final IdleTimer idleTimer;
   private final ConnectionRecord history = new ConnectionRecord();
   private final WriteProgress writes;
-  private Optional<Exchange> currentExchange = Optional.empty();
+  private Optional<AcceptedRequest> currentExchange = Optional.empty();
   private CloseReason closeReason = CloseReason.CALLER;
   private boolean hasLastResponse;
   private boolean mayStillSend;
@@ -138,11 +138,11 @@
     return cause instanceof TooLongHttpContentException;
   }
 
-  private Optional<Exchange> accept(FullHttpRequest request, CallerResponseWriter response) {
+  private Optional<AcceptedRequest> accept(FullHttpRequest request, CallerResponseWriter response) {
     try {
       IncomingRequest incoming = IncomingRequest.read(request, server.names());
       history.recordId(incoming.id());
-      return server.forwarder().accept(incoming, response);
+      return server.requests().accept(incoming, response);
     } catch (MalformedRequestException e) {
       response.reject(Rejection.MALFORMED, 0);
       return Optional.empty();
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerServer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/CallerServer.java
@@ -19,8 +19,8 @@
 import org.gatereel.core.configuration.InboundLimits;
 import org.gatereel.core.forward.ConfigurationHolder;
 import org.gatereel.core.forward.ForwardPolicy;
-import org.gatereel.core.forward.Forwarder;
 import org.gatereel.core.forward.Rejection;
+import org.gatereel.core.forward.RequestGate;
 import org.gatereel.core.model.Address;
 import org.gatereel.forward.ControlThread;
 import org.gatereel.forward.HeaderNames;
@@ -39,7 +39,7 @@
 
   private final ControlThread control;
   private final ConfigurationHolder configuration;
-  private final Forwarder forwarder;
+  private final RequestGate requests;
   private final HeaderNames names;
   private final ConnectionObserver observer;
   private final Set<CallerConnection> connections = new LinkedHashSet<>();
@@ -50,12 +50,12 @@
   public CallerServer(
       ControlThread control,
       ConfigurationHolder configuration,
-      Forwarder forwarder,
+      RequestGate requests,
       HeaderNames names,
       ConnectionObserver observer) {
     this.control = control;
     this.configuration = configuration;
-    this.forwarder = forwarder;
+    this.requests = requests;
     this.names = names;
     this.observer = observer;
   }
@@ -151,8 +151,8 @@
     return control;
   }
 
-  Forwarder forwarder() {
-    return forwarder;
+  RequestGate requests() {
+    return requests;
   }
 
   HeaderNames names() {
