Do not take this host's own pause for an outage of the store

What callers saw: a request was sent to a target whose entry had gone 2.6 s before (DRAIN, bound 2.0 s), after its host had stood still for that time.

Cause: a gap of 2.5 s and more between two lists counts as a possible outage, in which entries of live targets expire, so that what is missing is kept for another 1.0 s. The class is that of left-after-reconnection: a host's own gap taken for a state of the system.

Change: the time in which the event loop stood still (CoreContext .pausedMillis) is taken off the gap. If what is left is no outage, nothing is kept unless most entries are missing.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
@@ -42,6 +42,7 @@
   private final Set<TargetId> retained = new HashSet<>();
   private HostList lastList;
   private long lastQueryAt = NEVER;
+  private long pausedMillisAtLastList;
   private long reconnectedAt = NEVER;
   private boolean isOutageConfirmed;
   private TimerQueue.Timer expiryTimer;
@@ -74,10 +75,12 @@
         list.targets().stream().map(TargetDescription::id).collect(Collectors.toSet());
     if (lastList != null && queriedAt - lastQueryAt > outageMillis) {
       beginRetention(listed, queriedAt);
+      dropAfterOwnPause(queriedAt);
     } else if (retained.removeAll(listed)) {
       isOutageConfirmed = true;
     }
     lastQueryAt = queriedAt;
+    pausedMillisAtLastList = context.pausedMillis();
     lastList = list;
     endRetentionIfDue(queriedAt);
     targets.applyList(list, retained);
@@ -109,6 +112,16 @@
     }
   }
 
+  /** A gap in which this host itself stood still shows no outage of the store. */
+  private void dropAfterOwnPause(long queriedAt) {
+    long pausedMillis = context.pausedMillis() - pausedMillisAtLastList;
+    boolean isOwnPause = queriedAt - lastQueryAt - pausedMillis <= outageMillis;
+    if (isOwnPause && !isOutageConfirmed && !retained.isEmpty()) {
+      log(EventCode.RETENTION_ENDED, "pausedMillis=" + pausedMillis);
+      retained.clear();
+    }
+  }
+
   private long retentionEndAt() {
     return reconnectedAt
         + (isOutageConfirmed ? REREGISTRATION_PERIOD_MILLIS : unconfirmedPeriodMillis);
--- a/gatereel-core/src/main/java/org/gatereel/core/internal/CoreContext.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/internal/CoreContext.java
@@ -22,6 +22,7 @@
   private List<Action> actions = new ArrayList<>();
   private long now;
   private long suspendedMillis;
+  private long delayedMillis;
   private long pauseEffectUntil;
   private long ticket;
 
@@ -67,6 +68,17 @@
         EventCode.HOST_SUSPENDED, self.value(), "millis=" + millis + " all=" + suspendedMillis);
   }
 
+  /** Records a time in which this host ran no timers although its clock went on. */
+  public void recordDelay(long millis) {
+    delayedMillis += millis;
+    logEvent(EventCode.EVENT_LOOP_DELAYED, self.value(), "millis=" + millis);
+  }
+
+  /** Returns for how long this host has stood still since its start, in milliseconds. */
+  public long pausedMillis() {
+    return suspendedMillis + delayedMillis;
+  }
+
   /**
    * Returns a number that no earlier call returned, including calls in earlier processes of this
    * host.
--- a/gatereel-core/src/test/java/org/gatereel/core/document/TargetListUpdaterTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/TargetListUpdaterTest.java
@@ -135,6 +135,26 @@
     assertEquals(Set.of("e1", "e2", "e3"), usable());
   }
 
+  /** Guards against new requests to targets that left while this host stood still. */
+  @Test
+  void targetThatLeftDuringAPauseOfThisHostIsRemovedAtOnce() {
+    updater.update(list("e1", "e2", "e3"), 0);
+    context.advanceTo(2_600);
+    context.recordDelay(2_100);
+    updater.update(list("e1", "e2"), 2_600);
+    assertEquals(Set.of("e1", "e2"), usable());
+  }
+
+  /** Guards against dropping live targets if the store was away while this host stood still. */
+  @Test
+  void expiredEntriesAreKeptAfterAPauseIfMostAreMissing() {
+    updater.update(list("e1", "e2", "e3"), 0);
+    context.advanceTo(5_000);
+    context.recordDelay(4_500);
+    updater.update(list("e1"), 5_000);
+    assertEquals(Set.of("e1", "e2", "e3"), usable());
+  }
+
   /** With a long bound, lists arrive rarely without a store outage. */
   @Test
   void longUpdateIntervalsAreNotTreatedAsStoreOutage() {
--- a/gatereel-forward/src/main/java/org/gatereel/forward/ControlThread.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ControlThread.java
@@ -5,7 +5,6 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.gatereel.core.action.Action;
-import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.internal.SuspensionDetector;
 import org.gatereel.forward.log.ForwardLog;
@@ -17,8 +16,8 @@
  * gain. All methods must be called on the event loop, except {@link #nowMillis} and {@link #loop}.
  */
 public final class ControlThread {
-  /** Longer delays of a timer are logged. */
-  private static final long MIN_LOGGED_DELAY_MILLIS = 500;
+  /** A timer that is later than this shows that the host stood still. */
+  private static final long MIN_RECORDED_DELAY_MILLIS = 500;
 
   private final EventLoop loop;
   private final CoreContext context;
@@ -72,7 +71,7 @@
     inStep = true;
     try {
       updateClocks();
-      logDelay();
+      recordDelay();
       runGuarded(step, onFailure);
       runDueTimers();
     } finally {
@@ -98,11 +97,10 @@
     }
   }
 
-  private void logDelay() {
+  private void recordDelay() {
     long delayMillis = context.now() - context.timers().nextDeadline().orElse(context.now());
-    if (delayMillis >= MIN_LOGGED_DELAY_MILLIS) {
-      context.logEvent(
-          EventCode.EVENT_LOOP_DELAYED, context.self().value(), "millis=" + delayMillis);
+    if (delayMillis >= MIN_RECORDED_DELAY_MILLIS) {
+      context.recordDelay(delayMillis);
     }
   }
 
