Forget a failed refresh when the host stands still after it

A host that has just failed to refresh a document and then stands still for up to the bound acted on its copy at once when it woke (CONFIG). A failure counts only while the host has not stood still since.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentFreshness.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentFreshness.java
@@ -15,7 +15,8 @@
  *
  * <p>A copy that is older than the bound may be outdated: the host may have stood still since the
  * last refresh. What depends on such a copy waits for the next refresh. A host whose refreshes fail
- * reaches neither the store nor another host, and goes on with the copy that it has.
+ * reaches neither the store nor another host, and goes on with the copy that it has. A refresh that
+ * failed before a pause says nothing of the time after it.
  */
 public final class DocumentFreshness {
   /** The rest of the bound is left for what follows a decision. */
@@ -32,12 +33,15 @@
   private final CoreContext context;
   private final long boundMillis;
   private final Map<DocumentKind, Supplier<OptionalLong>> ages = new EnumMap<>(DocumentKind.class);
-  private final Map<DocumentKind, Long> unreachableAt = new EnumMap<>(DocumentKind.class);
+  private final Map<DocumentKind, Failure> failures = new EnumMap<>(DocumentKind.class);
   private final List<Waiter> waiters = new ArrayList<>();
   private Runnable refresh = () -> {};
   private long refreshTimeoutMillis;
   private long waitingSince;
 
+  /** The last refresh that failed, and for how long this host had stood still by then. */
+  private record Failure(long at, long pausedMillis) {}
+
   private record Waiter(DocumentKind kind, Runnable step, TimerQueue.Timer timeout) {}
 
   /**
@@ -81,8 +85,14 @@
   }
 
   private boolean isUnreachable(DocumentKind kind) {
-    Long since = unreachableAt.get(kind);
-    return since != null && context.nowIncludingSuspensions() - since <= boundMillis;
+    Failure last = failures.get(kind);
+    return last != null
+        && last.pausedMillis() == context.pausedMillis()
+        && context.nowIncludingSuspensions() - last.at() <= boundMillis;
+  }
+
+  private void recordFailure(DocumentKind kind) {
+    failures.put(kind, new Failure(context.nowIncludingSuspensions(), context.pausedMillis()));
   }
 
   /**
@@ -121,7 +131,7 @@
       long ageAtStartMillis = ageMillis(kind) - durationMillis;
       boolean mayTell = ageAtStartMillis >= MIN_AGE_AT_FAILED_REFRESH_RATIO * boundMillis;
       if (!isInterrupted && mayTell) {
-        unreachableAt.put(kind, context.nowIncludingSuspensions());
+        recordFailure(kind);
       }
     }
     release();
@@ -133,7 +143,7 @@
   private void onWaitTimeout() {
     for (DocumentKind kind : ages.keySet()) {
       if (isUncertain(kind)) {
-        unreachableAt.put(kind, context.nowIncludingSuspensions());
+        recordFailure(kind);
       }
     }
     release();
--- a/gatereel-core/src/test/java/org/gatereel/core/document/DocumentFreshnessTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/DocumentFreshnessTest.java
@@ -114,6 +114,17 @@
     assertTrue(freshness.isUncertain(KIND));
   }
 
+  @Test
+  void refreshThatFailedBeforeAPauseDoesNotCountAfterIt() {
+    confirm();
+    advanceTo(START + 1_900);
+    freshness.onRefreshEnded(START + 1_000);
+    advanceTo(START + 2_800);
+    context.recordDelay(900);
+
+    assertTrue(freshness.isUncertain(KIND));
+  }
+
   @Test
   void failedRefreshEndsTheWait() {
     confirm();
