Replace connections between hosts and to the store after a rest

What callers would see: changes in force late (CONFIG, DRAIN).

Cause: a connection that was sound when it was last used is trusted after any rest. If it was lost without a reset, that shows only after the time-out of the read that needed it (up to 1,200 ms), which adds to those before it.

Change: DocumentClient, which all calls to the store and to other hosts use, opens a new connection after a rest of more than 1.0 s. Regular polls (0.4 and 0.6 s apart with a bound of 2 s) keep theirs. A new connection costs a round trip; no call is added.

Evidence: DocumentClientTest#connectionThatHasRestedIsReplaced failed on the former rule ("Accept timed out": the third request went over the first connection) and passes now, 17 of 17.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/DocumentClient.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/DocumentClient.java
@@ -29,22 +29,31 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.gatereel.core.forward.ResponseEnd;
 import org.gatereel.core.model.Address;
+import org.gatereel.forward.ControlThread;
 
 /**
  * Sends requests for documents to one address, one at a time, over a kept-alive connection.
  *
- * <p>The connection is closed after a timeout or an error. Requests are never retried.
+ * <p>The connection is closed after a timeout or an error, and replaced after a rest. Requests are
+ * never retried.
  */
 public final class DocumentClient implements AutoCloseable {
   private static final int CONNECT_TIMEOUT_MILLIS = 400;
+
+  /** A connection that has rested for longer may have been lost without a reset. */
+  static final long MAX_IDLE_MILLIS = 1_000;
+
   private static final int MAX_DOCUMENT_BYTES = 8 << 20;
 
   private final EventLoop loop;
   private final Address address;
   private final int maxDocumentBytes;
+  private final LongSupplier nowMillis;
   private Channel channel;
+  private long usedAt;
   private Consumer<Optional<Document>> pendingCallback;
   private ScheduledFuture<?> timeoutTimer;
 
@@ -72,9 +81,19 @@
    * @param maxDocumentBytes the size beyond which a response is an error
    */
   DocumentClient(EventLoop loop, Address address, int maxDocumentBytes) {
+    this(loop, address, maxDocumentBytes, ControlThread::nowMillis);
+  }
+
+  /**
+   * Creates a client with a clock.
+   *
+   * @param nowMillis the monotonic clock in milliseconds
+   */
+  DocumentClient(EventLoop loop, Address address, int maxDocumentBytes, LongSupplier nowMillis) {
     this.loop = loop;
     this.address = address;
     this.maxDocumentBytes = maxDocumentBytes;
+    this.nowMillis = nowMillis;
   }
 
   /**
@@ -111,13 +130,20 @@
     pendingCallback = callback;
     timeoutTimer = loop.schedule(this::fail, timeoutMillis, TimeUnit.MILLISECONDS);
     request.headers().set(HttpHeaderNames.HOST, address.toString());
-    if (channel != null && channel.isActive()) {
+    if (isReusable()) {
       channel.writeAndFlush(request);
       return;
     }
+    dropConnection();
     connect(request);
   }
 
+  private boolean isReusable() {
+    return channel != null
+        && channel.isActive()
+        && nowMillis.getAsLong() - usedAt <= MAX_IDLE_MILLIS;
+  }
+
   private void connect(FullHttpRequest request) {
     ChannelFuture connecting =
         new Bootstrap()
@@ -164,6 +190,7 @@
   }
 
   private void complete(Optional<Document> document) {
+    usedAt = nowMillis.getAsLong();
     if (timeoutTimer != null) {
       timeoutTimer.cancel(false);
       timeoutTimer = null;
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/DocumentClientTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/DocumentClientTest.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.gatereel.core.model.Address;
 import org.gatereel.forward.http.DocumentClient.Document;
 import org.junit.jupiter.api.AfterEach;
@@ -40,6 +41,7 @@
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     loop = (EventLoop) group.next();
     server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    server.setSoTimeout(TIMEOUT_MILLIS);
     client = new DocumentClient(loop, new Address("127.0.0.1", server.getLocalPort()));
   }
 
@@ -174,4 +176,35 @@
       assertEquals("none", await(result));
     }
   }
+
+  private void exchange(Socket socket, String path) throws Exception {
+    CompletableFuture<String> result = get(path);
+    readRequest(socket);
+    write(socket, "HTTP/1.1 200 OK|Content-Length: 2||12");
+    assertEquals("200 12", await(result));
+  }
+
+  /** Guards against reads over a connection that was lost without a reset while it rested. */
+  @Test
+  void connectionThatHasRestedIsReplaced() throws Exception {
+    AtomicLong now = new AtomicLong();
+    loop.submit(client::close).sync();
+    client =
+        new DocumentClient(loop, new Address("127.0.0.1", server.getLocalPort()), 1_000, now::get);
+    CompletableFuture<String> first = get("/first");
+    try (Socket socket = accept()) {
+      readRequest(socket);
+      write(socket, "HTTP/1.1 200 OK|Content-Length: 2||12");
+      assertEquals("200 12", await(first));
+      now.addAndGet(DocumentClient.MAX_IDLE_MILLIS);
+      exchange(socket, "/second");
+      now.addAndGet(DocumentClient.MAX_IDLE_MILLIS + 1);
+      CompletableFuture<String> afterRest = get("/third");
+      try (Socket next = accept()) {
+        readRequest(next);
+        write(next, "HTTP/1.1 200 OK|Content-Length: 2||34");
+        assertEquals("200 34", await(afterRest));
+      }
+    }
+  }
 }
