Read what arrived while the event loop stood still before a read fails

What the users' record shows: STALE_CONFIGURATION at four hosts, followed by PLATFORM_LOST "no response" within 26 to 2,156 ms; a host that wakes took the answers of the store and of other hosts for missing, lost their connections and asked again 200 ms later (CONFIG at worst).

Cause: after an event that holds the event loop, due timers run before the next read from connections. A time-out that became due in a pause fired although the response lay in the socket.

Change: a time-out of DocumentClient that fires over 50 ms late leaves the event loop 20 ms to read first.

Evidence: DocumentClientTest #responseThatArrivedWhileTheEventLoopStoodStillIsRead failed before ("expected: <200 12> but was: <none>") and passes now, 18 of 18. That this is what the users' hosts did is suspected, not shown.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/DocumentClient.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/DocumentClient.java
@@ -46,6 +46,12 @@
   /** A connection that has rested for longer may have been lost without a reset. */
   static final long MAX_IDLE_MILLIS = 1_000;
 
+  /** Later timers show that the event loop stood still. */
+  private static final long MAX_TIMER_DELAY_MILLIS = 50;
+
+  /** Enough for one pass of the event loop over its connections. */
+  private static final long LATE_READ_MILLIS = 20;
+
   private static final int MAX_DOCUMENT_BYTES = 8 << 20;
 
   private final EventLoop loop;
@@ -128,7 +134,8 @@
       throw new IllegalStateException("a request is already pending");
     }
     pendingCallback = callback;
-    timeoutTimer = loop.schedule(this::fail, timeoutMillis, TimeUnit.MILLISECONDS);
+    long timeoutAt = nowMillis.getAsLong() + timeoutMillis;
+    timeoutTimer = loop.schedule(() -> onTimeout(timeoutAt), timeoutMillis, TimeUnit.MILLISECONDS);
     request.headers().set(HttpHeaderNames.HOST, address.toString());
     if (isReusable()) {
       channel.writeAndFlush(request);
@@ -176,6 +183,18 @@
         });
   }
 
+  /**
+   * Fails the request. If the event loop stood still, it first reads what arrived meanwhile, since
+   * it runs due timers before it reads from connections again.
+   */
+  private void onTimeout(long timeoutAt) {
+    if (nowMillis.getAsLong() - timeoutAt > MAX_TIMER_DELAY_MILLIS) {
+      timeoutTimer = loop.schedule(this::fail, LATE_READ_MILLIS, TimeUnit.MILLISECONDS);
+    } else {
+      fail();
+    }
+  }
+
   private void fail() {
     dropConnection();
     complete(Optional.empty());
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/DocumentClientTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/DocumentClientTest.java
@@ -1,5 +1,6 @@
 package org.gatereel.forward.http;
 
+import static com.google.common.util.concurrent.Uninterruptibles.awaitUninterruptibly;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.netty.channel.EventLoop;
@@ -14,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.gatereel.core.model.Address;
@@ -30,6 +32,7 @@
  */
 class DocumentClientTest {
   private static final int TIMEOUT_MILLIS = 20_000;
+  private static final long SHORT_TIMEOUT_MILLIS = 400;
 
   private MultiThreadIoEventLoopGroup group;
   private EventLoop loop;
@@ -207,4 +210,36 @@
       }
     }
   }
+
+  /** Guards against a failed read whose response arrived while the event loop stood still. */
+  @Test
+  void responseThatArrivedWhileTheEventLoopStoodStillIsRead() throws Exception {
+    CompletableFuture<String> result = new CompletableFuture<>();
+    CountDownLatch held = new CountDownLatch(1);
+    CountDownLatch released = new CountDownLatch(1);
+    loop.execute(
+        () -> client.get("/", SHORT_TIMEOUT_MILLIS, document -> result.complete(text(document))));
+    try (Socket socket = accept()) {
+      readRequest(socket);
+      loop.execute(
+          () ->
+              new DocumentClient(loop, new Address("127.0.0.1", server.getLocalPort()))
+                  .get("/hold", TIMEOUT_MILLIS, document -> hold(held, released)));
+      try (Socket holding = accept()) {
+        readRequest(holding);
+        write(holding, "HTTP/1.1 200 OK|Content-Length: 2||12");
+        held.await();
+        write(socket, "HTTP/1.1 200 OK|Content-Length: 2||12");
+        released.await(2 * SHORT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        released.countDown();
+        assertEquals("200 12", await(result));
+      }
+    }
+  }
+
+  /** Holds the event loop while it handles a received event, after which due timers run first. */
+  private static void hold(CountDownLatch held, CountDownLatch released) {
+    held.countDown();
+    awaitUninterruptibly(released);
+  }
 }
