Read from all connections before timers run after a pause

What callers saw: 504 for a request that its target had answered in time, while the host stood still (the record of CONFIG has TIMED_OUT with tries=1 at five hosts; whether these are such cases is not known).

Change: ControlThread lets due timers wait for one pass over all connections when the next timer is overdue by 500 ms and more.

Evidence: PausedHostTest#responseThatArrivedDuringAPauseIsDelivered failed before ("expected: <200> but was: <504>") and passes now; PausedHostTest 4 of 4, ControlThreadTest 3 of 3.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/ControlThread.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/ControlThread.java
@@ -14,11 +14,17 @@
  *
  * <p>Entry hosts have less than one processor core, so another thread would add wake-ups without a
  * gain. All methods must be called on the event loop, except {@link #nowMillis} and {@link #loop}.
+ *
+ * <p>If the event loop stood still, timers wait until it has read from all connections: what has
+ * arrived in time must not meet a time-out first.
  */
 public final class ControlThread {
   /** A timer that is later than this shows that the host stood still. */
   private static final long MIN_RECORDED_DELAY_MILLIS = 500;
 
+  /** The event loop reads from connections before it runs a task with any delay above 0. */
+  private static final long NEXT_PASS_MILLIS = 1;
+
   private final EventLoop loop;
   private final CoreContext context;
   private final ForwardLog log;
@@ -26,6 +32,7 @@
   private ScheduledFuture<?> scheduledTask;
   private long scheduledAtMillis = Long.MAX_VALUE;
   private boolean inStep;
+  private boolean readsBeforeTimers;
 
   public ControlThread(EventLoop loop, CoreContext context, ForwardLog log) {
     this.loop = loop;
@@ -68,12 +75,21 @@
       runGuarded(step, onFailure);
       return;
     }
+    runAsStep(
+        () -> {
+          recordDelay();
+          runGuarded(step, onFailure);
+          if (!readsBeforeTimers) {
+            runDueTimers();
+          }
+        });
+  }
+
+  private void runAsStep(Runnable work) {
     inStep = true;
     try {
       updateClocks();
-      recordDelay();
-      runGuarded(step, onFailure);
-      runDueTimers();
+      work.run();
     } finally {
       inStep = false;
       finishStep();
@@ -99,11 +115,19 @@
 
   private void recordDelay() {
     long delayMillis = context.now() - context.timers().nextDeadline().orElse(context.now());
-    if (delayMillis >= MIN_RECORDED_DELAY_MILLIS) {
+    if (delayMillis >= MIN_RECORDED_DELAY_MILLIS && !readsBeforeTimers) {
       context.recordDelay(delayMillis);
+      readsBeforeTimers = true;
+      loop.execute(
+          () -> loop.schedule(this::onConnectionsRead, NEXT_PASS_MILLIS, TimeUnit.MILLISECONDS));
     }
   }
 
+  private void onConnectionsRead() {
+    readsBeforeTimers = false;
+    runAsStep(this::runDueTimers);
+  }
+
   private void runDueTimers() {
     boolean allRun;
     do {
@@ -144,7 +168,9 @@
 
   private void scheduleNext() {
     OptionalLong nextDeadline = context.timers().nextDeadline();
-    if (nextDeadline.isEmpty() || nextDeadline.getAsLong() >= scheduledAtMillis) {
+    if (readsBeforeTimers
+        || nextDeadline.isEmpty()
+        || nextDeadline.getAsLong() >= scheduledAtMillis) {
       return;
     }
     if (scheduledTask != null) {
