Reject heads of targets whose status line or field names are invalid

What callers saw: a response with status 000 (as 0), 099, 600 and others as an answer; lines with a blank or a tab in the name passed on with the rest of the name dropped; a request on a route that may not be repeated answered 503, although it ran, since "X-Not-Executed x: 1" was read as X-Not-Executed (MIXED, REFUSED).

Cause: the library's decoder takes any number for a status, any version, and ends a name at the first blank. Class: input that is none is made into something valid instead of being rejected.

Change: StrictResponseDecoder checks version, status (100 to 599, three digits), reason and the end of each name, in trailers and interim heads too.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/DocumentClient.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/DocumentClient.java
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
@@ -165,7 +164,7 @@
                     FramingReader framingReader = new FramingReader();
                     newChannel
                         .pipeline()
-                        .addLast(new HttpClientCodec())
+                        .addLast(ResponseFraming.codec(HttpMethod.GET))
                         .addLast(framingReader)
                         .addLast(new HttpObjectAggregator(maxDocumentBytes))
                         .addLast(new ResponseHandler(framingReader));
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/ResponseFraming.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/ResponseFraming.java
@@ -1,10 +1,12 @@
 package org.gatereel.forward.http;
 
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -26,8 +28,8 @@
 
   private ResponseFraming() {}
 
-  /** Returns a codec for one connection to a target. */
-  static HttpClientCodec codec() {
+  /** Returns a codec for a connection whose requests have the given method. */
+  static ChannelHandler codec(HttpMethod requestMethod) {
     HttpDecoderConfig decoderConfig =
         new HttpDecoderConfig()
             .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
@@ -36,7 +38,8 @@
             .setAllowDuplicateContentLengths(false)
             .setStrictLineParsing(true)
             .setUseRfc9112TransferEncoding(true);
-    return new HttpClientCodec(decoderConfig, false, false);
+    return new CombinedChannelDuplexHandler<>(
+        new StrictResponseDecoder(decoderConfig, requestMethod), new HttpRequestEncoder());
   }
 
   /**
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetConnector.java
@@ -241,7 +241,7 @@
       channel
           .pipeline()
           .addLast(new ResponseHeadLimiter(handler, ControlThread::nowMillis))
-          .addLast(ResponseFraming.codec())
+          .addLast(ResponseFraming.codec(handler.requestMethod()))
           .addLast(handler);
       // The caller may have disconnected before the connection was established.
       control.runAfterReceivedEvents(() -> send(channel));
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetResponseHandler.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/TargetResponseHandler.java
@@ -40,6 +40,10 @@
     this.requestMethod = requestMethod;
   }
 
+  final HttpMethod requestMethod() {
+    return requestMethod;
+  }
+
   abstract void onConnected();
 
   abstract void onHead(HttpResponse head);
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/ResponseFramingTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/ResponseFramingTest.java
@@ -51,7 +51,7 @@
     CoreContext context =
         new CoreContext(new HostId("test"), new DataCentre("north"), new SplittableRandom(1));
     recorder = new ResponseRecorder(new ControlThread(channel.eventLoop(), context, LOG), method);
-    channel.pipeline().addLast(ResponseFraming.codec()).addLast(recorder);
+    channel.pipeline().addLast(ResponseFraming.codec(method)).addLast(recorder);
     channel.writeOutbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/"));
   }
 
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/ResponseHeadLimiterTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/ResponseHeadLimiterTest.java
@@ -42,7 +42,7 @@
     channel
         .pipeline()
         .addLast(new ResponseHeadLimiter(recorder, () -> now))
-        .addLast(ResponseFraming.codec())
+        .addLast(ResponseFraming.codec(HttpMethod.GET))
         .addLast(recorder);
     channel.writeOutbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
   }
--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetResponseHandlerTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetResponseHandlerTest.java
@@ -39,7 +39,7 @@
         new CoreContext(new HostId("test"), new DataCentre("north"), new SplittableRandom(1));
     recorder =
         new ResponseRecorder(new ControlThread(channel.eventLoop(), context, log), HttpMethod.GET);
-    channel.pipeline().addLast(ResponseFraming.codec()).addLast(recorder);
+    channel.pipeline().addLast(ResponseFraming.codec(HttpMethod.GET)).addLast(recorder);
     channel.writeOutbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
   }
 
