--- a/gatereel-core/src/main/java/org/gatereel/core/document/HostDirectory.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/HostDirectory.java
@@ -178,8 +178,10 @@
         .toList();
   }
 
+  /** An entry from the future is not young: it would never expire. */
   private static boolean isYounger(Entry entry, long storeMillis, long ageMillis) {
-    return storeMillis - entry.seenAt() < ageMillis;
+    long entryAgeMillis = storeMillis - entry.seenAt();
+    return entryAgeMillis < ageMillis && entryAgeMillis > -REFRESH_INTERVAL_MILLIS;
   }
 
   /** Returns the estimated number of hosts, including this one; at least one. */
