Use a document again whose use failed, in place of confirming it

What callers could see: a list of targets or a configuration that was read but not put in force, while the former one counted as confirmed by each later reading (CONFIG, DRAIN).

Cause: DocumentCache keeps a changed document before its listener has used it; the next reading of the same content only confirmed it, and updateTargets then applied the former list with the new time.

Change: a document whose listener throws is marked unused, so that its next reading is a change again; a list of targets that cannot be read no longer leaves the former one to be confirmed.

Evidence: DocumentRefresherTest #documentWhoseUseFailedIsUsedAtTheNextReading failed before ("expected: <CHANGED> but was: <CONFIRMED>"), 16 of 16 pass now.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentCache.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentCache.java
@@ -1,8 +1,10 @@
 package org.gatereel.core.document;
 
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Caches the newest version of each document that this host has received, from the store or from
@@ -10,6 +12,7 @@
  */
 public final class DocumentCache {
   private final Map<DocumentKind, SharedDocument> documents = new EnumMap<>(DocumentKind.class);
+  private final Set<DocumentKind> unused = EnumSet.noneOf(DocumentKind.class);
 
   /** The effect of an update. */
   public enum UpdateResult {
@@ -31,15 +34,24 @@
       long version = Math.max(known.version(), document.version());
       long confirmedAt = Math.max(known.confirmedAt(), document.confirmedAt());
       documents.put(document.kind(), known.withConfirmation(version, confirmedAt));
-      return UpdateResult.CONFIRMED;
+      return unused.remove(document.kind()) ? UpdateResult.CHANGED : UpdateResult.CONFIRMED;
     }
     if (known != null && document.version() < known.version()) {
       return UpdateResult.OUTDATED;
     }
     documents.put(document.kind(), document);
+    unused.remove(document.kind());
     return UpdateResult.CHANGED;
   }
 
+  /**
+   * Records that the newest version of a document is not in use, because its use failed. The next
+   * update with the same content counts as a change.
+   */
+  public void markUnused(DocumentKind kind) {
+    unused.add(kind);
+  }
+
   public Optional<SharedDocument> find(DocumentKind kind) {
     return Optional.ofNullable(documents.get(kind));
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
@@ -389,6 +389,7 @@
       updateListener.accept(document, result);
     } catch (RuntimeException e) {
       // The other documents must still be updated, and the refresh must end.
+      cache.markUnused(document.kind());
       context.logEvent(
           EventCode.CONFIGURATION_INVALID,
           document.kind().name(),
--- a/gatereel-core/src/test/java/org/gatereel/core/document/DocumentRefresherTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/DocumentRefresherTest.java
@@ -34,14 +34,10 @@
   private final HostDirectory directory = new HostDirectory(context, SELF);
   private final Sources sources = new Sources();
   private final List<SharedDocument> updates = new ArrayList<>();
+  private final Map<DocumentKind, DocumentCache.UpdateResult> outcomes =
+      new EnumMap<>(DocumentKind.class);
   private final DocumentRefresher refresher =
-      new DocumentRefresher(
-          context,
-          directory,
-          cache,
-          sources,
-          BOUND_MILLIS,
-          (document, outcome) -> onUpdate(document));
+      new DocumentRefresher(context, directory, cache, sources, BOUND_MILLIS, this::onUpdate);
   private Optional<DocumentKind> unusableKind = Optional.empty();
   private Optional<String> problem = Optional.of("not completed");
 
@@ -71,11 +67,12 @@
     }
   }
 
-  private void onUpdate(SharedDocument document) {
+  private void onUpdate(SharedDocument document, DocumentCache.UpdateResult outcome) {
     if (unusableKind.equals(Optional.of(document.kind()))) {
       throw new IllegalStateException("unusable document");
     }
     updates.add(document);
+    outcomes.put(document.kind(), outcome);
   }
 
   private void refresh(long now) {
@@ -323,4 +320,20 @@
     assertEquals(Optional.empty(), problem);
     assertEquals(2, updates.size());
   }
+
+  /** Guards against a document that counts as confirmed although its use failed. */
+  @Test
+  void documentWhoseUseFailedIsUsedAtTheNextReading() {
+    unusableKind = Optional.of(DocumentKind.CONFIGURATION);
+    refresh(100);
+    sources.completeStoreReads(new StoreResponse.Read("text", "digest", 7));
+    unusableKind = Optional.empty();
+    outcomes.clear();
+
+    refresh(700);
+    sources.completeStoreReads(new StoreResponse.Read("text", "digest", 7));
+
+    assertEquals(DocumentCache.UpdateResult.CHANGED, outcomes.get(DocumentKind.CONFIGURATION));
+    assertEquals(DocumentCache.UpdateResult.CONFIRMED, outcomes.get(DocumentKind.TARGETS));
+  }
 }
