Refuse requests that may not be repeated and may outlast a planned stop

What callers could see: a request on a route that may not be repeated is taken up to 2.6 s after SIGTERM, passed on, and answered 502 at the end of the grace period although its target still executes it (a report of another operator; there without any answer).

Cause: what a stopping host takes goes by the average duration of the kind, which says nothing of the longest.

Change: if a request must not be repeated, it is taken only if the route's time-out and the caller's deadline end before the stop does; others are refused at once as not run, and can go elsewhere.

Evidence: PlainForwardingTest #requestThatMayOutlastAPlannedStopIsRefusedIfItMustNotBeRepeated failed before ("expected: <STOPPING> but was: <null>"); gatereel-core 659 of 659.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Exchange.java
@@ -82,9 +82,7 @@
             service,
             allowed.configuration().service(service).flatMap(ServiceConfiguration::engine));
     this.startedAt = receivedAt;
-    this.deadline =
-        startedAt
-            + Math.min(route.timeoutMillis(), request.remainingMillis().orElse(Long.MAX_VALUE));
+    this.deadline = startedAt + Forwarder.deadlineMillis(route, request);
     this.relay = new StreamRelay(this, context, request, callerResponse, route);
     this.versions = new VersionObserver(forwarder.rollouts(), service, route);
     this.log = new ExchangeLog(forwarder, this, request);
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -177,7 +177,7 @@
     ConfigurationHolder.Lookup found =
         configuration.lookUp(request.hostName(), request.path(), request.key());
     if (found instanceof ConfigurationHolder.Lookup.Allowed allowed) {
-      if (!shutdownPolicy.accepts(allowed.route().kind())) {
+      if (!shutdownPolicy.accepts(allowed.route(), deadlineMillis(allowed.route(), request))) {
         reject(request, response, Rejection.STOPPING);
         return Optional.empty();
       }
@@ -190,6 +190,11 @@
     return Optional.empty();
   }
 
+  /** Returns the longest time that a request may take. */
+  static long deadlineMillis(Route route, ForwardRequest request) {
+    return Math.min(route.timeoutMillis(), request.remainingMillis().orElse(Long.MAX_VALUE));
+  }
+
   private void rejectAfterFailure(ForwardRequest request, CallerResponse response) {
     if (response.rejectOrAbort(Rejection.HOST_FAILED_BEFORE_SENDING, policy.retryAfterMillis())) {
       recordRejected(request, Rejection.HOST_FAILED_BEFORE_SENDING);
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ShutdownPolicy.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ShutdownPolicy.java
@@ -2,6 +2,7 @@
 
 import java.util.EnumMap;
 import java.util.Map;
+import org.gatereel.core.configuration.Route;
 import org.gatereel.core.configuration.RouteKind;
 import org.gatereel.core.internal.CoreContext;
 
@@ -52,11 +53,20 @@
     averageMillis.put(kind, average + SMOOTHING_FACTOR * (millis - average));
   }
 
-  /** Returns whether a new request of a kind is accepted now. */
-  boolean accepts(RouteKind kind) {
+  /**
+   * Returns whether a new request is accepted now.
+   *
+   * @param deadlineMillis the longest time that the request may take; one that must not be repeated
+   *     could otherwise be cut while its target executes it
+   */
+  boolean accepts(Route route, long deadlineMillis) {
     if (context.now() >= acceptsUntil) {
       return false;
     }
+    if (!route.mayRetry() && isStopping() && deadlineMillis > endsAt - context.now()) {
+      return false;
+    }
+    RouteKind kind = route.kind();
     double defaultMillis = kind == RouteKind.STREAM ? DEFAULT_STREAM_MILLIS : 0;
     double neededMillis = SAFETY_FACTOR * averageMillis.getOrDefault(kind, defaultMillis);
     return endsAt == Long.MAX_VALUE || context.now() + neededMillis <= endsAt;
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/PlainForwardingTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/PlainForwardingTest.java
@@ -334,4 +334,25 @@
     assertEquals(2, world.sentCalls.size());
     assertEquals(2, world.probes.size());
   }
+
+  /** Guards against cutting a request that must not be repeated at the end of a planned stop. */
+  @Test
+  void requestThatMayOutlastAPlannedStopIsRefusedIfItMustNotBeRepeated() {
+    long now = world.context.now();
+    world.forwarder.beginShutdown(now + 2_600, now + ForwardWorld.TIMEOUT_MILLIS - 1);
+    ForwardWorld.Caller refused = new ForwardWorld.Caller();
+    world.submit("/once/x", refused);
+    assertEquals(Rejection.STOPPING, refused.rejection);
+
+    world.submit("/safe/x", new ForwardWorld.Caller());
+    assertEquals(1, world.sentCalls.size());
+  }
+
+  @Test
+  void requestThatEndsBeforeAPlannedStopIsAcceptedIfItMustNotBeRepeated() {
+    long now = world.context.now();
+    world.forwarder.beginShutdown(now + 2_600, now + ForwardWorld.TIMEOUT_MILLIS);
+    world.submit("/once/x", new ForwardWorld.Caller());
+    assertEquals(1, world.sentCalls.size());
+  }
 }
