--- a/gatereel-adapters/src/main/java/org/gatereel/adapters/HttpClients.java
+++ b/gatereel-adapters/src/main/java/org/gatereel/adapters/HttpClients.java
@@ -38,6 +38,7 @@
             .retryOnConnectionFailure(false)
             .followRedirects(false)
             .eventListenerFactory(SentMarker.FROM_TAG)
+            .addNetworkInterceptor(new HeadValidator())
             .build();
     unpooled =
         streaming.newBuilder().connectionPool(new ConnectionPool(0, 1, TimeUnit.SECONDS)).build();
--- a/gatereel-adapters/src/test/java/org/gatereel/adapters/targets/ServiceClientTest.java
+++ b/gatereel-adapters/src/test/java/org/gatereel/adapters/targets/ServiceClientTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Truncated responses of plain services must not be accepted as complete. */
 class ServiceClientTest {
@@ -100,4 +101,20 @@
   void responseWithoutBodyIsComplete() throws Exception {
     assertEquals("answered 204 ", call("HTTP/1.1 204 No Content\r\n\r\n", RawServer.CloseMode.DIE));
   }
+
+  /** Guards against taking a head that is none for a response. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 000 X|Content-Length: 2||",
+        "HTTP/1.1 099 X|Content-Length: 2||",
+        "HTTP/1.1 600 X|Content-Length: 2||",
+        "HTTP/1.1 200 X|Content-Length: 2|X-A b: 1||",
+        "HTTP/1.1 200 X|Content-Length: 2|X-A : 1||",
+        "HTTP/1.1 200 X|Content-Length: 2|X-\u0001A: 1||",
+      })
+  void invalidHeadFailsTheCall(String head) throws Exception {
+    String response = head.replace("|", "\r\n") + "ok";
+    assertEquals("failed RESET", call(response, RawServer.CloseMode.CLOSE));
+  }
 }
