--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/StrictResponseDecoder.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/StrictResponseDecoder.java
@@ -12,7 +12,7 @@
  * Decodes responses, and rejects status lines and field names that are invalid by RFC 9112.
  *
  * <p>The library's decoder accepts any number as a status, and ends the name of a field at the
- * first blank, so that {@code X-Not-Executed x: 1} would be read as {@code X-Not-Executed: 1}.
+ * first blank, so that {@code Name x: 1} would be read as {@code Name: 1}.
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
   private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[0-9]");
