--- a/gatereel-core/src/test/java/org/gatereel/core/document/HostDirectoryTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/HostDirectoryTest.java
@@ -81,6 +81,13 @@
     assertEquals(List.of("h2"), directory(1).update(entries, NOW).orElseThrow().expiredHosts());
   }
 
+  /** Guards against an entry that never expires. */
+  @Test
+  void removesEntriesFromTheFuture() {
+    List<Entry> entries = List.of(entry(1, NORTH, NOW - 700_000), entry(2, NORTH, Long.MAX_VALUE));
+    assertEquals(List.of("h2"), directory(1).update(entries, NOW).orElseThrow().expiredHosts());
+  }
+
   @Test
   void countsRecentEntriesAfterStartupReadings() {
     HostDirectory directory = directory(1);
