Name the field that makes a head invalid

The errors said neither which name lacked its colon nor which fields a response had. A cast in RequestGate says what it is for. No test of the texts; ServiceClientTest 20 of 20, ResponseFramingTest 65 of 65.

--- a/gatereel-adapters/src/main/java/org/gatereel/adapters/HeadValidator.java
+++ b/gatereel-adapters/src/main/java/org/gatereel/adapters/HeadValidator.java
@@ -25,7 +25,11 @@
     boolean isStatus = response.code() >= MIN_STATUS && response.code() <= MAX_STATUS;
     if (!isStatus || !response.headers().names().stream().allMatch(HeadValidator::isName)) {
       response.close();
-      throw new ProtocolException("invalid response head with status " + response.code());
+      throw new ProtocolException(
+          "invalid response head: status "
+              + response.code()
+              + ", fields "
+              + response.headers().names());
     }
     return response;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RequestGate.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RequestGate.java
@@ -27,7 +27,7 @@
    */
   public Optional<AcceptedRequest> accept(ForwardRequest request, CallerPort caller) {
     if (!freshness.isUncertain(DocumentKind.CONFIGURATION)) {
-      return forwarder.accept(request, caller).map(exchange -> exchange);
+      return forwarder.accept(request, caller).map(AcceptedRequest.class::cast);
     }
     HeldRequest waiting = new HeldRequest(request, caller, context.now());
     held.add(waiting);
--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/StrictResponseDecoder.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/StrictResponseDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
+import java.nio.charset.StandardCharsets;
 import java.util.regex.Pattern;
 
 /**
@@ -48,7 +49,8 @@
   @Override
   protected AsciiString splitHeaderName(byte[] line, int start, int length) {
     if (length == 0 || line[start + length] != ':') {
-      throw new IllegalArgumentException("a field name does not end with a colon");
+      String name = new String(line, start, length, StandardCharsets.ISO_8859_1);
+      throw new IllegalArgumentException("no colon follows the field name '" + name + "'");
     }
     return super.splitHeaderName(line, start, length);
   }
