Log readings that are taken for outdated, with the store's version and era

The log could not tell a store that came back from an older copy from one that answers late: a reading with a version below the known one was dropped without a line. Documents carry when they were queried and answered; hosts pass that and the era on to hosts that ask for it, and leave it out for those of the version before.

No decision changes: documents are still ordered by the number alone.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentCache.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentCache.java
@@ -31,12 +31,10 @@
   public UpdateResult update(SharedDocument document) {
     SharedDocument known = documents.get(document.kind());
     if (known != null && known.digest().equals(document.digest())) {
-      long version = Math.max(known.version(), document.version());
-      long confirmedAt = Math.max(known.confirmedAt(), document.confirmedAt());
-      documents.put(document.kind(), known.withConfirmation(version, confirmedAt));
+      documents.put(document.kind(), known.withReading(merge(document, known)));
       return unused.remove(document.kind()) ? UpdateResult.CHANGED : UpdateResult.CONFIRMED;
     }
-    if (known != null && document.version() < known.version()) {
+    if (known != null && isBefore(document, known)) {
       return UpdateResult.OUTDATED;
     }
     documents.put(document.kind(), document);
@@ -44,6 +42,16 @@
     return UpdateResult.CHANGED;
   }
 
+  private static StoreReading merge(SharedDocument one, SharedDocument other) {
+    return isBefore(one, other)
+        ? other.reading().mergedWith(one.reading())
+        : one.reading().mergedWith(other.reading());
+  }
+
+  private static boolean isBefore(SharedDocument one, SharedDocument other) {
+    return one.version().number() < other.version().number();
+  }
+
   /**
    * Records that the newest version of a document is not in use, because its use failed. The next
    * update with the same content counts as a change.
--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
@@ -78,6 +78,9 @@
   private long hostsReadAt = Long.MIN_VALUE / 2;
   private final Map<DocumentKind, BooleanSupplier> onDemand = new EnumMap<>(DocumentKind.class);
 
+  /** The documents whose last reading was outdated. */
+  private final Set<DocumentKind> outdated = EnumSet.noneOf(DocumentKind.class);
+
   /**
    * One refresh of all documents. Each document is read independently of the others, so that one
    * which is slow, fails or throws delays no other. The refresh ends with the reads of the urgent
@@ -363,25 +366,33 @@
         text ->
             update(
                 new SharedDocument(
-                    document.kind(),
-                    text,
-                    document.digest(),
-                    document.version(),
-                    sentAt - document.ageMillis()),
+                    document.kind(), text, document.digest(), reading(document, sentAt)),
                 peer.toString()));
   }
 
+  /** The age refers to a time between the query of the other host and now. */
+  private StoreReading reading(DocumentSources.PeerDocument document, long sentAt) {
+    long readBeforeMillis = document.ageMillis() - document.readMillis();
+    return new StoreReading(
+        document.version(),
+        sentAt - document.ageMillis(),
+        context.nowIncludingSuspensions() - readBeforeMillis);
+  }
+
   /** Updates the cache from a store response that was read outside the regular refreshes. */
   public void update(DocumentKind kind, DocumentSources.StoreResponse.Read read, long queriedAt) {
-    update(
-        new SharedDocument(kind, read.content(), read.digest(), read.version(), queriedAt), STORE);
+    StoreReading reading =
+        new StoreReading(read.version(), queriedAt, context.nowIncludingSuspensions());
+    update(new SharedDocument(kind, read.content(), read.digest(), reading), STORE);
   }
 
   private void update(SharedDocument document, String source) {
     DocumentCache.UpdateResult result = cache.update(document);
     if (result == DocumentCache.UpdateResult.OUTDATED) {
+      logOutdated(document, source);
       return;
     }
+    outdated.remove(document.kind());
     if (result == DocumentCache.UpdateResult.CHANGED && document.kind().isUrgent()) {
       logChange(document, source);
     }
@@ -397,11 +408,39 @@
     }
   }
 
+  /** Logs the first of a series of outdated readings. */
+  private void logOutdated(SharedDocument document, String source) {
+    if (outdated.add(document.kind())) {
+      SharedDocument known = cache.find(document.kind()).orElseThrow();
+      context.logEvent(
+          EventCode.DOCUMENT_OUTDATED,
+          document.kind().name(),
+          "storeVersion="
+              + document.version()
+              + " source="
+              + source
+              + " ageMillis="
+              + ageMillis(document)
+              + " known="
+              + known.version()
+              + " knownAgeMillis="
+              + ageMillis(known));
+    }
+  }
+
+  private long ageMillis(SharedDocument document) {
+    return context.nowIncludingSuspensions() - document.confirmedAt();
+  }
+
   private void logChange(SharedDocument document, String source) {
-    long ageMillis = context.nowIncludingSuspensions() - document.confirmedAt();
     context.logEvent(
         EventCode.DOCUMENT_CHANGED,
         document.kind().name(),
-        "storeVersion=" + document.version() + " source=" + source + " ageMillis=" + ageMillis);
+        "storeVersion="
+            + document.version()
+            + " source="
+            + source
+            + " ageMillis="
+            + ageMillis(document));
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentSources.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentSources.java
@@ -27,7 +27,7 @@
   /** The result of reading from the store. */
   sealed interface StoreResponse {
     /** The document was read. */
-    record Read(String content, String digest, long version) implements StoreResponse {}
+    record Read(String content, String digest, StoreVersion version) implements StoreResponse {}
 
     /** The read failed, or the response was invalid. */
     record Failed(String problem) implements StoreResponse {}
@@ -37,8 +37,14 @@
    * A document of another host.
    *
    * @param content empty if the content is the one known here
-   * @param ageMillis the time from the document's confirmation to the other host's response
+   * @param ageMillis the time from the other host's query of the store to its response
+   * @param readMillis the time from that query to the store's response, which is part of the age
    */
   record PeerDocument(
-      DocumentKind kind, Optional<String> content, String digest, long version, long ageMillis) {}
+      DocumentKind kind,
+      Optional<String> content,
+      String digest,
+      StoreVersion version,
+      long ageMillis,
+      long readMillis) {}
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/document/SharedDocument.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/SharedDocument.java
@@ -5,16 +5,26 @@
  *
  * @param content the document's text, in the format of the platform's adapter
  * @param digest equal for equal contents
- * @param version the version of the whole store when the document was read; never decreases between
- *     readings
- * @param confirmedAt when the query was sent whose response held this document, in milliseconds of
- *     this host's steady clock
+ * @param reading the newest reading that returned this content
  */
 public record SharedDocument(
-    DocumentKind kind, String content, String digest, long version, long confirmedAt) {
+    DocumentKind kind, String content, String digest, StoreReading reading) {
 
-  /** Returns this document with another version and confirmation time. */
-  SharedDocument withConfirmation(long newVersion, long newConfirmedAt) {
-    return new SharedDocument(kind, content, digest, newVersion, newConfirmedAt);
+  /** Returns the version of the whole store when the document was read. */
+  public StoreVersion version() {
+    return reading.version();
+  }
+
+  /**
+   * Returns when the query was sent whose response held this document, in milliseconds of this
+   * host's steady clock.
+   */
+  public long confirmedAt() {
+    return reading.queriedAt();
+  }
+
+  /** Returns this document as confirmed by another reading. */
+  SharedDocument withReading(StoreReading newReading) {
+    return new SharedDocument(kind, content, digest, newReading);
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -151,7 +151,9 @@
   LOADS_DELAYED(
       614,
       "Changes of loads or other content have waited for the bandwidth of a link for a heartbeat."),
-  LOADS_UNSENDABLE(615, "A load report could not be sent; other hosts still receive theirs.");
+  LOADS_UNSENDABLE(615, "A load report could not be sent; other hosts still receive theirs."),
+  DOCUMENT_OUTDATED(
+      616, "A document was read that is older than the known one; the first of a series.");
 
   private final int number;
   private final String description;
--- a/gatereel-core/src/test/java/org/gatereel/core/document/DocumentRefresherTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/DocumentRefresherTest.java
@@ -11,9 +11,11 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import org.gatereel.core.action.Action;
 import org.gatereel.core.document.DocumentSources.PeerDocument;
 import org.gatereel.core.document.DocumentSources.StoreResponse;
 import org.gatereel.core.document.HostDirectory.Entry;
+import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
@@ -92,14 +94,21 @@
   }
 
   private static PeerDocument document(DocumentKind kind, long version, long ageMillis) {
-    return new PeerDocument(kind, Optional.of("text"), "digest" + version, version, ageMillis);
+    return new PeerDocument(
+        kind,
+        Optional.of("text"),
+        "digest" + version,
+        StoreVersion.withoutEra(version),
+        ageMillis,
+        0);
   }
 
   @Test
   void hostWithoutReaderReadsStoreItself() {
     refresh(100);
     context.advanceTo(150);
-    sources.completeStoreReads(new StoreResponse.Read("text", "digest", 7));
+    sources.completeStoreReads(
+        new StoreResponse.Read("text", "digest", StoreVersion.withoutEra(7)));
     assertEquals(Optional.empty(), problem);
     assertEquals(3, updates.size());
     assertTrue(updates.stream().allMatch(document -> document.confirmedAt() == 100));
@@ -128,7 +137,8 @@
     listReader(NORTH);
     refresh(1_000);
     sources.peerListener.accept(Optional.empty());
-    sources.completeStoreReads(new StoreResponse.Read("text", "digest", 7));
+    sources.completeStoreReads(
+        new StoreResponse.Read("text", "digest", StoreVersion.withoutEra(7)));
     assertEquals(Optional.empty(), problem);
     refresh(1_600);
     assertEquals(1, sources.queriedPeers.size());
@@ -160,10 +170,13 @@
   @Test
   void equalDocumentIsConfirmedAndOlderDocumentIsIgnored() {
     refresh(100);
-    sources.completeStoreReads(new StoreResponse.Read("text", "digest9", 9));
+    sources.completeStoreReads(
+        new StoreResponse.Read("text", "digest9", StoreVersion.withoutEra(9)));
     listReader(NORTH);
     refresh(1_000);
-    PeerDocument same = new PeerDocument(DocumentKind.TARGETS, Optional.empty(), "digest9", 9, 20);
+    PeerDocument same =
+        new PeerDocument(
+            DocumentKind.TARGETS, Optional.empty(), "digest9", StoreVersion.withoutEra(9), 20, 0);
     sources.peerListener.accept(
         Optional.of(List.of(same, document(DocumentKind.CONFIGURATION, 8, 10))));
     assertEquals(980, cache.find(DocumentKind.TARGETS).orElseThrow().confirmedAt());
@@ -190,7 +203,8 @@
                   document(DocumentKind.TARGETS, 7, age))));
     }
     assertTrue(readAt - confirmedAt <= 0.75 * BOUND_MILLIS, "store was read after " + readAt);
-    sources.completeStoreReads(new StoreResponse.Read("text", "digest8", 8));
+    sources.completeStoreReads(
+        new StoreResponse.Read("text", "digest8", StoreVersion.withoutEra(8)));
     assertEquals(readAt, cache.find(DocumentKind.CONFIGURATION).orElseThrow().confirmedAt());
   }
 
@@ -224,7 +238,8 @@
   void outdatedReaderIsAvoidedWhenStoreResponds() {
     listReader(NORTH);
     readOutdatedReader(1_000);
-    sources.completeStoreReads(new StoreResponse.Read("text", "digest", 8));
+    sources.completeStoreReads(
+        new StoreResponse.Read("text", "digest", StoreVersion.withoutEra(8)));
     assertEquals(Optional.empty(), problem);
     assertEquals(Optional.empty(), directory.reader(1_000));
   }
@@ -236,7 +251,8 @@
     sources.completeStoreReads(new StoreResponse.Failed("status 503"));
     sources.peerListener.accept(Optional.empty());
     readOutdatedReader(2_000);
-    sources.completeStoreReads(new StoreResponse.Read("text", "digest", 8));
+    sources.completeStoreReads(
+        new StoreResponse.Read("text", "digest", StoreVersion.withoutEra(8)));
     directory.avoid(PEER, 2_000);
 
     readOutdatedReader(4_500);
@@ -257,14 +273,15 @@
     for (long now = 0; now <= 20_000; now += 500) {
       refresh(now);
       boolean hostsRead = sources.storeReaders.containsKey(DocumentKind.HOSTS);
-      sources.completeStoreReads(new StoreResponse.Read("text", "digest", now));
+      sources.completeStoreReads(
+          new StoreResponse.Read("text", "digest", StoreVersion.withoutEra(now)));
       assertEquals(now % 1_500 == 0 && now <= 4_500 || now == 12_500, hostsRead, "at " + now);
     }
   }
 
   @Test
   void slowReadOfHostsDoesNotDelayTheNextRefresh() {
-    StoreResponse response = new StoreResponse.Read("text", "digest", 7);
+    StoreResponse response = new StoreResponse.Read("text", "digest", StoreVersion.withoutEra(7));
     refresh(100);
     sources.storeReaders.get(DocumentKind.CONFIGURATION).accept(response);
     sources.storeReaders.get(DocumentKind.TARGETS).accept(response);
@@ -280,7 +297,8 @@
     unusableKind = Optional.of(DocumentKind.CONFIGURATION);
     refresh(100);
 
-    sources.completeStoreReads(new StoreResponse.Read("text", "digest", 7));
+    sources.completeStoreReads(
+        new StoreResponse.Read("text", "digest", StoreVersion.withoutEra(7)));
 
     assertEquals(Optional.empty(), problem);
     assertEquals(2, updates.size());
@@ -299,7 +317,7 @@
     sources
         .storeReaders
         .get(DocumentKind.CONFIGURATION)
-        .accept(new StoreResponse.Read("text", "digest", 8));
+        .accept(new StoreResponse.Read("text", "digest", StoreVersion.withoutEra(8)));
     sources.storeReaders.get(DocumentKind.TARGETS).accept(new StoreResponse.Failed("status 503"));
 
     assertEquals(Optional.of(PEER), directory.reader(5_000));
@@ -326,14 +344,40 @@
   void documentWhoseUseFailedIsUsedAtTheNextReading() {
     unusableKind = Optional.of(DocumentKind.CONFIGURATION);
     refresh(100);
-    sources.completeStoreReads(new StoreResponse.Read("text", "digest", 7));
+    sources.completeStoreReads(
+        new StoreResponse.Read("text", "digest", StoreVersion.withoutEra(7)));
     unusableKind = Optional.empty();
     outcomes.clear();
 
     refresh(700);
-    sources.completeStoreReads(new StoreResponse.Read("text", "digest", 7));
+    sources.completeStoreReads(
+        new StoreResponse.Read("text", "digest", StoreVersion.withoutEra(7)));
 
     assertEquals(DocumentCache.UpdateResult.CHANGED, outcomes.get(DocumentKind.CONFIGURATION));
     assertEquals(DocumentCache.UpdateResult.CONFIRMED, outcomes.get(DocumentKind.TARGETS));
   }
+
+  /** Guards against readings that are dropped without a trace in the log. */
+  @Test
+  void firstOutdatedReadingOfASeriesIsLogged() {
+    refresh(100);
+    sources.completeStoreReads(
+        new StoreResponse.Read("text", "digest9", StoreVersion.withoutEra(9)));
+    listReader(NORTH);
+    context.takeActions();
+    for (long now = 1_000; now <= 1_400; now += 400) {
+      refresh(now);
+      sources.peerListener.accept(Optional.of(List.of(document(DocumentKind.TARGETS, 8, 1_000))));
+    }
+    List<String> details =
+        context.takeActions().stream()
+            .filter(Action.LogEvent.class::isInstance)
+            .map(Action.LogEvent.class::cast)
+            .filter(event -> event.code() == EventCode.DOCUMENT_OUTDATED)
+            .map(Action.LogEvent::detail)
+            .toList();
+    assertEquals(
+        List.of("storeVersion=-/8 source=" + PEER + " ageMillis=1000 known=-/9 knownAgeMillis=900"),
+        details);
+  }
 }
--- a/gatereel-core/src/test/java/org/gatereel/core/document/DocumentWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/DocumentWorld.java
@@ -116,7 +116,7 @@
               cache,
               this,
               BOUND_MILLIS,
-              (document, result) -> use(document.kind(), document.version()));
+              (document, result) -> use(document.kind(), document.version().number()));
       poller =
           new Poller(
               context,
@@ -197,7 +197,8 @@
       reading.put(kind, true);
       List<Consumer<StoreResponse>> callbacks = waiting.remove(kind);
       StoreResponse read =
-          new StoreResponse.Read("text", kind + " " + version(kind), version(kind));
+          new StoreResponse.Read(
+              "text", kind + " " + version(kind), StoreVersion.withoutEra(version(kind)));
       switch (disturbances.get(kind)) {
         case SLOW -> later(SLOW_TABLE_MILLIS, () -> endRead(kind, callbacks, read));
         case FAILING -> later(RESPONSE_MILLIS, () -> failRead(kind, callbacks, "status 503"));
@@ -249,7 +250,8 @@
                             Optional.of(known.content()),
                             known.digest(),
                             known.version(),
-                            now - known.confirmedAt())));
+                            now - known.confirmedAt(),
+                            known.reading().answeredAt() - known.confirmedAt())));
       }
       return documents;
     }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerDocuments.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerDocuments.java
@@ -1,5 +1,6 @@
 package org.gatereel.forward.peer;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -15,19 +16,56 @@
 import org.gatereel.core.document.DocumentKind;
 import org.gatereel.core.document.DocumentSources.PeerDocument;
 import org.gatereel.core.document.SharedDocument;
+import org.gatereel.core.document.StoreReading;
+import org.gatereel.core.document.StoreVersion;
 
 /**
  * Encodes the requests for documents between hosts as query strings, and the responses as JSON.
  *
- * <p>A request contains the digests of the requester's documents. The response is a list of {@link
- * PeerDocument}, without the contents that the requester already has.
+ * <p>A request contains the digests of the requester's documents. The response is a list of
+ * entries, without the contents that the requester already has.
  */
 final class PeerDocuments {
   static final String PATH = "/documents";
 
   private static final ObjectMapper MAPPER =
       JsonMapper.builder().addModule(new Jdk8Module()).build();
-  private static final TypeReference<List<PeerDocument>> READINGS = new TypeReference<>() {};
+  private static final TypeReference<List<Entry>> ENTRIES = new TypeReference<>() {};
+
+  /** Parameter of hosts that read the optional fields, which earlier versions reject. */
+  private static final String READS_OPTIONAL_FIELDS = "optional";
+
+  /**
+   * A document in a response.
+   *
+   * @param version the number of the store's version
+   * @param era the era of the store's version, if the store has told it
+   * @param readMillis as in {@link PeerDocument}; the whole age if the host does not tell
+   */
+  private record Entry(
+      DocumentKind kind,
+      Optional<String> content,
+      String digest,
+      long version,
+      long ageMillis,
+      @JsonInclude(JsonInclude.Include.NON_ABSENT) Optional<Long> era,
+      @JsonInclude(JsonInclude.Include.NON_ABSENT) Optional<Long> readMillis) {
+
+    Entry withoutOptionalFields() {
+      return new Entry(
+          kind, content, digest, version, ageMillis, Optional.empty(), Optional.empty());
+    }
+
+    PeerDocument toDocument() {
+      return new PeerDocument(
+          kind,
+          content,
+          digest,
+          new StoreVersion(era.orElse(StoreVersion.UNKNOWN_ERA), version),
+          ageMillis,
+          readMillis.orElse(ageMillis));
+    }
+  }
 
   private PeerDocuments() {}
 
@@ -37,41 +75,49 @@
     for (DocumentKind kind : DocumentKind.values()) {
       known.find(kind).ifPresent(document -> query.addParam(kind.name(), document.digest()));
     }
+    query.addParam(READS_OPTIONAL_FIELDS, "1");
     return query.toString();
   }
 
   /** Returns the response to a request with the given target. */
   static String writeResponse(String requestTarget, DocumentCache known, long nowMillis) {
     QueryStringDecoder query = new QueryStringDecoder(requestTarget);
-    List<PeerDocument> readings = new ArrayList<>();
+    boolean withOptionalFields = query.parameters().containsKey(READS_OPTIONAL_FIELDS);
+    List<Entry> entries = new ArrayList<>();
     for (DocumentKind kind : DocumentKind.values()) {
       List<String> digests = query.parameters().getOrDefault(kind.name(), List.of());
       known
           .find(kind)
-          .ifPresent(document -> readings.add(peerReading(document, digests, nowMillis)));
+          .map(document -> entry(document, digests, nowMillis))
+          .map(entry -> withOptionalFields ? entry : entry.withoutOptionalFields())
+          .ifPresent(entries::add);
     }
     try {
-      return MAPPER.writeValueAsString(readings);
+      return MAPPER.writeValueAsString(entries);
     } catch (JsonProcessingException e) {
       throw new IllegalStateException("documents could not be written as JSON", e);
     }
   }
 
-  private static PeerDocument peerReading(
-      SharedDocument document, List<String> digests, long nowMillis) {
+  private static Entry entry(SharedDocument document, List<String> digests, long nowMillis) {
     boolean requesterHasContent = digests.contains(document.digest());
-    return new PeerDocument(
+    StoreReading reading = document.reading();
+    StoreVersion version = reading.version();
+    return new Entry(
         document.kind(),
         requesterHasContent ? Optional.empty() : Optional.of(document.content()),
         document.digest(),
-        document.version(),
-        nowMillis - document.confirmedAt());
+        version.number(),
+        nowMillis - reading.queriedAt(),
+        version.hasEra() ? Optional.of(version.era()) : Optional.empty(),
+        Optional.of(reading.answeredAt() - reading.queriedAt()));
   }
 
   /** Reads a response; empty if it is malformed or truncated. */
   static Optional<List<PeerDocument>> readResponse(byte[] body) {
     try {
-      return Optional.ofNullable(MAPPER.readValue(body, READINGS));
+      return Optional.ofNullable(MAPPER.readValue(body, ENTRIES))
+          .map(entries -> entries.stream().map(Entry::toDocument).toList());
     } catch (IOException e) {
       return Optional.empty();
     }
