Order readings of the store by time or era, not by version alone

The store had returned from an older copy: its versions fell, and DocumentCache took each later reading for outdated until they had passed the old mark; TargetRegistry did the same with lists.

Where the store tells its era, (era, version) decides. Where it does not, of two readings that do not overlap the later one is newer, since every answer is linearizable but for a return; overlapping ones go by version. StoreHistory notices a return (event 617) for those who must act on it.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentCache.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentCache.java
@@ -20,13 +20,13 @@
     CHANGED,
     /** The content was known; its confirmation time may be newer. */
     CONFIRMED,
-    /** A newer version was known; the update was ignored. */
+    /** A newer reading was known; the update was ignored. */
     OUTDATED
   }
 
   /**
-   * Stores a document unless a newer version is known. If the content is known, only the version
-   * and the confirmation time are updated.
+   * Stores a document unless a newer reading is known. If the content is known, only the reading is
+   * updated.
    */
   public UpdateResult update(SharedDocument document) {
     SharedDocument known = documents.get(document.kind());
@@ -34,7 +34,7 @@
       documents.put(document.kind(), known.withReading(merge(document, known)));
       return unused.remove(document.kind()) ? UpdateResult.CHANGED : UpdateResult.CONFIRMED;
     }
-    if (known != null && isBefore(document, known)) {
+    if (known != null && document.reading().isOlderThan(known.reading())) {
       return UpdateResult.OUTDATED;
     }
     documents.put(document.kind(), document);
@@ -43,15 +43,11 @@
   }
 
   private static StoreReading merge(SharedDocument one, SharedDocument other) {
-    return isBefore(one, other)
+    return one.reading().isOlderThan(other.reading())
         ? other.reading().mergedWith(one.reading())
         : one.reading().mergedWith(other.reading());
   }
 
-  private static boolean isBefore(SharedDocument one, SharedDocument other) {
-    return one.version().number() < other.version().number();
-  }
-
   /**
    * Records that the newest version of a document is not in use, because its use failed. The next
    * update with the same content counts as a change.
--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
@@ -55,8 +55,6 @@
    */
   private static final double MIN_STORE_BACKOFF_RATIO = 0.5;
 
-  private static final String STORE = "store";
-
   private static final Set<DocumentKind> URGENT_KINDS =
       Stream.of(DocumentKind.values())
           .filter(DocumentKind::isUrgent)
@@ -66,7 +64,7 @@
   private final HostDirectory directory;
   private final DocumentCache cache;
   private final DocumentSources sources;
-  private final BiConsumer<SharedDocument, DocumentCache.UpdateResult> updateListener;
+  private final DocumentUpdater updater;
   private final long freshMillis;
   private final long readerIntervalMillis;
   private final long followerIntervalMillis;
@@ -78,9 +76,6 @@
   private long hostsReadAt = Long.MIN_VALUE / 2;
   private final Map<DocumentKind, BooleanSupplier> onDemand = new EnumMap<>(DocumentKind.class);
 
-  /** The documents whose last reading was outdated. */
-  private final Set<DocumentKind> outdated = EnumSet.noneOf(DocumentKind.class);
-
   /**
    * One refresh of all documents. Each document is read independently of the others, so that one
    * which is slow, fails or throws delays no other. The refresh ends with the reads of the urgent
@@ -203,7 +198,7 @@
       boolean isUrgent = pendingReads.remove(kind);
       if (response instanceof DocumentSources.StoreResponse.Read read) {
         availability.get(kind).recordRead();
-        DocumentRefresher.this.update(kind, read, queriedAt);
+        updater.updateFromStore(kind, read, queriedAt);
         if (isUrgent) {
           onUrgentRead(kind);
         }
@@ -282,7 +277,9 @@
 
     private void updateAll(
         Address peer, Optional<List<DocumentSources.PeerDocument>> response, long sentAt) {
-      response.orElse(List.of()).forEach(document -> tryUpdateFromPeer(peer, document, sentAt));
+      response
+          .orElse(List.of())
+          .forEach(document -> updater.updateFromPeer(peer, document, sentAt));
     }
   }
 
@@ -303,7 +300,7 @@
     this.directory = directory;
     this.cache = cache;
     this.sources = sources;
-    this.updateListener = updateListener;
+    this.updater = new DocumentUpdater(context, cache, updateListener);
     this.freshMillis = (long) (FRESHNESS_RATIO * boundMillis);
     this.readerIntervalMillis = (long) (READER_INTERVAL_RATIO * boundMillis);
     this.followerIntervalMillis = (long) (FOLLOWER_INTERVAL_RATIO * boundMillis);
@@ -343,104 +340,13 @@
     return unconfirmed;
   }
 
-  /** A document of another host that cannot be used must not keep the refresh open. */
-  private void tryUpdateFromPeer(Address peer, DocumentSources.PeerDocument document, long sentAt) {
-    try {
-      updateFromPeer(peer, document, sentAt);
-    } catch (RuntimeException e) {
-      context.logEvent(EventCode.CONFIGURATION_INVALID, "document of another host", e.toString());
-    }
-  }
-
-  private void updateFromPeer(Address peer, DocumentSources.PeerDocument document, long sentAt) {
-    Optional<SharedDocument> known = cache.find(document.kind());
-    Optional<String> content =
-        document
-            .content()
-            .or(
-                () ->
-                    known
-                        .filter(cached -> cached.digest().equals(document.digest()))
-                        .map(SharedDocument::content));
-    content.ifPresent(
-        text ->
-            update(
-                new SharedDocument(
-                    document.kind(), text, document.digest(), reading(document, sentAt)),
-                peer.toString()));
-  }
-
-  /** The age refers to a time between the query of the other host and now. */
-  private StoreReading reading(DocumentSources.PeerDocument document, long sentAt) {
-    long readBeforeMillis = document.ageMillis() - document.readMillis();
-    return new StoreReading(
-        document.version(),
-        sentAt - document.ageMillis(),
-        context.nowIncludingSuspensions() - readBeforeMillis);
-  }
-
   /** Updates the cache from a store response that was read outside the regular refreshes. */
   public void update(DocumentKind kind, DocumentSources.StoreResponse.Read read, long queriedAt) {
-    StoreReading reading =
-        new StoreReading(read.version(), queriedAt, context.nowIncludingSuspensions());
-    update(new SharedDocument(kind, read.content(), read.digest(), reading), STORE);
-  }
-
-  private void update(SharedDocument document, String source) {
-    DocumentCache.UpdateResult result = cache.update(document);
-    if (result == DocumentCache.UpdateResult.OUTDATED) {
-      logOutdated(document, source);
-      return;
-    }
-    outdated.remove(document.kind());
-    if (result == DocumentCache.UpdateResult.CHANGED && document.kind().isUrgent()) {
-      logChange(document, source);
-    }
-    try {
-      updateListener.accept(document, result);
-    } catch (RuntimeException e) {
-      // The other documents must still be updated, and the refresh must end.
-      cache.markUnused(document.kind());
-      context.logEvent(
-          EventCode.CONFIGURATION_INVALID,
-          document.kind().name(),
-          "version=" + document.version() + " " + e);
-    }
-  }
-
-  /** Logs the first of a series of outdated readings. */
-  private void logOutdated(SharedDocument document, String source) {
-    if (outdated.add(document.kind())) {
-      SharedDocument known = cache.find(document.kind()).orElseThrow();
-      context.logEvent(
-          EventCode.DOCUMENT_OUTDATED,
-          document.kind().name(),
-          "storeVersion="
-              + document.version()
-              + " source="
-              + source
-              + " ageMillis="
-              + ageMillis(document)
-              + " known="
-              + known.version()
-              + " knownAgeMillis="
-              + ageMillis(known));
-    }
-  }
-
-  private long ageMillis(SharedDocument document) {
-    return context.nowIncludingSuspensions() - document.confirmedAt();
+    updater.updateFromStore(kind, read, queriedAt);
   }
 
-  private void logChange(SharedDocument document, String source) {
-    context.logEvent(
-        EventCode.DOCUMENT_CHANGED,
-        document.kind().name(),
-        "storeVersion="
-            + document.version()
-            + " source="
-            + source
-            + " ageMillis="
-            + ageMillis(document));
+  /** Returns what is known of the store's returns from older copies. */
+  public StoreHistory history() {
+    return updater.history();
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/document/StoreReading.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/StoreReading.java
@@ -8,7 +8,38 @@
  * @param answeredAt a time not before the response arrived
  */
 public record StoreReading(StoreVersion version, long queriedAt, long answeredAt) {
-  /** Returns the reading that confirms as much as both of these; this one is the newer one. */
+  /**
+   * Returns whether the other reading shows a later state of the store.
+   *
+   * <p>Versions alone do not tell, since they fall when the store returns from an older copy. If
+   * the store does not tell its eras, of two readings that do not overlap the later one is newer.
+   */
+  boolean isOlderThan(StoreReading other) {
+    if (version.hasEra() && other.version.hasEra()) {
+      return version.era() == other.version.era()
+          ? version.number() < other.version.number()
+          : version.era() < other.version.era();
+    }
+    if (queriedAt > other.answeredAt) {
+      return false;
+    }
+    return answeredAt < other.queriedAt || version.number() < other.version.number();
+  }
+
+  /**
+   * Returns whether the store has returned from an older copy between an earlier reading and this
+   * one.
+   */
+  boolean showsReturnSince(StoreReading earlier) {
+    if (isOlderThan(earlier)) {
+      return false;
+    }
+    return version.hasEra() && earlier.version.hasEra()
+        ? version.era() > earlier.version.era()
+        : version.number() < earlier.version.number();
+  }
+
+  /** Returns the reading that confirms as much as this one and an older one together. */
   StoreReading mergedWith(StoreReading older) {
     return new StoreReading(
         version, Math.max(queriedAt, older.queriedAt), Math.max(answeredAt, older.answeredAt));
--- a/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
@@ -83,7 +83,7 @@
     pausedMillisAtLastList = context.pausedMillis();
     lastList = list;
     endRetentionIfDue(queriedAt);
-    targets.applyList(list, retained);
+    targets.replaceList(list, retained);
     scheduleExpiry();
   }
 
@@ -149,7 +149,7 @@
   private void onExpiry() {
     if (lastQueryAt > reconnectedAt) {
       endRetentionIfDue(context.nowIncludingSuspensions());
-      targets.applyList(lastList, retained);
+      targets.replaceList(lastList, retained);
     }
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -153,7 +153,8 @@
       "Changes of loads or other content have waited for the bandwidth of a link for a heartbeat."),
   LOADS_UNSENDABLE(615, "A load report could not be sent; other hosts still receive theirs."),
   DOCUMENT_OUTDATED(
-      616, "A document was read that is older than the known one; the first of a series.");
+      616, "A document was read that is older than the known one; the first of a series."),
+  STORE_RETURNED(617, "The store has returned from an older copy; its versions have fallen.");
 
   private final int number;
   private final String description;
--- a/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/target/TargetRegistry.java
@@ -54,24 +54,24 @@
     leavingListeners.add(listener);
   }
 
-  /** Applies a complete target list, without targets to retain. */
+  /** Applies a complete target list, unless one with a higher version was applied. */
   public void applyList(HostList list) {
-    applyList(list, Set.of());
+    if (list.version() >= listVersion) {
+      replaceList(list, Set.of());
+    }
   }
 
   /**
-   * Applies a target list of the platform, unless a later one was applied; removes targets that it
-   * does not name.
+   * Applies a target list that is newer than the one before, whatever its version; removes targets
+   * that it does not name.
    *
    * @param retained targets that are kept although the list does not name them
    */
-  public void applyList(HostList list, Set<TargetId> retained) {
-    if (list.version() >= listVersion) {
-      TargetListChanges changes = new TargetListChanges();
-      Set<TargetId> listed = applyTargets(list, changes);
-      removeUnlisted(Sets.union(listed, retained), changes);
-      changes.log(context, listVersion, targets.size());
-    }
+  public void replaceList(HostList list, Set<TargetId> retained) {
+    TargetListChanges changes = new TargetListChanges();
+    Set<TargetId> listed = applyTargets(list, changes);
+    removeUnlisted(Sets.union(listed, retained), changes);
+    changes.log(context, listVersion, targets.size());
   }
 
   private Set<TargetId> applyTargets(HostList list, TargetListChanges changes) {
--- a/gatereel-core/src/test/java/org/gatereel/core/document/DocumentRefresherTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/DocumentRefresherTest.java
@@ -178,7 +178,7 @@
         new PeerDocument(
             DocumentKind.TARGETS, Optional.empty(), "digest9", StoreVersion.withoutEra(9), 20, 0);
     sources.peerListener.accept(
-        Optional.of(List.of(same, document(DocumentKind.CONFIGURATION, 8, 10))));
+        Optional.of(List.of(same, document(DocumentKind.CONFIGURATION, 8, 950))));
     assertEquals(980, cache.find(DocumentKind.TARGETS).orElseThrow().confirmedAt());
     assertEquals(100, cache.find(DocumentKind.CONFIGURATION).orElseThrow().confirmedAt());
     assertEquals("digest9", cache.find(DocumentKind.CONFIGURATION).orElseThrow().digest());
@@ -380,4 +380,63 @@
         List.of("storeVersion=-/8 source=" + PEER + " ageMillis=1000 known=-/9 knownAgeMillis=900"),
         details);
   }
+
+  private void refreshFromStore(long now, long era, long version) {
+    refresh(now);
+    sources.completeStoreReads(
+        new StoreResponse.Read("text", "digest" + version, new StoreVersion(era, version)));
+  }
+
+  private String digest(DocumentKind kind) {
+    return cache.find(kind).orElseThrow().digest();
+  }
+
+  /**
+   * Guards against changes that stay out of force until the versions have passed their old mark.
+   */
+  @Test
+  void changeIsUsedAfterTheStoreReturnedWithLowerVersions() {
+    List<Long> returns = new ArrayList<>();
+    refresher.history().onReturn(returns::add);
+    refreshFromStore(100, StoreVersion.UNKNOWN_ERA, 400);
+    refreshFromStore(700, StoreVersion.UNKNOWN_ERA, 5);
+    assertEquals("digest5", digest(DocumentKind.CONFIGURATION));
+    assertEquals("digest5", digest(DocumentKind.TARGETS));
+    assertEquals(List.of(700L), returns);
+    refreshFromStore(1_300, StoreVersion.UNKNOWN_ERA, 6);
+    assertEquals("digest6", digest(DocumentKind.TARGETS));
+    assertEquals(1, refresher.history().returns());
+  }
+
+  /** Guards against a host of an earlier era that undoes what this host has read since. */
+  @Test
+  void documentsOfAHostInAnEarlierEraAreIgnored() {
+    refreshFromStore(100, 1, 400);
+    refreshFromStore(700, 2, 5);
+    listReader(NORTH);
+    refresh(1_300);
+    PeerDocument earlier =
+        new PeerDocument(
+            DocumentKind.TARGETS, Optional.of("text"), "digest401", new StoreVersion(1, 401), 0, 0);
+    sources.peerListener.accept(Optional.of(List.of(earlier)));
+    assertEquals("digest5", digest(DocumentKind.TARGETS));
+    assertEquals(1, refresher.history().returns());
+  }
+
+  /** Guards against hosts that each read the store since their reader is taken for outdated. */
+  @Test
+  void readerThatHasReadTheStoreAfterItsReturnIsNotLeft() {
+    refreshFromStore(100, StoreVersion.UNKNOWN_ERA, 400);
+    listReader(NORTH);
+    refresh(1_000);
+    sources.storeReaders.clear();
+    sources.peerListener.accept(
+        Optional.of(
+            List.of(
+                document(DocumentKind.CONFIGURATION, 5, 300),
+                document(DocumentKind.TARGETS, 5, 300))));
+    assertEquals("digest5", digest(DocumentKind.TARGETS));
+    assertTrue(sources.storeReaders.isEmpty());
+    assertEquals(Optional.empty(), problem);
+  }
 }
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/RestartedTargetTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/RestartedTargetTest.java
@@ -91,7 +91,7 @@
   void nextIncarnationReplacesPreviousOneThatIsRetained() {
     world.list(incarnation("e1", FIRST, "north"));
 
-    world.targets.applyList(
+    world.targets.replaceList(
         new HostList(9, List.of(), List.of(incarnation("e1", SECOND, "north"))),
         Set.of(incarnation("e1", FIRST, "north").id()));
 
