Keep the newest configuration while the store shows the one of its copy

Callers got 503 STALE_CONFIGURATION for valid keys, at all hosts, from 4.85 s after the store had returned from a copy until the operator had written again. A lower version was ignored, and its readings confirmed nothing.

The operator's own version orders configurations.

--- a/gatereel-core/src/main/java/org/gatereel/core/forward/ConfigurationHolder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/ConfigurationHolder.java
@@ -69,8 +69,9 @@
   }
 
   /**
-   * Updates the configuration from the platform's response to a query sent at {@code queriedAt};
-   * older versions are ignored.
+   * Updates the configuration from the platform's newest response, to a query sent at {@code
+   * queriedAt}. An older version, which a store shows after it has returned from a copy, is
+   * ignored; that no newer one is there is confirmed nevertheless.
    */
   public void update(Configuration configuration, long queriedAt) {
     if (configuration.version() < version()) {
@@ -78,6 +79,7 @@
           EventCode.CONFIGURATION_IGNORED,
           Long.toString(configuration.version()),
           "known=" + version());
+      confirm(version(), queriedAt);
       return;
     }
     if (configuration.version() > version()) {
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/ConfigurationHolderTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/ConfigurationHolderTest.java
@@ -81,6 +81,17 @@
     assertEquals(5, holder.version());
   }
 
+  /** Guards against keys that are refused while a store that has returned shows its copy. */
+  @Test
+  void readingOfAnEarlierVersionConfirmsThatThereIsNoNewerOne() {
+    holder.update(ForwardWorld.configuration(5).build(), world.context.now());
+    world.advanceTime(3_000);
+    holder.update(ForwardWorld.configuration(4).build(), world.context.now() - 100);
+
+    assertEquals(5, holder.version());
+    assertEquals(100, holder.ageMillis());
+  }
+
   @Test
   void ignoresConfirmationOfOtherVersion() {
     world.advanceTime(1_000);
