Keep targets of an older copy of the store out, and those that it lacks in

With lists used again after a return, requests ran at targets that had been removed and that the copy names again (DRAIN), and callers got 503 while a live target was missing in the copy.

Targets that were removed within the last 60 s and are in the first list after a return are not used until their entry is gone, or 5 s have passed, in which the store drops entries that nobody writes (three heartbeats of 1.2 s). Known targets that the list lacks are kept for 2 s, in which they register again, as after an outage. Event 524 tells of the former, 512 of the latter.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
@@ -22,6 +22,9 @@
  * disconnected or suspended: then the entries are of targets that have left. An outage is assumed
  * if most entries have disappeared or one of them returns. Entries that disappear later are of
  * targets that have left, as are those of any list after the first one since the host's start.
+ *
+ * <p>A store that has returned from an older copy lacks the targets that registered since, which
+ * are retained likewise, and lists some that have left since, which are excluded for a while.
  */
 public final class TargetListUpdater {
   /** Entries do not expire during shorter outages. */
@@ -40,6 +43,8 @@
   private final long outageMillis;
   private final long unconfirmedPeriodMillis;
   private final Set<TargetId> retained = new HashSet<>();
+  private final RemovedTargets removedTargets = new RemovedTargets();
+  private OptionalLong returnedAt = OptionalLong.empty();
   private HostList lastList;
   private long lastQueryAt = NEVER;
   private long pausedMillisAtLastList;
@@ -71,9 +76,10 @@
     if (queriedAt < lastQueryAt) {
       return;
     }
-    Set<TargetId> listed =
-        list.targets().stream().map(TargetDescription::id).collect(Collectors.toSet());
-    if (lastList != null && queriedAt - lastQueryAt > outageMillis) {
+    Set<TargetId> listed = RemovedTargets.ids(list);
+    if (lastList != null && isFirstAfterReturn(queriedAt)) {
+      onFirstListAfterReturn(list, listed, queriedAt);
+    } else if (lastList != null && queriedAt - lastQueryAt > outageMillis) {
       beginRetention(listed, queriedAt);
       dropAfterOwnPause(queriedAt);
     } else if (retained.removeAll(listed)) {
@@ -81,12 +87,49 @@
     }
     lastQueryAt = queriedAt;
     pausedMillisAtLastList = context.pausedMillis();
-    lastList = list;
+    lastList = removedTargets.applyTo(list, queriedAt);
     endRetentionIfDue(queriedAt);
-    targets.replaceList(list, retained);
+    replaceList();
     scheduleExpiry();
   }
 
+  /**
+   * Records that the store has returned from an older copy.
+   *
+   * @param queriedAt when the first query that shows it was sent
+   */
+  public void recordStoreReturn(long queriedAt) {
+    returnedAt = OptionalLong.of(queriedAt);
+  }
+
+  private boolean isFirstAfterReturn(long queriedAt) {
+    return returnedAt.isPresent() && queriedAt >= returnedAt.getAsLong();
+  }
+
+  private void onFirstListAfterReturn(HostList list, Set<TargetId> listed, long queriedAt) {
+    returnedAt = OptionalLong.empty();
+    beginRetention(listed, queriedAt);
+    isOutageConfirmed = true;
+    Set<TargetId> excluded = removedTargets.exclude(list, queriedAt);
+    if (!excluded.isEmpty()) {
+      context.logEvent(EventCode.REMOVED_TARGETS_LISTED, "targets", "excluded=" + excluded.size());
+    }
+  }
+
+  private void replaceList() {
+    Set<TargetId> removed = knownIds();
+    targets.replaceList(lastList, retained);
+    removed.removeAll(knownIds());
+    removedTargets.record(removed, context.nowIncludingSuspensions());
+  }
+
+  private Set<TargetId> knownIds() {
+    return targets.all().stream()
+        .map(TargetState::description)
+        .map(TargetDescription::id)
+        .collect(Collectors.toSet());
+  }
+
   /**
    * Returns the time since the query whose response held the last list, in milliseconds; empty
    * before the first list.
@@ -98,11 +141,7 @@
   }
 
   private void beginRetention(Set<TargetId> listed, long queriedAt) {
-    Set<TargetId> known =
-        targets.all().stream()
-            .map(TargetState::description)
-            .map(TargetDescription::id)
-            .collect(Collectors.toSet());
+    Set<TargetId> known = knownIds();
     retained.clear();
     known.stream().filter(id -> !listed.contains(id)).forEach(retained::add);
     reconnectedAt = queriedAt;
@@ -149,7 +188,7 @@
   private void onExpiry() {
     if (lastQueryAt > reconnectedAt) {
       endRetentionIfDue(context.nowIncludingSuspensions());
-      targets.replaceList(lastList, retained);
+      replaceList();
     }
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -127,6 +127,8 @@
       522, "This host's verdict on a new version changed with the results that hosts reported."),
   ROLLOUT_DECIDED(
       523, "This host writes the next step of a rollout, unless another host already has."),
+  REMOVED_TARGETS_LISTED(
+      524, "The older copy of the store lists targets that were removed; they are not used yet."),
   PLATFORM_LOST(600, "The platform does not respond."),
   PLATFORM_REACHED(601, "The platform responds again."),
   READER_LOST(602, "The host that reads the store for this data centre has no current data."),
--- a/gatereel-core/src/test/java/org/gatereel/core/document/TargetListUpdaterTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/TargetListUpdaterTest.java
@@ -172,4 +172,53 @@
     updater.update(list("e1"), 7_400);
     assertEquals(Set.of("e1", "e2"), usable());
   }
+
+  /** Guards against requests to targets that left after the copy of a returned store was made. */
+  @Test
+  void removedTargetsOfTheCopyAreNotUsedUntilTheirEntriesWouldHaveExpired() {
+    updater.update(list("e1", "e2"), 0);
+    updater.update(list("e2"), 600);
+    updater.recordStoreReturn(1_200);
+    updater.update(list("e1", "e2"), 1_200);
+    assertEquals(Set.of("e2"), usable());
+    updater.update(list("e1", "e2"), 6_100);
+    assertEquals(Set.of("e2"), usable());
+    updater.update(list("e1", "e2"), 6_200);
+    assertEquals(Set.of("e1", "e2"), usable());
+  }
+
+  /** Guards against passing over a target that registers again after the store has returned. */
+  @Test
+  void removedTargetOfTheCopyThatRegistersAgainIsUsed() {
+    updater.update(list("e1", "e2"), 0);
+    updater.update(list("e2"), 600);
+    updater.recordStoreReturn(1_200);
+    updater.update(list("e1", "e2"), 1_200);
+    updater.update(list("e2"), 1_800);
+    updater.update(list("e1", "e2"), 2_400);
+    assertEquals(Set.of("e1", "e2"), usable());
+  }
+
+  /** Guards against dropping live targets that registered after the copy was made. */
+  @Test
+  void targetsThatTheCopyLacksAreKeptForReregistration() {
+    updater.update(list("e1", "e2", "e3"), 0);
+    updater.recordStoreReturn(600);
+    updater.update(list("e1", "e2"), 600);
+    assertEquals(Set.of("e1", "e2", "e3"), usable());
+    updater.update(list("e1", "e2"), 2_500);
+    assertEquals(Set.of("e1", "e2", "e3"), usable());
+    updater.update(list("e1", "e2"), 2_600);
+    assertEquals(Set.of("e1", "e2"), usable());
+  }
+
+  /** Guards against a return that a list of before is taken to answer. */
+  @Test
+  void listQueriedBeforeTheReturnDoesNotEndItsEffect() {
+    updater.update(list("e1", "e2", "e3"), 0);
+    updater.recordStoreReturn(700);
+    updater.update(list("e1", "e2", "e3"), 600);
+    updater.update(list("e1", "e2"), 1_200);
+    assertEquals(Set.of("e1", "e2", "e3"), usable());
+  }
 }
