Keep targets that the copy lacks until a list can tell that they registered again

Callers got 503 NO_TARGET for a target that registered again 1.4 s after the store had returned: ReturnedStoreTest targetThatIsMissing... failed once (1 of 2 in one run beside load 15 on 8 cores, mvn -pl platform -am -Dtest=ReturnedStoreTest test). The log of that host: ENTRIES_RETAINED 27.454, RETENTION_ENDED afterMillis=2004 at 29.451, refused at 29.492; the other hosts had the new list in time. Retention ended by a timer 2.0 s after the first list, while a new entry needs the intervals of a reader and its follower, half of the bound, to be heard of. After a return they are added.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
@@ -42,6 +42,7 @@
   private final TargetRegistry targets;
   private final long outageMillis;
   private final long unconfirmedPeriodMillis;
+  private final long maxListDelayMillis;
   private final Set<TargetId> retained = new HashSet<>();
   private final RemovedTargets removedTargets = new RemovedTargets();
   private OptionalLong returnedAt = OptionalLong.empty();
@@ -50,6 +51,7 @@
   private long pausedMillisAtLastList;
   private long reconnectedAt = NEVER;
   private boolean isOutageConfirmed;
+  private boolean isAfterReturn;
   private TimerQueue.Timer expiryTimer;
 
   /**
@@ -62,6 +64,7 @@
     this.context = context;
     this.targets = targets;
     this.outageMillis = Math.max(MIN_OUTAGE_MILLIS, boundMillis);
+    this.maxListDelayMillis = (long) ((1 - REMAINING_BOUND_RATIO) * boundMillis);
     this.unconfirmedPeriodMillis =
         Math.min(REREGISTRATION_PERIOD_MILLIS, (long) (REMAINING_BOUND_RATIO * boundMillis));
   }
@@ -110,6 +113,7 @@
     returnedAt = OptionalLong.empty();
     beginRetention(listed, queriedAt);
     isOutageConfirmed = true;
+    isAfterReturn = true;
     Set<TargetId> excluded = removedTargets.exclude(list, queriedAt);
     if (!excluded.isEmpty()) {
       context.logEvent(EventCode.REMOVED_TARGETS_LISTED, "targets", "excluded=" + excluded.size());
@@ -146,6 +150,7 @@
     known.stream().filter(id -> !listed.contains(id)).forEach(retained::add);
     reconnectedAt = queriedAt;
     isOutageConfirmed = 2 * retained.size() > known.size();
+    isAfterReturn = false;
     if (!retained.isEmpty()) {
       log(EventCode.ENTRIES_RETAINED, "gapMillis=" + (queriedAt - lastQueryAt));
     }
@@ -162,6 +167,9 @@
   }
 
   private long retentionEndAt() {
+    if (isAfterReturn) {
+      return reconnectedAt + REREGISTRATION_PERIOD_MILLIS + maxListDelayMillis;
+    }
     return reconnectedAt
         + (isOutageConfirmed ? REREGISTRATION_PERIOD_MILLIS : unconfirmedPeriodMillis);
   }
