Ask other hosts for a newer configuration before a host first reads the store

StartupQuery reads the entries of hosts first, then queries the reader and one other host, for 0.5 s at most; then refreshes begin. The entries are not read a second time by the first refresh. Event 620 names responses and duration.

Still open: a host that starts has no memory of targets that were removed, and may use those of the copy until their entries expire.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
@@ -171,8 +171,7 @@
               ? INITIAL_HOSTS_INTERVAL_MILLIS
               : HOSTS_INTERVAL_MILLIS;
       if (context.now() - hostsReadAt >= hostsMillis) {
-        hostsReadAt = context.now();
-        hostsReadings++;
+        recordHostsRead();
         readStore(DocumentKind.HOSTS);
       }
     }
@@ -337,6 +336,11 @@
     return intervalMillis;
   }
 
+  private void recordHostsRead() {
+    hostsReadAt = context.now();
+    hostsReadings++;
+  }
+
   private Set<DocumentKind> documentsUnconfirmedSince(long time) {
     Set<DocumentKind> unconfirmed = EnumSet.copyOf(URGENT_KINDS);
     unconfirmed.removeIf(kind -> cache.isConfirmedSince(kind, time));
@@ -345,6 +349,9 @@
 
   /** Updates the cache from a store response that was read outside the regular refreshes. */
   public void update(DocumentKind kind, DocumentSources.StoreResponse.Read read, long queriedAt) {
+    if (kind == DocumentKind.HOSTS) {
+      recordHostsRead();
+    }
     updater.updateFromStore(kind, read, queriedAt);
   }
 
--- /dev/null
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/StartupQuery.java
@@ -0,0 +1,102 @@
+package org.gatereel.core.document;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.stream.Stream;
+import org.gatereel.core.event.EventCode;
+import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.model.Address;
+
+/**
+ * Queries other hosts for their documents before a host that has just started reads its own.
+ *
+ * <p>A store that has returned from an older copy may lack a configuration that other hosts use,
+ * and a host without memory cannot tell. If no other host responds in time, it uses what the store
+ * shows.
+ */
+public final class StartupQuery {
+  /** Above the time-out of a query, so that a second host is queried if one is silent. */
+  static final long TIMEOUT_MILLIS = 500;
+
+  private final CoreContext context;
+  private final HostDirectory directory;
+  private final DocumentSources sources;
+  private final DocumentRefresher refresher;
+  private final Deque<Address> pending = new ArrayDeque<>();
+  private Runnable next = () -> {};
+  private long startedAt;
+  private int responses;
+  private boolean completed;
+
+  /**
+   * Creates a query.
+   *
+   * @param sources receives the queries; it also uses the documents of other hosts
+   * @param refresher receives the entries of hosts
+   */
+  public StartupQuery(
+      CoreContext context,
+      HostDirectory directory,
+      DocumentSources sources,
+      DocumentRefresher refresher) {
+    this.context = context;
+    this.directory = directory;
+    this.sources = sources;
+    this.refresher = refresher;
+  }
+
+  /** Starts the query and runs {@code next} exactly once, at its end or after the time-out. */
+  public void start(Runnable next) {
+    this.next = next;
+    startedAt = context.nowIncludingSuspensions();
+    context.schedule(TIMEOUT_MILLIS, this::complete);
+    try {
+      sources.readStore(DocumentKind.HOSTS, this::onHosts);
+    } catch (RuntimeException e) {
+      context.logEvent(EventCode.DOCUMENT_UNREADABLE, DocumentKind.HOSTS.name(), e.toString());
+      complete();
+    }
+  }
+
+  private void onHosts(DocumentSources.StoreResponse response) {
+    if (response instanceof DocumentSources.StoreResponse.Read read) {
+      refresher.update(DocumentKind.HOSTS, read, startedAt);
+    }
+    Stream.of(directory.reader(context.now()), directory.anyOtherHost(context.random()))
+        .flatMap(host -> host.stream())
+        .distinct()
+        .forEach(pending::add);
+    queryNext();
+  }
+
+  private void queryNext() {
+    if (completed || pending.isEmpty()) {
+      complete();
+      return;
+    }
+    Address host = pending.remove();
+    try {
+      sources.queryPeer(
+          host,
+          new DocumentCache(),
+          documents -> {
+            responses += documents.isPresent() ? 1 : 0;
+            queryNext();
+          });
+    } catch (RuntimeException e) {
+      context.logEvent(EventCode.PEER_QUERY_FAILED, host.toString(), e.toString());
+      queryNext();
+    }
+  }
+
+  private void complete() {
+    if (!completed) {
+      completed = true;
+      context.logEvent(
+          EventCode.STARTUP_QUERY_ENDED,
+          context.self().value(),
+          "responses=" + responses + " millis=" + (context.nowIncludingSuspensions() - startedAt));
+      next.run();
+    }
+  }
+}
--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -156,7 +156,9 @@
   LOADS_UNSENDABLE(615, "A load report could not be sent; other hosts still receive theirs."),
   DOCUMENT_OUTDATED(
       616, "A document was read that is older than the known one; the first of a series."),
-  STORE_RETURNED(617, "The store has returned from an older copy; its versions have fallen.");
+  STORE_RETURNED(617, "The store has returned from an older copy; its versions have fallen."),
+  STARTUP_QUERY_ENDED(
+      620, "This host has queried other hosts before it first reads the store's documents.");
 
   private final int number;
   private final String description;
