Show requests that an old copy decides after a pause beside a late store

After a pause of 2.6 s beside a store that answers 0.8 s late, callers got 200 for a revoked key, and requests ran at the former service of their route and at a target that had been removed. The wait for a refresh ends after 0.5 s whatever is known, and a refresh whose reads are still open counts as failed.

--- a/gatereel-core/src/test/java/org/gatereel/core/document/DocumentFreshnessTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/DocumentFreshnessTest.java
@@ -146,4 +146,21 @@
     assertEquals(List.of("step"), done);
     assertFalse(freshness.isUncertain(KIND));
   }
+
+  private void pause(long millis) {
+    advanceTo(context.now() + millis);
+    context.recordDelay(millis);
+  }
+
+  @Test
+  void waitAfterAPauseDoesNotEndInTheUseOfTheOldCopyWhileTheStoreMayStillAnswer() {
+    confirm();
+    advanceTo(START + 500);
+    pause(2_100);
+    await();
+    advanceTo(START + 3_100);
+
+    assertEquals(List.of(), done);
+    assertTrue(freshness.isUncertain(KIND));
+  }
 }
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/RequestGateTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/RequestGateTest.java
@@ -38,6 +38,12 @@
     world.context.advanceTo(world.context.now() + PAUSE_MILLIS);
   }
 
+  /** A pause that the host notices, beside a store that does not answer for a while. */
+  private void recordedPause() {
+    pause();
+    world.context.recordDelay(PAUSE_MILLIS);
+  }
+
   private void confirmTargets() {
     listedAt = world.context.now();
     freshness.onConfirmed();
@@ -114,4 +120,28 @@
     assertEquals(Rejection.STOPPING, caller.rejection);
     assertEquals(0, gate.heldCount());
   }
+
+  @Test
+  void requestAfterAPauseIsRefusedWhileTheConfigurationIsAwaited() {
+    recordedPause();
+    gate.accept(world.request("/safe/x"), caller);
+    world.advanceTime(500);
+
+    assertEquals(List.of(), world.sentCalls);
+    assertEquals(Rejection.STALE_CONFIGURATION, caller.rejection);
+    assertTrue(caller.retryAfterMillis > 0);
+    assertEquals(0, gate.heldCount());
+  }
+
+  @Test
+  void requestAfterAPauseIsRefusedWhileTheListOfTargetsIsAwaited() {
+    recordedPause();
+    gate.accept(world.request("/safe/x"), caller);
+    confirmConfiguration(1);
+    world.advanceTime(500);
+
+    assertEquals(List.of(), world.sentCalls);
+    assertEquals(503, caller.rejection.status());
+    assertTrue(caller.retryAfterMillis > 0);
+  }
 }
