Refuse after a pause what no refresh has decided yet

Callers got 200 for a revoked key, and requests ran at the former service of their route and at a removed target, for up to 0.8 s after a pause of 2.6 s beside a store that answered 0.8 s late. The wait ended after 0.5 s and was then taken for a failed refresh; so was a refresh whose reads were still open after 0.6 s.

What tells a late host from one that is cut off is how long it ran: a copy that was recent when the last pause began is old because of the pause, not because refreshes failed. Until one refresh has failed for good (no read of the document open), or one bound has passed since the pause, such a host is late: a request whose wait ends is refused with 503 and Retry-After (STALE_CONFIGURATION, and STALE_TARGETS, which is new), since it has not run. One that may have run waits on, up to its deadline. Every other host acts as before. A wait now also ends after a quarter of the time that its request has left. Event 115 tells of the first refusal after a pause.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentAvailability.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentAvailability.java
@@ -15,6 +15,7 @@
   private long backoffMillis;
   private long backoffUntil = Long.MIN_VALUE;
   private boolean failing;
+  private int openReads;
 
   /**
    * Creates the state of a document that has not been read.
@@ -31,6 +32,19 @@
     this.backoffMillis = minBackoffMillis;
   }
 
+  void recordQuery() {
+    openReads++;
+  }
+
+  void recordEnd() {
+    openReads--;
+  }
+
+  /** Returns whether the store has not answered a read yet. */
+  boolean isBeingRead() {
+    return openReads > 0;
+  }
+
   void recordRead() {
     backoffMillis = minBackoffMillis;
     if (failing) {
--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentFreshness.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentFreshness.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
@@ -14,9 +15,12 @@
  * Whether this host's copies of documents are recent enough to act on.
  *
  * <p>A copy that is older than the bound may be outdated: the host may have stood still since the
- * last refresh. What depends on such a copy waits for the next refresh. A host whose refreshes fail
- * reaches neither the store nor another host, and goes on with the copy that it has. A refresh that
- * failed before a pause says nothing of the time after it.
+ * last refresh. What depends on such a copy waits for the next refresh.
+ *
+ * <p>A host whose refreshes fail reaches neither the store nor another host, and goes on with the
+ * copy that it has. A refresh that failed before a pause says nothing of the time after it. A host
+ * whose copy was recent when a pause began is not cut off but late, until a refresh has failed or
+ * one bound has passed: what still waits then is refused.
  */
 public final class DocumentFreshness {
   /** The rest of the bound is left for what follows a decision. */
@@ -28,8 +32,11 @@
   /** Above the delay of timers of a host that has not stood still. */
   private static final long MAX_TIMER_DELAY_MILLIS = 200;
 
-  /** Callers with short deadlines must still be served after a wait. */
   private static final long MAX_WAIT_MILLIS = 500;
+  private static final long MIN_WAIT_MILLIS = 10;
+
+  /** Callers with short deadlines must still be served after a wait. */
+  private static final double MAX_WAIT_RATIO = 0.25;
 
   private final CoreContext context;
   private final long boundMillis;
@@ -38,12 +45,28 @@
   private final List<Waiter> waiters = new ArrayList<>();
   private Runnable refresh = () -> {};
   private long refreshTimeoutMillis;
+  private Predicate<DocumentKind> openReads = kind -> false;
   private long waitingSince;
+  private long pausedMillisAtLastRefusal;
 
   /** The last refresh that failed, and for how long this host had stood still by then. */
   private record Failure(long at, long pausedMillis) {}
 
-  private record Waiter(DocumentKind kind, Runnable step, TimerQueue.Timer timeout) {}
+  /** A step that waits, and the timer that ends its wait. */
+  private static final class Waiter {
+    private final DocumentKind kind;
+    private final long maxWaitMillis;
+    private final Runnable step;
+    private final Runnable refusal;
+    private TimerQueue.Timer timeout;
+
+    private Waiter(DocumentKind kind, long maxWaitMillis, Runnable step, Runnable refusal) {
+      this.kind = kind;
+      this.maxWaitMillis = maxWaitMillis;
+      this.step = step;
+      this.refusal = refusal;
+    }
+  }
 
   /**
    * Creates an instance that tracks no documents, so that nothing waits.
@@ -75,11 +98,40 @@
     refreshTimeoutMillis = timeoutMillis;
   }
 
+  /**
+   * Sets which documents the store has been asked for and has not answered yet.
+   *
+   * @param isOpen returns whether a read of the document is open
+   */
+  public void setOpenReads(Predicate<DocumentKind> isOpen) {
+    openReads = isOpen;
+  }
+
   /** Returns whether the copy may be outdated, and a refresh may still tell. */
   public boolean isUncertain(DocumentKind kind) {
     return ageMillis(kind) > MAX_AGE_RATIO * boundMillis && !isUnreachable(kind);
   }
 
+  /**
+   * Returns whether the copy is old because this host stood still, and not because its refreshes
+   * failed: it was recent when the last pause began, and the time for a refresh is not over.
+   */
+  private boolean isLate(DocumentKind kind) {
+    long sincePauseMillis = context.millisSincePause();
+    long age = ageMillis(kind);
+    long pausedMillis = context.pausedMillisSince(context.nowIncludingSuspensions() - age);
+    long ageWithoutPausesMillis = age - pausedMillis - sincePauseMillis;
+    return isUncertain(kind)
+        && pausedMillis > 0
+        && sincePauseMillis <= boundMillis
+        && ageWithoutPausesMillis <= MAX_AGE_RATIO * boundMillis;
+  }
+
+  /** Returns whether a late answer of the store may still confirm the copy. */
+  private boolean isAwaited(DocumentKind kind) {
+    return isLate(kind) && openReads.test(kind);
+  }
+
   private long ageMillis(DocumentKind kind) {
     Supplier<OptionalLong> age = ages.get(kind);
     return age == null ? 0 : age.get().orElse(0);
@@ -97,19 +149,28 @@
   }
 
   /**
-   * Runs a step once the copy is no longer uncertain, at the latest after {@link #MAX_WAIT_MILLIS}.
-   * The step must not throw.
+   * Runs a step once the copy is no longer uncertain. If the wait ends first, at the latest after
+   * {@link #MAX_WAIT_MILLIS}, runs {@code refusal} if this host is late, and the step if not. Both
+   * must not throw.
+   *
+   * @param remainingMillis the time until the deadline of the step's request
    */
-  public void await(DocumentKind kind, Runnable step) {
+  public void await(DocumentKind kind, long remainingMillis, Runnable step, Runnable refusal) {
     if (waiters.isEmpty()) {
       waitingSince = context.now();
       context.logEvent(EventCode.DOCUMENT_UNCONFIRMED, kind.name(), "ageMillis=" + ageMillis(kind));
     }
-    TimerQueue.Timer timeout = context.schedule(MAX_WAIT_MILLIS, this::onWaitTimeout);
-    waiters.add(new Waiter(kind, step, timeout));
+    Waiter waiter = new Waiter(kind, maxWaitMillis(remainingMillis), step, refusal);
+    waiter.timeout = context.schedule(waiter.maxWaitMillis, () -> onWaitTimeout(waiter));
+    waiters.add(waiter);
     beginRefresh();
   }
 
+  private static long maxWaitMillis(long remainingMillis) {
+    long share = Math.round(MAX_WAIT_RATIO * remainingMillis);
+    return Math.max(MIN_WAIT_MILLIS, Math.min(MAX_WAIT_MILLIS, share));
+  }
+
   /** Begins a refresh after the current step, which a refresh that throws must not end. */
   private void beginRefresh() {
     context.schedule(0, refresh);
@@ -127,36 +188,67 @@
    */
   public void onRefreshEnded(long startedAt) {
     long durationMillis = context.nowIncludingSuspensions() - startedAt;
-    boolean isInterrupted = durationMillis > refreshTimeoutMillis + MAX_TIMER_DELAY_MILLIS;
+    boolean isInterrupted =
+        durationMillis > refreshTimeoutMillis + MAX_TIMER_DELAY_MILLIS
+            || context.pausedMillisSince(startedAt) > 0;
     for (DocumentKind kind : ages.keySet()) {
       long ageAtStartMillis = ageMillis(kind) - durationMillis;
       boolean mayTell = ageAtStartMillis >= MIN_AGE_AT_FAILED_REFRESH_RATIO * boundMillis;
-      if (!isInterrupted && mayTell) {
+      if (!isInterrupted && mayTell && !isAwaited(kind)) {
         recordFailure(kind);
       }
     }
     release();
-    if (!waiters.isEmpty()) {
+    boolean isOneMissing = waiters.stream().anyMatch(waiter -> !isAwaited(waiter.kind));
+    if (isOneMissing || (isInterrupted && !waiters.isEmpty())) {
       beginRefresh();
     }
   }
 
-  private void onWaitTimeout() {
+  private void onWaitTimeout(Waiter waiter) {
+    if (isLate(waiter.kind)) {
+      refuse(waiter);
+    } else if (waiter.maxWaitMillis < MAX_WAIT_MILLIS) {
+      waiters.remove(waiter);
+      waiter.step.run();
+    } else {
+      recordFailures();
+      release();
+    }
+  }
+
+  private void refuse(Waiter waiter) {
+    waiters.remove(waiter);
+    if (pausedMillisAtLastRefusal != context.pausedMillis()) {
+      pausedMillisAtLastRefusal = context.pausedMillis();
+      context.logEvent(
+          EventCode.REFRESH_LATE,
+          waiter.kind.name(),
+          "ageMillis="
+              + ageMillis(waiter.kind)
+              + " sincePauseMillis="
+              + context.millisSincePause()
+              + " isBeingRead="
+              + openReads.test(waiter.kind));
+    }
+    waiter.refusal.run();
+  }
+
+  private void recordFailures() {
     for (DocumentKind kind : ages.keySet()) {
-      if (isUncertain(kind)) {
+      if (isUncertain(kind) && !isLate(kind)) {
         recordFailure(kind);
       }
     }
-    release();
   }
 
   private void release() {
     List<Waiter> released = new ArrayList<>();
-    waiters.removeIf(waiter -> !isUncertain(waiter.kind()) && released.add(waiter));
+    waiters.removeIf(waiter -> !isUncertain(waiter.kind) && released.add(waiter));
     if (released.isEmpty()) {
       return;
     }
-    DocumentKind kind = released.get(0).kind();
+    DocumentKind kind = released.get(0).kind;
     context.logEvent(
         EventCode.DOCUMENT_WAIT_ENDED,
         kind.name(),
@@ -169,8 +261,8 @@
             + " requests="
             + released.size());
     for (Waiter waiter : released) {
-      waiter.timeout().cancel();
-      waiter.step().run();
+      waiter.timeout.cancel();
+      waiter.step.run();
     }
   }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
@@ -177,6 +177,7 @@
     }
 
     private void readStore(DocumentKind kind) {
+      availability.get(kind).recordQuery();
       try {
         sources.readStore(kind, response -> onStoreResponse(kind, response));
       } catch (RuntimeException e) {
@@ -196,6 +197,7 @@
 
     private void onStoreResponse(DocumentKind kind, DocumentSources.StoreResponse response) {
       boolean isUrgent = pendingReads.remove(kind);
+      availability.get(kind).recordEnd();
       if (response instanceof DocumentSources.StoreResponse.Read read) {
         availability.get(kind).recordRead();
         updater.updateFromStore(kind, read, queriedAt);
@@ -321,6 +323,11 @@
     return timeoutMillis;
   }
 
+  /** Returns whether the store has not answered a read of a document yet. */
+  public boolean isBeingRead(DocumentKind kind) {
+    return availability.get(kind).isBeingRead();
+  }
+
   /** Reads a document only while {@code isNeeded} returns true. */
   public void readWhile(DocumentKind kind, BooleanSupplier isNeeded) {
     onDemand.put(kind, isNeeded);
--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -12,6 +12,8 @@
   HOST_SUSPENDED(113, "The host was suspended; all its information is older by that time."),
   EVENT_LOOP_DELAYED(
       114, "The event loop stood still; what arrived meanwhile is handled after that time."),
+  REFRESH_LATE(
+      115, "The host stood still and no refresh has ended since; what waits for it is refused."),
   GENERATION_ACCEPTED(200, "A generation was accepted from a caller."),
   ATTEMPT_STARTED(201, "An engine was sent the prompt and the tokens accepted so far."),
   FIRST_TOKEN(202, "An attempt delivered its first token."),
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Forwarder.java
@@ -201,6 +201,15 @@
     }
   }
 
+  /** Refuses a request that {@link #accept} has not been given. */
+  void refuse(ForwardRequest request, CallerPort caller, Rejection rejection) {
+    CallerResponse response = new CallerResponse(caller);
+    RequestSteps steps =
+        new RequestSteps(
+            context, observer, request.id(), () -> rejectAfterFailure(request, response));
+    steps.run(() -> reject(request, response, rejection));
+  }
+
   /** Rejects a request for which no exchange was created. */
   private void reject(ForwardRequest request, CallerResponse response, Rejection rejection) {
     response.reject(rejection, policy.retryAfterMillis());
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Placement.java
@@ -101,14 +101,28 @@
   }
 
   private void whenTargetsAreCertain(Runnable step) {
-    if (forwarder.freshness().isUncertain(DocumentKind.TARGETS)) {
-      int round = exchange.replacement().round();
-      forwarder
-          .freshness()
-          .await(
-              DocumentKind.TARGETS, () -> exchange.steps().run(() -> runInSameRound(round, step)));
-    } else {
+    if (!forwarder.freshness().isUncertain(DocumentKind.TARGETS)) {
       step.run();
+      return;
+    }
+    int round = exchange.replacement().round();
+    forwarder
+        .freshness()
+        .await(
+            DocumentKind.TARGETS,
+            deadline - forwarder.context().now(),
+            () -> exchange.steps().run(() -> runInSameRound(round, step)),
+            () -> exchange.steps().run(() -> runInSameRound(round, () -> onListLate(step))));
+  }
+
+  /** Rejects a request that has not been executed; any other goes on waiting for its deadline. */
+  private void onListLate(Runnable step) {
+    boolean isExecuted =
+        exchange.rejectionWhenUnserved(Rejection.STALE_TARGETS) != Rejection.STALE_TARGETS;
+    if (isExecuted || exchange.hasPartialResponse()) {
+      whenTargetsAreCertain(step);
+    } else {
+      exchange.onNoNextAttempt(Rejection.STALE_TARGETS);
     }
   }
 
@@ -123,7 +137,7 @@
         .filter(copy -> search.hasRoom(copy.holder()))
         .ifPresentOrElse(
             copy -> acquireToken(TargetChoice.only(copy.holder()), Optional.of(copy.name())),
-            this::choose);
+            this::chooseNow);
   }
 
   private void choose() {
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/Rejection.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/Rejection.java
@@ -22,6 +22,8 @@
   NO_CONFIGURATION(503),
   /** The configuration known to this host may be outdated; the request was not executed. */
   STALE_CONFIGURATION(503),
+  /** The list of targets known to this host may be outdated; the request was not executed. */
+  STALE_TARGETS(503),
   /** No target of the service is reachable; the request was not executed. */
   NO_TARGET(503),
   /** All targets are full, or the retry budget is exhausted; the request was not executed. */
--- a/gatereel-core/src/main/java/org/gatereel/core/forward/RequestGate.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/forward/RequestGate.java
@@ -8,7 +8,10 @@
 import org.gatereel.core.document.DocumentKind;
 import org.gatereel.core.internal.CoreContext;
 
-/** Accepts the requests of callers; holds them while the configuration may be outdated. */
+/**
+ * Accepts the requests of callers; holds them while the configuration may be outdated, and refuses
+ * them if a host that stood still does not learn in time whether it is.
+ */
 public final class RequestGate {
   private final CoreContext context;
   private final DocumentFreshness freshness;
@@ -31,7 +34,11 @@
     }
     HeldRequest waiting = new HeldRequest(request, caller, context.now());
     held.add(waiting);
-    freshness.await(DocumentKind.CONFIGURATION, waiting::release);
+    freshness.await(
+        DocumentKind.CONFIGURATION,
+        request.remainingMillis().orElse(Long.MAX_VALUE),
+        waiting::release,
+        waiting::refuse);
     return Optional.of(waiting);
   }
 
@@ -64,6 +71,12 @@
       }
     }
 
+    private void refuse() {
+      if (held.remove(this)) {
+        forwarder.refuse(request, caller, Rejection.STALE_CONFIGURATION);
+      }
+    }
+
     @Override
     public void onCallerDisconnected() {
       held.remove(this);
--- a/gatereel-core/src/main/java/org/gatereel/core/internal/CoreContext.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/internal/CoreContext.java
@@ -19,6 +19,7 @@
   private final DataCentre dataCentre;
   private final RandomGenerator random;
   private final TimerQueue timers = new TimerQueue();
+  private final PauseHistory pauses = new PauseHistory();
   private List<Action> actions = new ArrayList<>();
   private long now;
   private long suspendedMillis;
@@ -64,6 +65,7 @@
   /** Records a suspension of this host, which adds to the age of all its information. */
   public void recordSuspension(long millis) {
     suspendedMillis += millis;
+    pauses.add(nowIncludingSuspensions(), millis);
     logEvent(
         EventCode.HOST_SUSPENDED, self.value(), "millis=" + millis + " all=" + suspendedMillis);
   }
@@ -71,6 +73,7 @@
   /** Records a time in which this host ran no timers although its clock went on. */
   public void recordDelay(long millis) {
     delayedMillis += millis;
+    pauses.add(nowIncludingSuspensions(), millis);
     logEvent(EventCode.EVENT_LOOP_DELAYED, self.value(), "millis=" + millis);
   }
 
@@ -79,6 +82,19 @@
     return suspendedMillis + delayedMillis;
   }
 
+  /**
+   * Returns for how long this host has stood still since a time by {@link
+   * #nowIncludingSuspensions}, in milliseconds.
+   */
+  public long pausedMillisSince(long time) {
+    return pauses.millisSince(time);
+  }
+
+  /** Returns the time since this host last stood still, in milliseconds. */
+  public long millisSincePause() {
+    return nowIncludingSuspensions() - pauses.lastEndedAt();
+  }
+
   /**
    * Returns a number that no earlier call returned, including calls in earlier processes of this
    * host.
--- a/gatereel-core/src/test/java/org/gatereel/core/document/DocumentFreshnessTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/DocumentFreshnessTest.java
@@ -26,6 +26,8 @@
   private final DocumentFreshness freshness = new DocumentFreshness(context, BOUND_MILLIS);
   private final List<String> done = new ArrayList<>();
   private OptionalLong confirmedAt = OptionalLong.empty();
+  private final List<Long> refused = new ArrayList<>();
+  private long remainingMillis = Long.MAX_VALUE;
   private int refreshes;
 
   @BeforeEach
@@ -47,7 +49,8 @@
   }
 
   private void await() {
-    freshness.await(KIND, () -> done.add("step"));
+    freshness.await(
+        KIND, remainingMillis, () -> done.add("step"), () -> refused.add(context.now()));
     context.timers().runDue(context.now());
   }
 
