Hold what a late host refuses, and what that costs a host that runs

DocumentFreshnessTest and RequestGateTest hold short deadlines, interrupted refreshes, hosts that were cut off before their pause, and requests that may have run, which wait up to their deadline. DocumentWorld gains pauses, a count of reads and the freshness of each host; nothing in it changes for existing tests.

mvn -pl gatereel-core -Dtest='Document*Test,WaitForDocumentsTest,RequestGateTest' -Dsurefire.failIfNoSpecifiedTests=false test

--- a/gatereel-core/src/test/java/org/gatereel/core/document/DocumentFreshnessTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/DocumentFreshnessTest.java
@@ -166,4 +166,108 @@
     assertEquals(List.of(), done);
     assertTrue(freshness.isUncertain(KIND));
   }
+
+  private void pauseBesideAnOpenRead() {
+    freshness.setOpenReads(kind -> true);
+    confirm();
+    advanceTo(START + 500);
+    pause(2_100);
+  }
+
+  @Test
+  void stepOfALateHostIsRefusedAtTheEndOfItsWait() {
+    pauseBesideAnOpenRead();
+    await();
+    advanceTo(START + 3_099);
+    assertEquals(List.of(), refused);
+    advanceTo(START + 3_100);
+
+    assertEquals(List.of(START + 3_100), refused);
+    assertEquals(List.of(), done);
+  }
+
+  @Test
+  void stepWithAShortDeadlineIsRefusedAfterAQuarterOfItsTime() {
+    pauseBesideAnOpenRead();
+    remainingMillis = 400;
+    await();
+    advanceTo(START + 2_700);
+
+    assertEquals(List.of(START + 2_700), refused);
+  }
+
+  @Test
+  void refreshWithAnOpenReadShowsNothingAfterAPause() {
+    pauseBesideAnOpenRead();
+    await();
+    advanceTo(START + 2_900);
+    freshness.onRefreshEnded(START + 2_600);
+    assertEquals(List.of(), done);
+    assertEquals(1, refreshes);
+
+    confirm();
+    assertEquals(List.of("step"), done);
+    assertEquals(List.of(), refused);
+  }
+
+  @Test
+  void refreshThatAPauseInterruptedShowsNothing() {
+    confirm();
+    advanceTo(START + 1_500);
+    pause(600);
+    await();
+    freshness.onRefreshEnded(START + 1_400);
+    context.timers().runDue(context.now());
+
+    assertEquals(List.of(), done);
+    assertEquals(2, refreshes);
+  }
+
+  @Test
+  void refreshThatFailedAfterAPauseShowsThatTheHostIsCutOff() {
+    pauseBesideAnOpenRead();
+    freshness.setOpenReads(kind -> false);
+    await();
+    advanceTo(START + 2_700);
+    freshness.onRefreshEnded(START + 2_600);
+
+    assertEquals(List.of("step"), done);
+    assertFalse(freshness.isUncertain(KIND));
+  }
+
+  @Test
+  void hostIsNoLongerLateOneBoundAfterAPause() {
+    pauseBesideAnOpenRead();
+    advanceTo(START + 4_601);
+    await();
+    advanceTo(START + 5_101);
+
+    assertEquals(List.of("step"), done);
+    assertEquals(List.of(), refused);
+  }
+
+  @Test
+  void hostThatWasCutOffBeforeAPauseIsNotLate() {
+    freshness.setOpenReads(kind -> true);
+    confirm();
+    advanceTo(START + 1_900);
+    pause(600);
+    await();
+    advanceTo(START + 3_000);
+
+    assertEquals(List.of("step"), done);
+    assertEquals(List.of(), refused);
+  }
+
+  @Test
+  void shortDeadlineOfOneStepDecidesNothingForOthers() {
+    confirm();
+    advanceTo(START + 1_900);
+    remainingMillis = 400;
+    await();
+    advanceTo(START + 2_000);
+
+    assertEquals(List.of("step"), done);
+    assertTrue(freshness.isUncertain(KIND));
+  }
 }
--- a/gatereel-core/src/test/java/org/gatereel/core/document/DocumentWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/DocumentWorld.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.gatereel.core.document.HostDirectory.Entry;
@@ -23,6 +24,7 @@
   private static final long SLOW_TABLE_MILLIS = 1_100;
   private static final long READ_TIMEOUT_MILLIS = 1_200;
   private static final long PEER_TIMEOUT_MILLIS = 250;
+  private static final long MIN_RECORDED_DELAY_MILLIS = 500;
 
   /** What happens to the reads of one table. */
   enum Disturbance {
@@ -39,6 +41,7 @@
   private final Map<DocumentKind, Long> versions = new EnumMap<>(DocumentKind.class);
   private final Map<DocumentKind, Disturbance> disturbances = new EnumMap<>(DocumentKind.class);
   private long now = 10_000;
+  private int storeReads;
 
   DocumentWorld(int hostCount, long seed) {
     for (DocumentKind kind : DocumentKind.values()) {
@@ -86,6 +89,11 @@
     }
   }
 
+  /** Returns how many reads of tables the store has received. */
+  int storeReads() {
+    return storeReads;
+  }
+
   private void later(long delayMillis, Runnable step) {
     network.add(now + delayMillis, step);
   }
@@ -102,6 +110,7 @@
         new EnumMap<>(DocumentKind.class);
     private final Map<DocumentKind, Boolean> reading = new EnumMap<>(DocumentKind.class);
     private final Map<DocumentKind, Long> used = new HashMap<>();
+    private final DocumentFreshness freshness;
     private boolean silent;
 
     private Host(int number, SplittableRandom random) {
@@ -124,6 +133,27 @@
               refresher::intervalMillis,
               refresher.timeoutMillis(),
               refresher::refresh);
+      freshness = new DocumentFreshness(context, BOUND_MILLIS);
+      freshness.setRefresh(poller::queryNow, refresher.timeoutMillis());
+      freshness.setOpenReads(refresher::isBeingRead);
+      poller.setCompletionListener(freshness::onRefreshEnded);
+      freshness.track(DocumentKind.CONFIGURATION, () -> age(DocumentKind.CONFIGURATION));
+      freshness.track(DocumentKind.TARGETS, () -> age(DocumentKind.TARGETS));
+    }
+
+    private OptionalLong age(DocumentKind kind) {
+      return cache
+          .find(kind)
+          .map(known -> OptionalLong.of(context.nowIncludingSuspensions() - known.confirmedAt()))
+          .orElse(OptionalLong.empty());
+    }
+
+    DocumentFreshness freshness() {
+      return freshness;
+    }
+
+    boolean isReader() {
+      return directory.reader(now).isEmpty();
     }
 
     private Entry entry() {
@@ -139,6 +169,7 @@
         throw new IllegalStateException("unusable document");
       }
       used.put(kind, version);
+      freshness.onConfirmed();
     }
 
     /** Returns the version in use; zero if there is none. */
@@ -155,6 +186,16 @@
       silent = isSilent;
     }
 
+    /** Ends a pause, whose length the host records as its control thread does. */
+    void resume() {
+      silent = false;
+      context.advanceTo(now);
+      long delayMillis = now - context.timers().nextDeadline().orElse(now);
+      if (delayMillis >= MIN_RECORDED_DELAY_MILLIS) {
+        context.recordDelay(delayMillis);
+      }
+    }
+
     private void runTimers() {
       if (!silent) {
         context.advanceTo(now);
@@ -195,6 +236,7 @@
 
     private void startRead(DocumentKind kind) {
       reading.put(kind, true);
+      storeReads++;
       List<Consumer<StoreResponse>> callbacks = waiting.remove(kind);
       StoreResponse read =
           new StoreResponse.Read(
--- a/gatereel-core/src/test/java/org/gatereel/core/forward/RequestGateTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/RequestGateTest.java
@@ -10,6 +10,7 @@
 import org.gatereel.core.configuration.RouteKind;
 import org.gatereel.core.document.DocumentFreshness;
 import org.gatereel.core.document.DocumentKind;
+import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.ForwardWorld.Caller;
 import org.gatereel.core.model.HostList;
 import org.junit.jupiter.api.BeforeEach;
@@ -144,4 +145,34 @@
     assertEquals(503, caller.rejection.status());
     assertTrue(caller.retryAfterMillis > 0);
   }
+
+  /** Its execution cannot be ruled out, so that a refusal would be a false promise. */
+  @Test
+  void requestThatMayHaveExecutedWaitsForTheListOfTargetsAfterAPause() {
+    gate.accept(world.request("/safe/x"), caller);
+    world.lastCall().accept();
+    recordedPause();
+    world.lastCall().listener.onFailure(TargetFailure.RESET);
+    world.advanceTime(600);
+    assertFalse(caller.isFinal());
+    assertEquals(1, world.sentCalls.size());
+
+    confirmTargets();
+    assertEquals(2, world.sentCalls.size());
+  }
+
+  @Test
+  void requestThatMayHaveExecutedEndsAtItsDeadlineAfterAPause() {
+    freshness.setOpenReads(kind -> true);
+    gate.accept(world.request("/safe/x"), caller);
+    world.lastCall().accept();
+    world.advanceTime(ForwardWorld.TIMEOUT_MILLIS - PAUSE_MILLIS - 1_000);
+    confirmTargets();
+    recordedPause();
+    world.lastCall().listener.onFailure(TargetFailure.RESET);
+    world.advanceTime(1_000);
+
+    assertEquals(1, world.sentCalls.size());
+    assertEquals(Rejection.TIMED_OUT, caller.rejection);
+  }
 }
