End a relay handshake at once when the other host closes it

Cause: the connection to a relaying host allows half-closure, so that the orderly end of a host that has not answered yet is an event and no close of the channel. The handshake did not read that event and waited its whole time (250 ms at a dial), while a reset ended it at once. A truncated head never became an outcome, neither "connected" nor "unreachable". Change: the handshake ends without a response when the other host closes.

--- a/gatereel-forward/src/main/java/org/gatereel/forward/relay/RelayClient.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/relay/RelayClient.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -145,6 +146,16 @@
           : RelayOutcome.UNSUPPORTED;
     }
 
+    /**
+     * Ends the handshake when the host closes; a connection that allows half-closure stays open.
+     */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      if (event instanceof ChannelInputShutdownEvent) {
+        finish(RelayOutcome.NO_RESPONSE, context.channel());
+      }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
       finish(RelayOutcome.NO_RESPONSE, context.channel());
