Tell orders that are written again from new ones after the store's return

After the store has returned from an older copy, an operator's order with a lower row revision than the known one was ignored for good, and an order that was written again with a higher one restarted a roll-out that had ended or was running: RolloutControl ordered orders by their row's revision alone.

OrderHistory compares revisions only until the store returns. Then the known order counts as unconfirmed until it is read: with its revision it was in the copy; the same service, version and duration with another revision within 60 s is the order written again, whose roll-out goes on with its start, evidence and verdict (event 525). Another order is the copy's (526) if it is the first that is read, for 5 s, or for good if this host knows that it was replaced; one that appears or changes later was written since, and is new. Readings queried before the return was noticed count for nothing, so that nothing depends on which document shows it first, nor on the era being told.

--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -131,6 +131,10 @@
       523, "This host writes the next step of a rollout, unless another host already has."),
   REMOVED_TARGETS_LISTED(
       524, "The older copy of the store lists targets that were removed; they are not used yet."),
+  ROLLOUT_ORDER_REWRITTEN(
+      525, "Operators have written an order again after the store's return; its rollout goes on."),
+  ROLLOUT_ORDER_OUTDATED(
+      526, "The older copy of the store contains an earlier order; the known one stays in force."),
   PLATFORM_LOST(600, "The platform does not respond."),
   PLATFORM_REACHED(601, "The platform responds again."),
   READER_LOST(602, "The host that reads the store for this data centre has no current data."),
--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/EvidenceKey.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/EvidenceKey.java
@@ -13,4 +13,8 @@
   EvidenceKey withNewVersion(boolean isNew) {
     return new EvidenceKey(service, orderRevision, route, signal, isNew);
   }
+
+  EvidenceKey withOrderRevision(long revision) {
+    return new EvidenceKey(service, revision, route, signal, newVersion);
+  }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/LocalEvidence.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/LocalEvidence.java
@@ -41,6 +41,17 @@
         .removeIf(key -> key.service().equals(service) && key.orderRevision() != orderRevision);
   }
 
+  /** Keeps the evidence of an order whose row has another revision now. */
+  void changeRevision(ServiceName service, long before, long now) {
+    for (var entry : Map.copyOf(tallies).entrySet()) {
+      EvidenceKey key = entry.getKey();
+      if (key.service().equals(service) && key.orderRevision() == before) {
+        tallies.remove(key);
+        tallies.put(key.withOrderRevision(now), entry.getValue());
+      }
+    }
+  }
+
   void recordSent(EvidenceKey key) {
     tallies.merge(key, new ResponseTally(1, 0, 0, 0), ResponseTally::plus);
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/Rollout.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/Rollout.java
@@ -26,9 +26,9 @@
 
   private final RolloutBounds bounds;
   private final RandomGenerator random;
-  private final RolloutOrder order;
   private final long knownAt;
   private final Map<String, CanarySampler> samplers = new HashMap<>();
+  private RolloutOrder order;
   private Optional<RolloutRecord> record = Optional.empty();
   private long storeOffset;
   private long provenAt = Long.MIN_VALUE / 2;
@@ -47,6 +47,11 @@
     return order;
   }
 
+  /** Changes the revision of the order, which operators have written again. */
+  void setOrderRevision(long revision) {
+    order = order.withRevision(revision);
+  }
+
   Optional<RolloutRecord> record() {
     return record;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
@@ -35,6 +35,7 @@
   private final CoreContext context;
   private final RolloutBounds bounds;
   private final ApprovedVersions approvedVersions = new ApprovedVersions();
+  private final OrderHistory orders = new OrderHistory();
   private final LocalEvidence localEvidence = new LocalEvidence();
   private final Map<ServiceName, Rollout> rollouts = new TreeMap<>(BY_NAME);
   private final Map<ServiceName, RolloutRecord> records = new HashMap<>();
@@ -48,6 +49,7 @@
   private Predicate<Rollout> openBefore = rollout -> false;
   private Consumer<RolloutWrite> writer = write -> {};
   private Optional<Reading> reading = Optional.empty();
+  private List<RolloutOrder> listedOrders = List.of();
   private long ordersProvenAt = Long.MIN_VALUE / 2;
   private boolean ticking;
 
@@ -106,25 +108,40 @@
    * @param provenAt when the request that returned them was sent to the store
    */
   public void updateOrders(List<RolloutOrder> orders, long provenAt) {
-    for (RolloutOrder order : orders) {
-      updateOrder(order);
-    }
-    ordersProvenAt = Math.max(ordersProvenAt, provenAt);
-    approvedVersions.approveSeenBefore(provenAt);
+    listedOrders = List.copyOf(orders);
+    confirmOrders(provenAt);
   }
 
   /** Records that the orders were still current at a time. */
   public void confirmOrders(long provenAt) {
+    if (orders.isSinceReturn(provenAt)) {
+      orders.recordAbsent(listedOrders);
+      listedOrders.forEach(this::updateOrder);
+    }
     ordersProvenAt = Math.max(ordersProvenAt, provenAt);
     approvedVersions.approveSeenBefore(provenAt);
   }
 
+  /**
+   * Records that the store has returned from an older copy. Only what is read from now on shows
+   * what the store contains.
+   */
+  public void recordStoreReturn() {
+    orders.recordStoreReturn(context.nowIncludingSuspensions());
+  }
+
   private void updateOrder(RolloutOrder order) {
-    Rollout known = rollouts.get(order.service());
-    if (known != null && known.order().revision() >= order.revision()) {
-      return;
+    RolloutOrder known = orders.known(order.service());
+    switch (orders.record(order, context.nowIncludingSuspensions())) {
+      case NEW -> begin(order);
+      case WRITTEN_AGAIN -> goOn(order, known);
+      case BROUGHT_BACK -> logUnused(order, known);
+      case KNOWN, OUTDATED -> {}
     }
-    abandonReplaced(known, order);
+  }
+
+  private void begin(RolloutOrder order) {
+    abandonReplaced(rollouts.get(order.service()), order);
     long notBefore =
         Math.max(ordersProvenAt, context.nowIncludingSuspensions() - order.durationMillis());
     rollouts.put(order.service(), new Rollout(bounds, context.random(), order, notBefore));
@@ -137,6 +154,28 @@
     scheduleTick();
   }
 
+  /** Continues with the revision of an order that was written again. */
+  private void goOn(RolloutOrder order, RolloutOrder known) {
+    rollouts.get(order.service()).setOrderRevision(order.revision());
+    localEvidence.changeRevision(order.service(), known.revision(), order.revision());
+    context.logEvent(
+        EventCode.ROLLOUT_ORDER_REWRITTEN,
+        order.service().value(),
+        "version=" + order.version() + revisions(order, known));
+    updateRecord(order.service());
+  }
+
+  private void logUnused(RolloutOrder order, RolloutOrder known) {
+    context.logEvent(
+        EventCode.ROLLOUT_ORDER_OUTDATED,
+        order.service().value(),
+        "version=" + order.version() + " known=" + known.version() + revisions(order, known));
+  }
+
+  private static String revisions(RolloutOrder order, RolloutOrder known) {
+    return " revision=" + order.revision() + " knownRevision=" + known.revision();
+  }
+
   /** Excludes the version of a replaced order that was not completed. */
   private void abandonReplaced(Rollout replaced, RolloutOrder order) {
     Set<String> versions = abandoned.computeIfAbsent(order.service(), any -> new HashSet<>());
@@ -173,7 +212,12 @@
       context.logEvent(
           EventCode.ROLLOUT_STATE,
           service.value(),
-          "version=" + row.version() + " state=" + after.orElseThrow() + " " + inputs(rollout));
+          "version="
+              + row.version()
+              + " state="
+              + after.orElseThrow()
+              + " "
+              + RolloutDescription.inputs(rollout));
       nextWriteAt.remove(service);
     }
   }
@@ -313,7 +357,7 @@
       context.logEvent(
           EventCode.ROLLOUT_JUDGED,
           rollout.order().service().value(),
-          "verdict=" + rollout.verdict().kind() + " " + inputs(rollout));
+          "verdict=" + rollout.verdict().kind() + " " + RolloutDescription.inputs(rollout));
     }
     recordToWrite(rollout).ifPresent(record -> write(rollout, record));
   }
@@ -347,49 +391,23 @@
     context.logEvent(
         EventCode.ROLLOUT_DECIDED,
         service.value(),
-        "version=" + record.version() + " state=" + record.state() + " " + inputs(rollout));
+        "version="
+            + record.version()
+            + " state="
+            + record.state()
+            + " "
+            + RolloutDescription.inputs(rollout));
     writer.accept(new RolloutWrite(record));
   }
 
-  private static String inputs(Rollout rollout) {
-    return "verdict=" + rollout.verdict().kind() + " " + rollout.verdict().reason();
-  }
-
   /** Returns a description of all rollouts and their evidence, for operators. */
   public List<String> describe() {
     List<String> lines = new ArrayList<>();
     for (Rollout rollout : rollouts.values()) {
-      lines.add(describe(rollout));
-      evidence(rollout).forEach((key, tally) -> lines.add(describe(key, tally)));
+      VersionRule rule = rule(rollout.order().service());
+      long now = context.nowIncludingSuspensions();
+      lines.addAll(RolloutDescription.lines(rollout, rule, evidence(rollout), now));
     }
     return lines;
   }
-
-  private String describe(Rollout rollout) {
-    RolloutOrder order = rollout.order();
-    String state = rollout.record().map(row -> row.state().name()).orElse("NOT_BEGUN");
-    String stage =
-        rollout.isRunning() ? " stage=" + rollout.stage(context.nowIncludingSuspensions()) : "";
-    return order.service()
-        + " version="
-        + order.version()
-        + " state="
-        + state
-        + stage
-        + " rule="
-        + rule(order.service())
-        + " "
-        + inputs(rollout);
-  }
-
-  private static String describe(EvidenceKey key, ResponseTally tally) {
-    return "  route=%s signal=%s version=%s answers=%d bad=%d usualMillis=%.0f"
-        .formatted(
-            key.route(),
-            key.signal(),
-            key.newVersion() ? "new" : "before",
-            tally.responses(),
-            tally.bad(),
-            tally.meanMillis());
-  }
 }
