Neither order nor condition rows of roll-outs across the store's return

After the store has returned from an older copy, the row of a running roll-out has a lower revision. It was ignored, so that its lease lapsed after 2.5 s and the new version got nothing until the deadline rolled it back. Writes were conditioned on revisions from before the return, which another row may bear by then.

A row that was read since the return is now compared by what it says: it is used unless it lacks the known end or the known, earlier start. RolloutRows forgets all rows at a return; nothing is written before rows and order were read by queries that were sent after the return was noticed, and writes bear the revisions of that reading.

A write that was under way is done late only if both the hosts' row and the order have the revisions that it names: those of the copy, unchanged, so that it changes the state that its writer has seen.

Failed before, pass now, ReturnedRolloutTest: runningRolloutGoesOn...: expected: <true> but was: <false> nothingIsWrittenUponReadingsFromBeforeTheReturn: IndexOutOfBounds toIndex = 1 (the row of the copy was never used) initialRowIsNotConditioned...: expected: <[]> but was: <[RolloutRecord[... orderRevision=31, ... state=RUNNING, revision=50], ...]> mvn -pl gatereel-core -am -Dtest='ReturnedRolloutTest,Rollout*Test' test

--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/Rollout.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/Rollout.java
@@ -30,6 +30,7 @@
   private final Map<String, CanarySampler> samplers = new HashMap<>();
   private RolloutOrder order;
   private Optional<RolloutRecord> record = Optional.empty();
+  private boolean isUnconfirmed;
   private long storeOffset;
   private long provenAt = Long.MIN_VALUE / 2;
   private VersionVerdict verdict = VersionVerdict.UNKNOWN;
@@ -60,22 +61,34 @@
     return verdict;
   }
 
+  /** Records that the store has returned from an older copy, which may lack the known row. */
+  void recordStoreReturn() {
+    isUnconfirmed = record.isPresent();
+  }
+
   /**
-   * Updates the row, unless it is older than the known one or that one is final.
+   * Updates the row, unless it is older than the known one or that one is final. Revisions do not
+   * tell which is older if the known row has not been read since the store's return.
    *
    * @param offset the store's clock minus this host's
    * @param readAt when the row was read, on this host's clock
    */
   void updateRecord(RolloutRecord latest, long offset, long readAt) {
-    boolean older = record.isPresent() && latest.revision() < record.get().revision();
-    if (older || isEnded()) {
+    if (record.filter(known -> isUsedInsteadOf(latest, known)).isPresent()) {
       return;
     }
+    isUnconfirmed = false;
     record = Optional.of(latest);
     storeOffset = offset;
     provenAt = Math.max(provenAt, readAt);
   }
 
+  private boolean isUsedInsteadOf(RolloutRecord latest, RolloutRecord known) {
+    return isUnconfirmed
+        ? latest.isBehind(known)
+        : isEnded() || latest.revision() < known.revision();
+  }
+
   boolean isEnded() {
     return record.map(RolloutRecord::state).filter(RolloutState::isEnd).isPresent();
   }
@@ -193,7 +206,7 @@
    * @param openBefore whether requests that cannot move are still open at the versions before
    */
   Optional<RolloutRecord> nextRecord(long now, boolean reader, boolean openBefore) {
-    if (!hasCurrentRecord(now)) {
+    if (isUnconfirmed || !hasCurrentRecord(now)) {
       return Optional.empty();
     }
     RolloutRecord current = record.orElseThrow();
--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
@@ -24,12 +24,6 @@
   /** How often running rollouts are evaluated. */
   static final long TICK_INTERVAL_MILLIS = 100;
 
-  /** The time after which a write without response is repeated. */
-  private static final long WRITE_RETRY_INTERVAL_MILLIS = 300;
-
-  /** The maximum of the random delay before a host that is not a reader writes a decision. */
-  private static final long MAX_WRITE_DELAY_MILLIS = 400;
-
   private static final Comparator<ServiceName> BY_NAME = Comparator.comparing(ServiceName::value);
 
   private final CoreContext context;
@@ -38,8 +32,8 @@
   private final OrderHistory orders = new OrderHistory();
   private final LocalEvidence localEvidence = new LocalEvidence();
   private final Map<ServiceName, Rollout> rollouts = new TreeMap<>(BY_NAME);
-  private final Map<ServiceName, RolloutRecord> records = new HashMap<>();
-  private final Map<ServiceName, Long> nextWriteAt = new HashMap<>();
+  private final RolloutRows rows = new RolloutRows();
+  private final WriteSchedule writes;
 
   /** Versions of earlier orders that were not completed; they must not be used. */
   private final Map<ServiceName, Set<String>> abandoned = new HashMap<>();
@@ -48,21 +42,14 @@
   private BooleanSupplier isReader = () -> false;
   private Predicate<Rollout> openBefore = rollout -> false;
   private Consumer<RolloutWrite> writer = write -> {};
-  private Optional<Reading> reading = Optional.empty();
   private List<RolloutOrder> listedOrders = List.of();
   private long ordersProvenAt = Long.MIN_VALUE / 2;
   private boolean ticking;
 
-  /** When the rows were read, on the store's and on this host's clock. */
-  private record Reading(long storeMillis, long provenAt) {
-    long offset() {
-      return storeMillis - provenAt;
-    }
-  }
-
   public RolloutControl(CoreContext context, RolloutBounds bounds) {
     this.context = context;
     this.bounds = bounds;
+    this.writes = new WriteSchedule(context.random());
   }
 
   /** Sets the source of the evidence of all other hosts. */
@@ -128,6 +115,9 @@
    */
   public void recordStoreReturn() {
     orders.recordStoreReturn(context.nowIncludingSuspensions());
+    rows.clear();
+    writes.clear();
+    rollouts.values().forEach(Rollout::recordStoreReturn);
   }
 
   private void updateOrder(RolloutOrder order) {
@@ -191,34 +181,36 @@
    * @param storeMillis the store's clock when the rows were read
    * @param provenAt when the request that returned them was sent to the store
    */
-  public void updateRecords(List<RolloutRecord> rows, long storeMillis, long provenAt) {
-    reading = Optional.of(new Reading(storeMillis, provenAt));
-    for (RolloutRecord row : rows) {
-      records.put(row.service(), row);
+  public void updateRecords(List<RolloutRecord> records, long storeMillis, long provenAt) {
+    if (!orders.isSinceReturn(provenAt)) {
+      return;
     }
+    rows.update(records, storeMillis, provenAt);
     rollouts.keySet().forEach(this::updateRecord);
   }
 
   private void updateRecord(ServiceName service) {
     Rollout rollout = rollouts.get(service);
-    RolloutRecord row = records.get(service);
-    if (row == null || reading.isEmpty() || !row.follows(rollout.order())) {
-      return;
-    }
+    rows.find(service)
+        .filter(row -> row.follows(rollout.order()))
+        .ifPresent(row -> updateRecord(rollout, row));
+  }
+
+  private void updateRecord(Rollout rollout, RolloutRecord row) {
     Optional<RolloutState> before = rollout.record().map(RolloutRecord::state);
-    rollout.updateRecord(row, reading.get().offset(), reading.get().provenAt());
+    rollout.updateRecord(row, rows.offset(), rows.provenAt());
     Optional<RolloutState> after = rollout.record().map(RolloutRecord::state);
     if (!before.equals(after)) {
       context.logEvent(
           EventCode.ROLLOUT_STATE,
-          service.value(),
+          row.service().value(),
           "version="
               + row.version()
               + " state="
               + after.orElseThrow()
               + " "
               + RolloutDescription.inputs(rollout));
-      nextWriteAt.remove(service);
+      writes.remove(row.service());
     }
   }
 
@@ -362,32 +354,28 @@
     recordToWrite(rollout).ifPresent(record -> write(rollout, record));
   }
 
+  /** A write is conditioned on revisions that were read since the store's last return. */
   private Optional<RolloutRecord> recordToWrite(Rollout rollout) {
+    ServiceName service = rollout.order().service();
+    if (!rows.isRead() || !orders.isConfirmed(service)) {
+      return Optional.empty();
+    }
     if (rollout.record().isPresent()) {
-      boolean hasOpenBefore = openBefore.test(rollout);
       return rollout.nextRecord(
-          context.nowIncludingSuspensions(), isReader.getAsBoolean(), hasOpenBefore);
+          context.nowIncludingSuspensions(), isReader.getAsBoolean(), openBefore.test(rollout));
     }
-    if (reading.isEmpty() || !isReader.getAsBoolean()) {
+    if (!isReader.getAsBoolean()) {
       return Optional.empty();
     }
-    long startedAt = rollout.knownAt() + reading.get().offset();
-    RolloutRecord replaced = records.get(rollout.order().service());
     return Optional.of(
-        rollout.initialRecord(startedAt, replaced == null ? 0 : replaced.revision()));
+        rollout.initialRecord(rollout.knownAt() + rows.offset(), rows.revision(service)));
   }
 
-  /** Writes at once as a reader, else after a random delay unless a row was read by then. */
   private void write(Rollout rollout, RolloutRecord record) {
     ServiceName service = rollout.order().service();
-    long now = context.nowIncludingSuspensions();
-    long delayMillis =
-        isReader.getAsBoolean() ? 0 : context.random().nextLong(MAX_WRITE_DELAY_MILLIS);
-    long writeTime = nextWriteAt.computeIfAbsent(service, any -> now + delayMillis);
-    if (now < writeTime) {
+    if (!writes.isDue(service, isReader.getAsBoolean(), context.nowIncludingSuspensions())) {
       return;
     }
-    nextWriteAt.put(service, now + WRITE_RETRY_INTERVAL_MILLIS);
     context.logEvent(
         EventCode.ROLLOUT_DECIDED,
         service.value(),
--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutRecord.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutRecord.java
@@ -24,6 +24,16 @@
         service, version, orderRevision, startedAt, durationMillis, next, revision);
   }
 
+  /**
+   * Returns whether this row of the same rollout lacks what the known one contains: its end, or its
+   * earlier start.
+   */
+  boolean isBehind(RolloutRecord known) {
+    return known.state().isEnd()
+        ? state != known.state()
+        : !state.isEnd() && startedAt > known.startedAt();
+  }
+
   boolean follows(RolloutOrder order) {
     return orderRevision == order.revision();
   }
--- a/gatereel-core/src/test/java/org/gatereel/core/rollout/ReturnedRolloutTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/rollout/ReturnedRolloutTest.java
@@ -156,4 +156,51 @@
     assertEquals(RolloutState.RUNNING, host.writes.get(0).state());
     assertEquals(31, host.writes.get(0).orderRevision());
   }
+
+  @Test
+  void runningRolloutGoesOnWithARowOfALowerRevision() {
+    host.knowing(ORDER, row(RolloutState.RUNNING, 20, 50)).afterReturn();
+    for (int reading = 0; reading < 8; reading++) {
+      host.readOrders(ORDER);
+      host.readRows(row(RolloutState.RUNNING, 20, 30));
+      host.pass(POLL_MILLIS);
+    }
+
+    assertTrue(host.triesOutNewVersion());
+  }
+
+  @Test
+  void nothingIsWrittenUponReadingsFromBeforeTheReturn() {
+    host.knowing(ORDER, row(RolloutState.RUNNING, 20, 50));
+    long before = host.context.now();
+    host.pass(1_000);
+    host.control.recordStoreReturn();
+    host.writes.clear();
+    for (int tick = 0; tick < 120; tick++) {
+      host.control.confirmOrders(before);
+      host.control.updateRecords(
+          List.of(row(RolloutState.RUNNING, 20, 50)), STORE_MILLIS + before, before);
+      host.pass(POLL_MILLIS);
+    }
+    assertEquals(List.of(), host.writes);
+
+    host.readOrders(ORDER);
+    host.readRows(row(RolloutState.RUNNING, 20, 30));
+    host.pass(500);
+    assertEquals(List.of(row(RolloutState.ROLLED_BACK, 20, 30)), host.writes.subList(0, 1));
+  }
+
+  @Test
+  void initialRowIsNotConditionedOnARowFromBeforeTheReturn() {
+    host.knowing(ORDER, row(RolloutState.COMPLETED, 20, 50)).afterReturn();
+    host.readOrders(ORDER);
+    host.pass(POLL_MILLIS);
+    host.readOrders(order("v3", 31));
+    host.pass(POLL_MILLIS);
+    assertEquals(List.of(), host.writes);
+
+    host.readRows(row(RolloutState.COMPLETED, 20, 30));
+    host.pass(200);
+    assertEquals(30, host.writes.get(0).revision());
+  }
 }
