Write the known end of a roll-out again if the store has forgotten it

After the store had returned from an older copy, the row of a roll-out that was completed or rolled back showed it running, or was missing. Hosts that knew the end read no rows any more; operators saw "running" or nothing, and a host that started then went on with, or decided, what had ended.

After a return each known row is unconfirmed until one is read that does not lack its end or its earlier start. Until then rows are read (for 10 s in any case, since a write that was under way may be done late), and the known one is written over what was read, for the revision that the order has now: by the reader at once, by others after 1 to 4 s. Their delays grow dense exponentially towards the end, so that of any number of hosts few write before the first one's row is read. An end that another end was written over is taken over.

--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/OrderHistory.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/OrderHistory.java
@@ -23,6 +23,9 @@
   /** After this time an order for the same version is another one. */
   private static final long SAME_ORDER_PERIOD_MILLIS = 60_000;
 
+  /** Writes without response may be done late, within this time. */
+  private static final long LATE_WRITES_PERIOD_MILLIS = 10_000;
+
   private final Map<ServiceName, RolloutOrder> known = new HashMap<>();
   private final Map<ServiceName, Set<RolloutOrder>> replaced = new HashMap<>();
 
@@ -65,6 +68,16 @@
     return known.containsKey(service) && !unconfirmed.contains(service);
   }
 
+  /** Returns whether the known order was read since the store's last return, or may still be. */
+  boolean mayBeRead(ServiceName service, long now) {
+    return isConfirmed(service) || now - returnedAt < SAME_ORDER_PERIOD_MILLIS;
+  }
+
+  /** Returns whether writes from before the store's last return may still change rows. */
+  boolean isReturnRecent(long now) {
+    return now - returnedAt < LATE_WRITES_PERIOD_MILLIS;
+  }
+
   /** Returns the known order of a service. */
   RolloutOrder known(ServiceName service) {
     return known.get(service);
--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/Rollout.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/Rollout.java
@@ -66,15 +66,30 @@
     isUnconfirmed = record.isPresent();
   }
 
+  /** Returns whether a known row has not been read since the store's return. */
+  boolean isUnconfirmed() {
+    return isUnconfirmed;
+  }
+
+  /**
+   * Returns the known row, to be written again.
+   *
+   * @param replacedRevision the revision of the row that the store has instead; 0 if there is none
+   */
+  RolloutRecord lostRecord(long replacedRevision) {
+    return record.orElseThrow().writtenOver(order.revision(), replacedRevision);
+  }
+
   /**
-   * Updates the row, unless it is older than the known one or that one is final. Revisions do not
-   * tell which is older if the known row has not been read since the store's return.
+   * Updates the row, unless it is older than the known one or that one is final. A final one is
+   * replaced only by another end that was written over it. Revisions do not tell which is older if
+   * the known row has not been read since the store's return.
    *
    * @param offset the store's clock minus this host's
    * @param readAt when the row was read, on this host's clock
    */
   void updateRecord(RolloutRecord latest, long offset, long readAt) {
-    if (record.filter(known -> isUsedInsteadOf(latest, known)).isPresent()) {
+    if (record.filter(known -> isOutdated(latest, known)).isPresent()) {
       return;
     }
     isUnconfirmed = false;
@@ -83,10 +98,10 @@
     provenAt = Math.max(provenAt, readAt);
   }
 
-  private boolean isUsedInsteadOf(RolloutRecord latest, RolloutRecord known) {
+  private boolean isOutdated(RolloutRecord latest, RolloutRecord known) {
     return isUnconfirmed
         ? latest.isBehind(known)
-        : isEnded() || latest.revision() < known.revision();
+        : latest.revision() < known.revision() || (isEnded() && !latest.state().isEnd());
   }
 
   boolean isEnded() {
--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutControl.java
@@ -31,6 +31,7 @@
   private final ApprovedVersions approvedVersions = new ApprovedVersions();
   private final OrderHistory orders = new OrderHistory();
   private final LocalEvidence localEvidence = new LocalEvidence();
+  private final CombinedEvidence evidence = new CombinedEvidence(localEvidence);
   private final Map<ServiceName, Rollout> rollouts = new TreeMap<>(BY_NAME);
   private final RolloutRows rows = new RolloutRows();
   private final WriteSchedule writes;
@@ -38,7 +39,6 @@
   /** Versions of earlier orders that were not completed; they must not be used. */
   private final Map<ServiceName, Set<String>> abandoned = new HashMap<>();
 
-  private Supplier<Map<EvidenceKey, ResponseTally>> othersEvidence = Map::of;
   private BooleanSupplier isReader = () -> false;
   private Predicate<Rollout> openBefore = rollout -> false;
   private Consumer<RolloutWrite> writer = write -> {};
@@ -54,7 +54,7 @@
 
   /** Sets the source of the evidence of all other hosts. */
   public void setOthersEvidence(Supplier<Map<EvidenceKey, ResponseTally>> source) {
-    othersEvidence = source;
+    evidence.setOthers(source);
   }
 
   /**
@@ -79,9 +79,14 @@
     return Map.copyOf(localEvidence.tallies());
   }
 
-  /** Returns whether rows must be read, since a known order has not ended. */
+  /**
+   * Returns whether rows must be read: a known order has not ended, or the store has returned from
+   * an older copy, which may lack an end.
+   */
   public boolean needsRecords() {
-    return rollouts.values().stream().anyMatch(rollout -> !rollout.isEnded());
+    boolean isRecentReturn = orders.isReturnRecent(context.nowIncludingSuspensions());
+    return rollouts.values().stream()
+        .anyMatch(rollout -> isRecentReturn || !rollout.isEnded() || isLost(rollout));
   }
 
   /** Updates the listed versions; must be called before the registry receives the list. */
@@ -118,6 +123,7 @@
     rows.clear();
     writes.clear();
     rollouts.values().forEach(Rollout::recordStoreReturn);
+    scheduleTick();
   }
 
   private void updateOrder(RolloutOrder order) {
@@ -224,7 +230,7 @@
   public VersionRule ruleForNewRequest(ServiceName service, String route) {
     if (isRunning(service)) {
       Rollout rollout = rollouts.get(service);
-      RouteTraffic traffic = RouteTraffic.of(route, evidence(rollout));
+      RouteTraffic traffic = RouteTraffic.of(route, evidence.of(rollout.order()));
       double ratio = rollout.newVersionRatio(context.nowIncludingSuspensions(), traffic);
       if (ratio > 0 && ratio < 1 && rollout.sample(route, ratio)) {
         return VersionRule.only(rollout.order().version());
@@ -297,32 +303,12 @@
   }
 
   private LocalEvidence.Reference reference(EvidenceKey key) {
-    EvidenceKey oldVersion = key.withNewVersion(false);
-    ResponseTally tally =
-        localEvidence
-            .tallies()
-            .getOrDefault(oldVersion, ResponseTally.NONE)
-            .plus(othersEvidence.get().getOrDefault(oldVersion, ResponseTally.NONE));
+    ResponseTally tally = evidence.tally(key.withNewVersion(false));
     long delayMillis =
         key.signal().isSingleTime() ? context.timers().recentDelayMillis(context.now()) : 0;
     return new LocalEvidence.Reference(tally, delayMillis);
   }
 
-  private Map<EvidenceKey, ResponseTally> evidence(Rollout rollout) {
-    RolloutOrder order = rollout.order();
-    Map<EvidenceKey, ResponseTally> sums = new HashMap<>();
-    for (Map<EvidenceKey, ResponseTally> source :
-        List.of(localEvidence.tallies(), othersEvidence.get())) {
-      source.forEach(
-          (key, tally) -> {
-            if (key.service().equals(order.service()) && key.orderRevision() == order.revision()) {
-              sums.merge(key, tally, ResponseTally::plus);
-            }
-          });
-    }
-    return sums;
-  }
-
   private void scheduleTick() {
     if (!ticking) {
       ticking = true;
@@ -333,17 +319,23 @@
   private void tick() {
     ticking = false;
     for (Rollout rollout : List.copyOf(rollouts.values())) {
-      if (!rollout.isEnded()) {
+      if (!rollout.isEnded() || isLost(rollout)) {
         scheduleTick();
         tick(rollout);
       }
     }
   }
 
+  /** Returns whether the store may lack the known row since its return, which is written again. */
+  private boolean isLost(Rollout rollout) {
+    return rollout.isUnconfirmed()
+        && orders.mayBeRead(rollout.order().service(), context.nowIncludingSuspensions());
+  }
+
   private void tick(Rollout rollout) {
     VersionVerdict.Kind before = rollout.verdict().kind();
     if (rollout.isRunning()) {
-      rollout.evaluate(evidence(rollout), context.nowIncludingSuspensions());
+      rollout.evaluate(evidence.of(rollout.order()), context.nowIncludingSuspensions());
     }
     if (rollout.verdict().kind() != before) {
       context.logEvent(
@@ -360,6 +352,9 @@
     if (!rows.isRead() || !orders.isConfirmed(service)) {
       return Optional.empty();
     }
+    if (rollout.isUnconfirmed()) {
+      return Optional.of(rollout.lostRecord(rows.revision(service)));
+    }
     if (rollout.record().isPresent()) {
       return rollout.nextRecord(
           context.nowIncludingSuspensions(), isReader.getAsBoolean(), openBefore.test(rollout));
@@ -373,11 +368,17 @@
 
   private void write(Rollout rollout, RolloutRecord record) {
     ServiceName service = rollout.order().service();
-    if (!writes.isDue(service, isReader.getAsBoolean(), context.nowIncludingSuspensions())) {
+    long now = context.nowIncludingSuspensions();
+    boolean isReading = isReader.getAsBoolean();
+    boolean isDue =
+        rollout.isUnconfirmed()
+            ? writes.isDueAgain(service, isReading, now)
+            : writes.isDue(service, isReading, now);
+    if (!isDue) {
       return;
     }
     context.logEvent(
-        EventCode.ROLLOUT_DECIDED,
+        rollout.isUnconfirmed() ? EventCode.ROLLOUT_ROW_LOST : EventCode.ROLLOUT_DECIDED,
         service.value(),
         "version="
             + record.version()
@@ -394,7 +395,7 @@
     for (Rollout rollout : rollouts.values()) {
       VersionRule rule = rule(rollout.order().service());
       long now = context.nowIncludingSuspensions();
-      lines.addAll(RolloutDescription.lines(rollout, rule, evidence(rollout), now));
+      lines.addAll(RolloutDescription.lines(rollout, rule, evidence.of(rollout.order()), now));
     }
     return lines;
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutRecord.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/RolloutRecord.java
@@ -24,6 +24,12 @@
         service, version, orderRevision, startedAt, durationMillis, next, revision);
   }
 
+  /** Returns the row with the same content to write over another one, for an order's revision. */
+  RolloutRecord writtenOver(long changedOrderRevision, long replacedRevision) {
+    return new RolloutRecord(
+        service, version, changedOrderRevision, startedAt, durationMillis, state, replacedRevision);
+  }
+
   /**
    * Returns whether this row of the same rollout lacks what the known one contains: its end, or its
    * earlier start.
--- a/gatereel-core/src/test/java/org/gatereel/core/rollout/ReturnedRolloutTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/rollout/ReturnedRolloutTest.java
@@ -1,6 +1,7 @@
 package org.gatereel.core.rollout;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -169,6 +170,80 @@
     assertTrue(host.triesOutNewVersion());
   }
 
+  @Test
+  void lostRowOfARunningRolloutIsWrittenAgainWithItsStart() {
+    host.knowing(ORDER, row(RolloutState.RUNNING, 20, 50)).afterReturn();
+    host.readOrders(order("v2", 25));
+    host.readRows();
+    host.pass(200);
+
+    assertEquals(List.of(row(RolloutState.RUNNING, 25, 0)), host.writes);
+  }
+
+  @Test
+  void lostEndIsWrittenAgainOverTheEarlierRowByTheReaderAtOnce() {
+    host.knowing(ORDER, row(RolloutState.COMPLETED, 20, 50)).afterReturn();
+    host.readOrders(ORDER);
+    host.readRows(row(RolloutState.RUNNING, 20, 30));
+    host.pass(200);
+
+    assertEquals(List.of(row(RolloutState.COMPLETED, 20, 30)), host.writes);
+    assertEquals(VersionRule.prefer("v2"), host.control.rule(SERVICE));
+  }
+
+  @Test
+  void lostEndIsWrittenAgainIfNoRowIsLeft() {
+    host.knowing(ORDER, row(RolloutState.ROLLED_BACK, 20, 50)).afterReturn();
+    host.readOrders(order("v2", 9));
+    host.readRows();
+    host.pass(200);
+
+    assertEquals(List.of(row(RolloutState.ROLLED_BACK, 9, 0)), host.writes);
+  }
+
+  @Test
+  void otherEndThatWasWrittenLateIsReplacedByTheKnownOne() {
+    host.knowing(ORDER, row(RolloutState.ROLLED_BACK, 20, 50)).afterReturn();
+    host.readOrders(ORDER);
+    host.readRows(row(RolloutState.COMPLETED, 20, 31));
+    host.pass(200);
+
+    assertEquals(List.of(row(RolloutState.ROLLED_BACK, 20, 31)), host.writes);
+  }
+
+  @Test
+  void rowsOfEndedRolloutsAreReadAgainAfterTheReturn() {
+    host.knowing(ORDER, row(RolloutState.COMPLETED, 20, 50));
+    assertFalse(host.control.needsRecords());
+    host.afterReturn();
+    assertTrue(host.control.needsRecords());
+    host.readOrders(ORDER);
+    host.readRows(row(RolloutState.COMPLETED, 20, 30));
+    host.pass(60_000);
+
+    assertFalse(host.control.needsRecords());
+    assertEquals(List.of(), host.writes);
+  }
+
+  /** The first writer's row is read within a second, so that few others write it too. */
+  @Test
+  void fewHostsWriteALostEndAgainIfTheReaderDoesNot() {
+    List<Host> hosts = IntStream.range(0, 95).mapToObj(seed -> new Host(seed, false)).toList();
+    for (Host other : hosts) {
+      other.knowing(ORDER, row(RolloutState.COMPLETED, 20, 50)).afterReturn();
+      for (int reading = 0; reading < 10; reading++) {
+        other.readOrders(ORDER);
+        other.readRows(row(RolloutState.RUNNING, 20, 30));
+        other.pass(POLL_MILLIS);
+      }
+    }
+    long first = hosts.stream().mapToLong(other -> other.firstWriteAt).min().orElseThrow();
+    long writers = hosts.stream().filter(other -> other.firstWriteAt < first + 1_000).count();
+
+    assertTrue(first > 2_000 && first < 6_000, "first write at " + first);
+    assertTrue(writers <= 25, "writers: " + writers);
+  }
+
   @Test
   void nothingIsWrittenUponReadingsFromBeforeTheReturn() {
     host.knowing(ORDER, row(RolloutState.RUNNING, 20, 50));
