Leave the end of an overdue roll-out to hosts that know it

A host that starts after the store's return knows no end. It found the copy's running row overdue and wrote ROLLED_BACK at once as the reader, also where the others knew that the roll-out was completed and the targets of other versions had stopped.

A host whose first reading of a row finds it overdue decides nothing for 6 s: others write a lost end again within 4 s and a reading. Meanwhile the new version gets nothing from it, as before. If all hosts start anew, an overdue roll-out ends 6 s later.

Failed before, passes now, ReturnedRolloutTest hostThatFindsAnOverdueRollout...: expected: <[]> but was: <[RolloutRecord[... state=ROLLED_BACK, revision=30], ...]> mvn -pl gatereel-core -am -Dtest='ReturnedRolloutTest,Rollout*Test' test

--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/Rollout.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/Rollout.java
@@ -24,6 +24,12 @@
    */
   private static final long RECORD_LEASE_MILLIS = 2_500;
 
+  /**
+   * Hosts that know an end which the store has lost write it again within this time. Until then a
+   * host that finds the rollout overdue, since it has just started, must not end it otherwise.
+   */
+  private static final long UNKNOWN_END_PERIOD_MILLIS = 6_000;
+
   private final RolloutBounds bounds;
   private final RandomGenerator random;
   private final long knownAt;
@@ -31,6 +37,7 @@
   private RolloutOrder order;
   private Optional<RolloutRecord> record = Optional.empty();
   private boolean isUnconfirmed;
+  private long decidesFrom = Long.MIN_VALUE;
   private long storeOffset;
   private long provenAt = Long.MIN_VALUE / 2;
   private VersionVerdict verdict = VersionVerdict.UNKNOWN;
@@ -93,8 +100,12 @@
       return;
     }
     isUnconfirmed = false;
+    boolean isFirst = record.isEmpty();
     record = Optional.of(latest);
     storeOffset = offset;
+    if (isFirst && stage(readAt) == RolloutSchedule.Stage.OVERDUE) {
+      decidesFrom = readAt + UNKNOWN_END_PERIOD_MILLIS;
+    }
     provenAt = Math.max(provenAt, readAt);
   }
 
@@ -221,7 +232,7 @@
    * @param openBefore whether requests that cannot move are still open at the versions before
    */
   Optional<RolloutRecord> nextRecord(long now, boolean reader, boolean openBefore) {
-    if (isUnconfirmed || !hasCurrentRecord(now)) {
+    if (isUnconfirmed || !hasCurrentRecord(now) || now < decidesFrom) {
       return Optional.empty();
     }
     RolloutRecord current = record.orElseThrow();
--- a/gatereel-core/src/test/java/org/gatereel/core/rollout/ReturnedRolloutTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/rollout/ReturnedRolloutTest.java
@@ -244,6 +244,32 @@
     assertTrue(writers <= 25, "writers: " + writers);
   }
 
+  /** A host that has started since does not know an end that others are about to write again. */
+  @Test
+  void hostThatFindsAnOverdueRolloutLeavesItsEndToHostsThatKnowIt() {
+    RolloutRecord overdue =
+        new RolloutRecord(
+            SERVICE,
+            "v2",
+            20,
+            STORE_MILLIS - 2 * DURATION_MILLIS,
+            DURATION_MILLIS,
+            RolloutState.RUNNING,
+            30);
+    for (int reading = 0; reading < 8; reading++) {
+      host.readOrders(ORDER);
+      host.readRows(overdue);
+      host.pass(POLL_MILLIS);
+    }
+    assertEquals(List.of(), host.writes);
+
+    for (int reading = 0; reading < 4; reading++) {
+      host.readRows(overdue);
+      host.pass(POLL_MILLIS);
+    }
+    assertEquals(RolloutState.ROLLED_BACK, host.writes.get(0).state());
+  }
+
   @Test
   void nothingIsWrittenUponReadingsFromBeforeTheReturn() {
     host.knowing(ORDER, row(RolloutState.RUNNING, 20, 50));
