--- a/gatereel-core/src/test/java/org/gatereel/core/document/DocumentWorld.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/DocumentWorld.java
@@ -73,6 +73,20 @@
     return versions.get(kind);
   }
 
+  /** Returns the version of the store, which each change raises. */
+  private long storeVersion() {
+    return versions.values().stream().mapToLong(Long::longValue).sum();
+  }
+
+  private static long versionOf(SharedDocument document) {
+    return Long.parseLong(document.digest().substring(document.kind().name().length() + 1));
+  }
+
+  /** Has the store lose the last changes of all documents. */
+  void returnFromCopy(long lostChanges) {
+    versions.replaceAll((kind, version) -> version - lostChanges);
+  }
+
   void disturb(DocumentKind kind, Disturbance disturbance) {
     disturbances.put(kind, disturbance);
   }
@@ -125,7 +139,7 @@
               cache,
               this,
               BOUND_MILLIS,
-              (document, result) -> use(document.kind(), document.version().number()));
+              (document, result) -> use(document.kind(), versionOf(document)));
       poller =
           new Poller(
               context,
@@ -240,7 +254,7 @@
       List<Consumer<StoreResponse>> callbacks = waiting.remove(kind);
       StoreResponse read =
           new StoreResponse.Read(
-              "text", kind + " " + version(kind), StoreVersion.withoutEra(version(kind)));
+              "text", kind + " " + version(kind), StoreVersion.withoutEra(storeVersion()));
       switch (disturbances.get(kind)) {
         case SLOW -> later(SLOW_TABLE_MILLIS, () -> endRead(kind, callbacks, read));
         case FAILING -> later(RESPONSE_MILLIS, () -> failRead(kind, callbacks, "status 503"));
