Reject a page of roll-outs whose end nothing marks

Cause: "rollout SERVICE" printed any page. Its lines have no mark of an end, so that a page without a length that ends with its connection looks like a page of fewer services: "no roll-out of counters is known", exit code DONE. Change: the command takes a page only with a length or chunks, which a host's pages have.

--- a/gatereel-control/src/main/java/org/gatereel/control/RolloutCommand.java
+++ b/gatereel-control/src/main/java/org/gatereel/control/RolloutCommand.java
@@ -53,10 +53,19 @@
       throw new ControlException(ExitCode.USAGE, "not an IP:PORT address: " + host);
     }
     try (Response response = client.newCall(new Request.Builder().url(page).build()).execute()) {
+      if (!hasMarkedEnd(response)) {
+        throw new IOException("the page has no length and may be truncated");
+      }
       return response.body().string().lines().toList();
     }
   }
 
+  /** Returns whether a length or chunks show that the body is whole. */
+  private static boolean hasMarkedEnd(Response response) {
+    return response.body().contentLength() >= 0
+        || "chunked".equalsIgnoreCase(response.header("Transfer-Encoding"));
+  }
+
   /** Returns the line of the service and the indented lines of evidence that follow it. */
   private List<String> linesOfService(List<String> page) {
     List<String> found = new ArrayList<>();
