Count a host whose page of roll-outs is no success as unreachable

Cause: "rollout SERVICE" did not look at the status, so that the body of a 503 or 404 was read as a page without the service. Change: any status but 2xx is a failure of that host, shown with its number. Before the change: aResponseThatIsNoPageIsNotPrintedAsOne: expected: <UNREACHABLE> but was: <DONE> After: TruncatedHostResponsesTest 6 of 6, RolloutCommandTest 4 of 4; mvn -pl gatereel-control -am -Dtest='TruncatedHostResponsesTest,RolloutCommandTest' test.

--- a/gatereel-control/src/main/java/org/gatereel/control/RolloutCommand.java
+++ b/gatereel-control/src/main/java/org/gatereel/control/RolloutCommand.java
@@ -53,6 +53,9 @@
       throw new ControlException(ExitCode.USAGE, "not an IP:PORT address: " + host);
     }
     try (Response response = client.newCall(new Request.Builder().url(page).build()).execute()) {
+      if (!response.isSuccessful()) {
+        throw new IOException("status " + response.code());
+      }
       if (!hasMarkedEnd(response)) {
         throw new IOException("the page has no length and may be truncated");
       }
--- a/gatereel-control/src/test/java/org/gatereel/control/TruncatedHostResponsesTest.java
+++ b/gatereel-control/src/test/java/org/gatereel/control/TruncatedHostResponsesTest.java
@@ -1,5 +1,6 @@
 package org.gatereel.control;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -99,4 +100,11 @@
     String text = rollout(ExitCode.UNREACHABLE);
     assertTrue(text.contains("does not answer"), text);
   }
+
+  @Test
+  void aResponseThatIsNoPageIsNotPrintedAsOne() {
+    respond("HTTP/1.1 503 Service Unavailable|Content-Length: 0||");
+
+    assertEquals(-1, rollout(ExitCode.UNREACHABLE).indexOf("no roll-out"));
+  }
 }
