Write facts about poison requests again that the store has lost

After the store had returned from an older copy, the rows of requests that hosts held back were gone and stayed so: each is written once, and rows are read only after further ends. A host that started later sent such a request to three more targets; a lost success left the copy's ends, by which it held a sound request back.

After a return rows are read for 6 s, and while facts are lost. What a reading since lacks of the facts that hosts write is written again: by the reader at once, by others after a delay of which few of any number of hosts draw an early one (SuppressionDelay, shared with roll-outs), unless a later reading contains it. Rows are idempotent, 50 a transaction, and 500 at most wait. Verdicts at hosts never depend on the store. A reading from before a write finds nothing lost.

PoisonRecordsTest passes one more argument, without a change to what it checks. mvn -pl gatereel-core -am -Dtest='Poison*Test,Returned*Test,EventCatalogueTest, LayeringTest,ArchitectureTest' test

--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -137,6 +137,8 @@
       526, "The older copy of the store contains an earlier order; the known one stays in force."),
   ROLLOUT_ROW_LOST(
       527, "The store lacks the known row of a rollout since its return; it is written again."),
+  POISON_ROWS_LOST(
+      528, "The store lacks facts about poison requests since its return; they are written again."),
   PLATFORM_LOST(600, "The platform does not respond."),
   PLATFORM_REACHED(601, "The platform responds again."),
   READER_LOST(602, "The host that reads the store for this data centre has no current data."),
--- a/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonRecords.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/poison/PoisonRecords.java
@@ -3,8 +3,12 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.internal.GossipFacts;
+import org.gatereel.core.internal.SuppressionDelay;
 
 /**
  * Writes facts about poison requests to the store and reads them from it, for hosts that restart or
@@ -28,7 +32,9 @@
 
   private final CoreContext context;
   private final PoisonControl control;
+  private final BooleanSupplier isReader;
   private final Writer writer;
+  private final LostFacts lostFacts = new LostFacts();
   private final Set<PoisonFact> pending = new LinkedHashSet<>();
   private final Set<Fingerprint> recorded = new LinkedHashSet<>();
   private long backoffMillis = INITIAL_BACKOFF_MILLIS;
@@ -46,20 +52,30 @@
     void write(List<PoisonFact> facts, Consumer<Boolean> done);
   }
 
-  public PoisonRecords(CoreContext context, PoisonControl control, Writer writer) {
+  /**
+   * Creates records that use the store.
+   *
+   * @param isReader returns whether this host reads the store for others
+   */
+  public PoisonRecords(
+      CoreContext context, PoisonControl control, BooleanSupplier isReader, Writer writer) {
     this.context = context;
     this.control = control;
+    this.isReader = isReader;
     this.writer = writer;
     control.onNewFact(this::onNewFact);
   }
 
   /**
-   * Returns whether the rows must be read: at start, and after each end of a request that had
-   * another end before. Hosts that cannot be reached may have written facts about it. Reading the
-   * rows all the time would add a third to the calls to the store.
+   * Returns whether the rows must be read: at start, after each end of a request that had another
+   * end before, and for a while after the store's return from an older copy. Hosts that cannot be
+   * reached may have written facts about it. Reading the rows all the time would add a third to the
+   * calls to the store.
    */
   public boolean needsReading() {
-    return readAt == Long.MIN_VALUE || newFactAt >= readAt;
+    return readAt == Long.MIN_VALUE
+        || newFactAt >= readAt
+        || lostFacts.needsReading(readAt, context.nowIncludingSuspensions());
   }
 
   /**
@@ -71,6 +87,42 @@
     readAt = Math.max(readAt, provenAt);
     rows.forEach(row -> recorded.add(row.request()));
     control.learn(rows, PoisonControl.Source.STORE);
+    findLost(rows, provenAt);
+  }
+
+  /**
+   * Records that the store has returned from an older copy, which may lack facts that were written.
+   */
+  public void recordStoreReturn() {
+    lostFacts.recordStoreReturn(context.nowIncludingSuspensions());
+  }
+
+  private void findLost(List<PoisonFact> rows, long provenAt) {
+    long now = context.nowIncludingSuspensions();
+    long delayMillis = isReader.getAsBoolean() ? 0 : SuppressionDelay.next(context.random());
+    boolean isDue = !writing && lostFacts.update(knownToStore(), rows, provenAt, now, delayMillis);
+    if (isDue) {
+      context.schedule(delayMillis, this::writeLost);
+    }
+  }
+
+  /** Returns the facts that hosts write, whichever host has observed them. */
+  private List<PoisonFact> knownToStore() {
+    return control.after(0, Integer.MAX_VALUE).stream()
+        .map(GossipFacts.Numbered::fact)
+        .filter(fact -> fact.isClearing() || control.endCount(fact.request()) >= MIN_WRITTEN_ENDS)
+        .toList();
+  }
+
+  private void writeLost() {
+    List<PoisonFact> facts = lostFacts.takeDue(context.nowIncludingSuspensions());
+    if (!facts.isEmpty()) {
+      context.logEvent(
+          EventCode.POISON_ROWS_LOST,
+          "store",
+          "facts=" + facts.size() + " reader=" + isReader.getAsBoolean());
+      add(facts);
+    }
   }
 
   private void onNewFact(PoisonFact fact, PoisonControl.Source source) {
@@ -92,9 +144,7 @@
   }
 
   private void add(List<PoisonFact> facts) {
-    if (pending.size() < MAX_PENDING_FACTS) {
-      pending.addAll(facts);
-    }
+    facts.stream().limit(Math.max(0, MAX_PENDING_FACTS - pending.size())).forEach(pending::add);
     write();
   }
 
@@ -111,6 +161,7 @@
     writing = false;
     if (accepted) {
       facts.forEach(pending::remove);
+      lostFacts.recordWritten(context.nowIncludingSuspensions());
       backoffMillis = INITIAL_BACKOFF_MILLIS;
       write();
     } else {
--- a/gatereel-core/src/main/java/org/gatereel/core/rollout/WriteSchedule.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/rollout/WriteSchedule.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.random.RandomGenerator;
+import org.gatereel.core.internal.SuppressionDelay;
 import org.gatereel.core.model.ServiceName;
 
 /**
@@ -16,15 +17,6 @@
   /** The maximum of the random delay before a host that is not a reader writes a decision. */
   private static final long MAX_DELAY_MILLIS = 400;
 
-  /** The maximum of the random delay before a host that is not a reader writes a lost row again. */
-  private static final long MAX_DELAY_AMONG_MANY_MILLIS = 4_000;
-
-  /** The number of due hosts grows by this power of e over the maximum delay. */
-  private static final double DELAY_GROWTH = 10;
-
-  /** The reader's row is read by the other hosts within a quarter of the maximum delay. */
-  private static final double MIN_DELAY_RATIO = 0.25;
-
   private final RandomGenerator random;
   private final Map<ServiceName, Long> nextWriteAt = new HashMap<>();
 
@@ -42,13 +34,7 @@
    * most of them wait long: of any number of hosts few are due before the first one's row is read.
    */
   boolean isDueAgain(ServiceName service, boolean isReader, long now) {
-    return isDue(service, now, isReader ? 0 : delayAmongMany(random));
-  }
-
-  /** Returns a delay whose probability grows exponentially towards its maximum. */
-  private static long delayAmongMany(RandomGenerator random) {
-    double ratio = 1 + Math.log(1 - random.nextDouble()) / DELAY_GROWTH;
-    return (long) (MAX_DELAY_AMONG_MANY_MILLIS * Math.max(MIN_DELAY_RATIO, ratio));
+    return isDue(service, now, isReader ? 0 : SuppressionDelay.next(random));
   }
 
   private boolean isDue(ServiceName service, long now, long delayMillis) {
--- a/gatereel-core/src/test/java/org/gatereel/core/poison/PoisonRecordsTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/poison/PoisonRecordsTest.java
@@ -31,6 +31,7 @@
       new PoisonRecords(
           context,
           control,
+          () -> true,
           (facts, done) -> {
             written.add(facts);
             pendingWrites.add(done);
