Keep known hosts, and write the own entry again, after the store's return

After the store had returned from an older copy that lacked the entries of live hosts, these vanished from the directory with the next reading: common limits were divided by fewer hosts and readers changed. The own entry was written again only 9 s of the store's clock after the last time, so never if that clock had gone back.

The time of the own last write counts no more, so that the first reading that lacks the entry has it written; a host whose entry the copy contains writes nothing.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/HostDirectory.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/HostDirectory.java
@@ -44,6 +44,7 @@
    */
   private static final long MIN_REWRITE_INTERVAL_MILLIS = 9_000;
 
+  private static final long NEVER = Long.MIN_VALUE / 2;
   private static final String READERS = "readers";
 
   /**
@@ -64,7 +65,9 @@
   private List<RelayPeer> relayPeers = List.of();
   private int readings;
   private long changes;
-  private long writtenAt = Long.MIN_VALUE / 2;
+  private final LostEntries lostEntries = new LostEntries();
+  private boolean isReturnUnread;
+  private long writtenAt = NEVER;
 
   /**
    * The entry of a host.
@@ -94,10 +97,12 @@
   public Optional<Update> update(List<Entry> entries, long storeMillis) {
     readings++;
     List<Entry> previous = liveEntries;
-    liveEntries =
+    List<Entry> young =
         entries.stream()
             .filter(entry -> isYounger(entry, storeMillis, ENTRY_TIMEOUT_MILLIS))
             .toList();
+    logMissing(young);
+    liveEntries = lostEntries.addTo(young, context.nowIncludingSuspensions());
     if (!addressesByHost(previous).equals(addressesByHost(liveEntries))) {
       changes++;
     }
@@ -119,6 +124,27 @@
     return Optional.of(new Update(ownEntry, expiredEntries(entries, storeMillis)));
   }
 
+  /**
+   * Records that the store has returned from an older copy, which may lack entries of live hosts,
+   * this one's included.
+   */
+  public void recordStoreReturn() {
+    lostEntries.keep(liveEntries, context.nowIncludingSuspensions());
+    isReturnUnread = true;
+    writtenAt = NEVER;
+  }
+
+  private void logMissing(List<Entry> listed) {
+    if (isReturnUnread) {
+      isReturnUnread = false;
+      int missing = lostEntries.countMissing(listed);
+      if (missing > 0) {
+        context.logEvent(
+            EventCode.HOSTS_RETAINED, self, "missing=" + missing + " listed=" + listed.size());
+      }
+    }
+  }
+
   private Optional<Entry> findGlobalReader() {
     return liveEntries.size() > MAX_HOSTS_FOR_ONE_READER
         ? Optional.empty()
--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -167,6 +167,7 @@
   DOCUMENT_OUTDATED(
       616, "A document was read that is older than the known one; the first of a series."),
   STORE_RETURNED(617, "The store has returned from an older copy; its versions have fallen."),
+  HOSTS_RETAINED(618, "The store lacks entries of known hosts since its return; they are kept."),
   STARTUP_QUERY_ENDED(
       620, "This host has queried other hosts before it first reads the store's documents.");
 
