Read the entries of hosts in the first refresh after the store's return

Entries that the store had lost were noticed only with the next reading of HOSTS, up to 8 s later, and seen again after 8 s more. A return now has them read as at a start: in the next refresh and at intervals of 1.5 s, four times, by readers alone.

Failed before, passes now, DocumentRefresherTest hostsDocumentIsReadInTheFirstRefreshAfterAReturn: expected: <[7200, 9000, 10800, 12600]> but was: <[13800]>.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
@@ -316,6 +316,13 @@
           new DocumentAvailability(
               context, kind, (long) (MIN_STORE_BACKOFF_RATIO * boundMillis), boundMillis));
     }
+    history().onReturn(queriedAt -> readHostsAsAtStart());
+  }
+
+  /** Hosts write entries that the store has lost, as hosts that start together do. */
+  private void readHostsAsAtStart() {
+    hostsReadAt = Long.MIN_VALUE / 2;
+    hostsReadings = 0;
   }
 
   /** Returns the time within which a refresh completes, in milliseconds. */
--- a/gatereel-core/src/test/java/org/gatereel/core/document/DocumentRefresherTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/DocumentRefresherTest.java
@@ -279,6 +279,26 @@
     }
   }
 
+  /** Guards against entries of hosts that the store has lost and that are missing for long. */
+  @Test
+  void hostsDocumentIsReadInTheFirstRefreshAfterAReturn() {
+    for (long now = 0; now <= 6_000; now += 600) {
+      refreshFromStore(now, StoreVersion.UNKNOWN_ERA, 400 + now);
+    }
+    refreshFromStore(6_600, StoreVersion.UNKNOWN_ERA, 5);
+
+    List<Long> readAt = new ArrayList<>();
+    for (long now = 7_200; now <= 16_200; now += 600) {
+      refresh(now);
+      if (sources.storeReaders.containsKey(DocumentKind.HOSTS)) {
+        readAt.add(now);
+      }
+      sources.completeStoreReads(
+          new StoreResponse.Read("text", "digest", StoreVersion.withoutEra(now)));
+    }
+    assertEquals(List.of(7_200L, 9_000L, 10_800L, 12_600L), readAt);
+  }
+
   @Test
   void slowReadOfHostsDoesNotDelayTheNextRefresh() {
     StoreResponse response = new StoreResponse.Read("text", "digest", StoreVersion.withoutEra(7));
