Reject requests between hosts whose heads are truncated or invalid

Cause: the decoder passes a request whose connection ended within its head, or whose head is invalid, with the failure set and the fields that it has read; the aggregator makes a whole request of it. StatusServer did not look at the failure. From the end of the request line on, a host that stopped within a request got its page made: tokens granted to nobody, a load report of 0 bytes read, a CONNECT handled without its target's fields. Change: such a request is answered 400 and its connection closed. CallerConnection, DocumentClient and TargetResponseHandler look at the failure already (read).

--- a/gatereel-forward/src/main/java/org/gatereel/forward/http/StatusServer.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/http/StatusServer.java
@@ -40,6 +40,9 @@
   /** Sufficient for a load report of 2,000 targets. */
   private static final int MAX_REQUEST_BYTES = 64 << 10;
 
+  /** The response to a request whose head is invalid or truncated. */
+  private static final Page BAD_REQUEST = new Page(400, "bad request\n");
+
   private static final Page NOT_FOUND = new Page(404, "no such page\n");
 
   private final EventLoop loop;
@@ -124,6 +127,10 @@
   private final class PageHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+      if (request.decoderResult().isFailure()) {
+        write(context, BAD_REQUEST, false);
+        return;
+      }
       if (connectHandler != null && request.method().equals(HttpMethod.CONNECT)) {
         connectHandler.accept(request, context.channel());
         return;
