Show that what was said during a pause is known before a request is sent

docs/FINDINGS.md listed statements of targets, poison records and roll-outs as used at any age after a pause. No fault showed:

Poison records: RequestGateTest requestThatOtherHostsHoldBack...; the request is withdrawn, as it is not sent yet.

Not tried: a report that has not arrived, since its link was lost in the pause.

--- a/gatereel-core/src/test/java/org/gatereel/core/forward/RequestGateTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/forward/RequestGateTest.java
@@ -12,7 +12,9 @@
 import org.gatereel.core.document.DocumentKind;
 import org.gatereel.core.event.TargetFailure;
 import org.gatereel.core.forward.ForwardWorld.Caller;
+import org.gatereel.core.internal.GossipFacts;
 import org.gatereel.core.model.HostList;
+import org.gatereel.core.poison.PoisonFact;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -20,6 +22,7 @@
 class RequestGateTest {
   private static final long BOUND_MILLIS = 2_000;
   private static final long PAUSE_MILLIS = 2_600;
+  private static final long SHORT_PAUSE_MILLIS = 900;
 
   private final ForwardWorld world = new ForwardWorld();
   private final DocumentFreshness freshness = new DocumentFreshness(world.context, BOUND_MILLIS);
@@ -175,4 +178,36 @@
     assertEquals(1, world.sentCalls.size());
     assertEquals(Rejection.TIMED_OUT, caller.rejection);
   }
+
+  /** A pause after which all documents are recent enough. */
+  private void shortPause() {
+    world.context.advanceTo(world.context.now() + SHORT_PAUSE_MILLIS);
+    world.context.recordDelay(SHORT_PAUSE_MILLIS);
+  }
+
+  /** The report of another host is read after the request, and before a connection stands. */
+  @Test
+  void requestThatOtherHostsHoldBackIsWithdrawnAfterAPause() {
+    world.requestContent = "fatal";
+    List<PoisonFact> facts = factsAboutAQuarantinedRequest("fatal");
+    shortPause();
+    gate.accept(world.request("/stream/x"), caller);
+    world.poison.merge(facts);
+
+    assertTrue(world.lastCall().cancelled);
+    assertEquals(Rejection.HELD_BACK, caller.rejection);
+  }
+
+  private static List<PoisonFact> factsAboutAQuarantinedRequest(String content) {
+    ForwardWorld other = new ForwardWorld();
+    other.requestContent = content;
+    other.submit("/stream/x", new Caller());
+    for (int end = 0; end < 3; end++) {
+      other.lastCall().accept().respondHead(200, true);
+      other.fail(other.lastCall(), TargetFailure.RESET);
+      other.lastProbe().listener().onResult(ProbeResult.GONE);
+    }
+    assertEquals(1, other.poison.quarantinedCount());
+    return other.poison.after(0, 100).stream().map(GossipFacts.Numbered::fact).toList();
+  }
 }
