--- a/gatereel-core/src/main/java/org/gatereel/core/document/HostDirectory.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/HostDirectory.java
@@ -1,14 +1,17 @@
 package org.gatereel.core.document;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.gatereel.core.choice.HostCount;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
@@ -306,6 +309,21 @@
     avoidedUntil.put(host, until);
   }
 
+  /** Returns some other hosts: the reader, if it is another one, and random ones. */
+  public List<Address> otherHosts(int count, RandomGenerator random) {
+    List<Address> others =
+        new ArrayList<>(
+            liveEntries.stream()
+                .filter(entry -> !entry.host().equals(self))
+                .map(Entry::address)
+                .toList());
+    Collections.shuffle(others, new Random(random.nextLong()));
+    return Stream.concat(reader(context.now()).stream(), others.stream())
+        .distinct()
+        .limit(count)
+        .toList();
+  }
+
   /** Returns a random other host of any data centre. */
   public Optional<Address> anyOtherHost(RandomGenerator random) {
     List<Entry> others = liveEntries.stream().filter(entry -> !entry.host().equals(self)).toList();
--- a/gatereel-core/src/main/java/org/gatereel/core/document/StartupQuery.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/StartupQuery.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.stream.Stream;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.Address;
@@ -18,6 +17,11 @@
   /** Above the time-out of a query, so that a second host is queried if one is silent. */
   static final long TIMEOUT_MILLIS = 500;
 
+  private static final int MAX_HOSTS = 2;
+
+  /** A host that is silent now is not used as a reader for this long. */
+  private static final long AVOIDANCE_MILLIS = 10_000;
+
   private final CoreContext context;
   private final HostDirectory directory;
   private final DocumentSources sources;
@@ -62,10 +66,7 @@
     if (response instanceof DocumentSources.StoreResponse.Read read) {
       refresher.update(DocumentKind.HOSTS, read, startedAt);
     }
-    Stream.of(directory.reader(context.now()), directory.anyOtherHost(context.random()))
-        .flatMap(host -> host.stream())
-        .distinct()
-        .forEach(pending::add);
+    pending.addAll(directory.otherHosts(MAX_HOSTS, context.random()));
     queryNext();
   }
 
@@ -80,7 +81,11 @@
           host,
           new DocumentCache(),
           documents -> {
-            responses += documents.isPresent() ? 1 : 0;
+            if (documents.isPresent()) {
+              responses++;
+            } else if (!completed) {
+              directory.avoid(host, context.now() + AVOIDANCE_MILLIS);
+            }
             queryNext();
           });
     } catch (RuntimeException e) {
--- /dev/null
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/StartupQueryTest.java
@@ -0,0 +1,109 @@
+package org.gatereel.core.document;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import org.gatereel.core.document.HostDirectory.Entry;
+import org.gatereel.core.internal.CoreContext;
+import org.gatereel.core.model.Address;
+import org.gatereel.core.model.DataCentre;
+import org.gatereel.core.model.HostId;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a host without memory that serves by what an older copy of the store shows. */
+class StartupQueryTest {
+  private static final DataCentre NORTH = new DataCentre("north");
+  private static final long BOUND_MILLIS = 2_000;
+
+  private final CoreContext context =
+      new CoreContext(new HostId("h0"), NORTH, new SplittableRandom(1));
+  private final HostDirectory directory = new HostDirectory(context, address(0));
+  private final Sources sources = new Sources();
+  private final DocumentRefresher refresher =
+      new DocumentRefresher(
+          context, directory, new DocumentCache(), sources, BOUND_MILLIS, this::onDocument);
+  private final StartupQuery query = new StartupQuery(context, directory, sources, refresher);
+  private final AtomicInteger completions = new AtomicInteger();
+
+  /** Holds reads and queries until the test completes them. */
+  private static final class Sources implements DocumentSources {
+    private final List<Address> queried = new ArrayList<>();
+    private Consumer<StoreResponse> storeReader;
+    private Consumer<Optional<List<PeerDocument>>> peerListener;
+
+    @Override
+    public void readStore(DocumentKind kind, Consumer<StoreResponse> callback) {
+      storeReader = callback;
+    }
+
+    @Override
+    public void queryPeer(
+        Address peer, DocumentCache known, Consumer<Optional<List<PeerDocument>>> callback) {
+      queried.add(peer);
+      peerListener = callback;
+    }
+  }
+
+  private static Address address(int number) {
+    return new Address("10.0.0." + (number + 1), 7_215);
+  }
+
+  private void onDocument(SharedDocument document, DocumentCache.UpdateResult result) {
+    List<Entry> entries = new ArrayList<>();
+    for (int number = 0; number < 6; number++) {
+      entries.add(new Entry("h" + number, NORTH, address(number), 0));
+    }
+    directory.update(entries, 0);
+  }
+
+  private void startAndReadHosts() {
+    query.start(completions::incrementAndGet);
+    sources.storeReader.accept(
+        new DocumentSources.StoreResponse.Read("text", "digest", StoreVersion.withoutEra(1)));
+  }
+
+  private void advanceTo(long time) {
+    context.advanceTo(time);
+    context.timers().runDue(time);
+  }
+
+  @Test
+  void twoDifferentHostsAreQueriedBeforeTheFirstRefresh() {
+    startAndReadHosts();
+    sources.peerListener.accept(Optional.of(List.of()));
+    assertEquals(0, completions.get());
+    sources.peerListener.accept(Optional.of(List.of()));
+    assertEquals(1, completions.get());
+    assertEquals(2, sources.queried.stream().distinct().count());
+    assertTrue(sources.queried.stream().noneMatch(address(0)::equals));
+    advanceTo(2 * StartupQuery.TIMEOUT_MILLIS);
+    assertEquals(1, completions.get());
+  }
+
+  @Test
+  void silentStoreDelaysTheFirstRefreshByTheTimeoutAlone() {
+    query.start(completions::incrementAndGet);
+    advanceTo(StartupQuery.TIMEOUT_MILLIS - 1);
+    assertEquals(0, completions.get());
+    advanceTo(StartupQuery.TIMEOUT_MILLIS);
+    assertEquals(1, completions.get());
+    sources.storeReader.accept(new DocumentSources.StoreResponse.Failed("no response"));
+    assertEquals(1, completions.get());
+    assertEquals(List.of(), sources.queried);
+  }
+
+  @Test
+  void hostThatDoesNotRespondIsNotUsedAsReader() {
+    startAndReadHosts();
+    Optional<Address> reader = directory.reader(0);
+    assertEquals(reader, Optional.of(sources.queried.get(0)));
+    sources.peerListener.accept(Optional.empty());
+    assertTrue(directory.reader(0).filter(reader.get()::equals).isEmpty());
+  }
+}
