Do not exclude targets whose entry had lapsed and returned before

Found by an independent review: a target that was removed once, listed again and used for 19 s was excluded for 5 s when the store returned, since RemovedTargets never forgot a target that is known again.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/RemovedTargets.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/RemovedTargets.java
@@ -29,10 +29,16 @@
   private final Set<TargetId> excluded = new HashSet<>();
   private long excludedUntil;
 
-  /** Records that targets were removed. */
-  void record(Collection<TargetId> removed, long now) {
+  /**
+   * Records a change of the known targets.
+   *
+   * @param removed the targets that are no longer known
+   * @param known those that are known now, whose entries may have lapsed and returned
+   */
+  void record(Collection<TargetId> removed, Collection<TargetId> known, long now) {
     removedAt.values().removeIf(time -> now - time > MEMORY_MILLIS);
     removed.forEach(id -> removedAt.put(id, now));
+    removedAt.keySet().removeAll(known);
   }
 
   /** Excludes the removed targets that the first list after a return names; returns them. */
--- a/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
@@ -115,8 +115,9 @@
   private void replaceList() {
     Set<TargetId> removed = knownIds();
     targets.replaceList(lastList, retained);
-    removed.removeAll(knownIds());
-    removedTargets.record(removed, context.nowIncludingSuspensions());
+    Set<TargetId> known = knownIds();
+    removed.removeAll(known);
+    removedTargets.record(removed, known, context.nowIncludingSuspensions());
   }
 
   private Set<TargetId> knownIds() {
