--- a/gatereel-core/src/main/java/org/gatereel/core/document/StoreReading.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/StoreReading.java
@@ -39,9 +39,12 @@
         : version.number() < earlier.version.number();
   }
 
-  /** Returns the reading that confirms as much as this one and an older one together. */
+  /**
+   * Returns the reading that confirms as much as this one and an older one together. The state that
+   * it shows is not later than this one's response.
+   */
   StoreReading mergedWith(StoreReading older) {
-    return new StoreReading(
-        version, Math.max(queriedAt, older.queriedAt), Math.max(answeredAt, older.answeredAt));
+    long latestQueryAt = Math.max(queriedAt, older.queriedAt);
+    return new StoreReading(version, latestQueryAt, Math.max(answeredAt, latestQueryAt));
   }
 }
