Let a reading without an era replace one with an era only if it is later

Found by an independent review: a host of an earlier version, itself stuck before the return, tells neither era nor duration of its readings, so that they overlapped all others and its higher version brought the earlier state back; the next reading then showed a second return. Overlapping readings of which one has an era go by that one, and an unknown duration is 5 s at most, the time-out of a table's read.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/StoreReading.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/StoreReading.java
@@ -12,7 +12,7 @@
    * Returns whether the other reading shows a later state of the store.
    *
    * <p>Versions alone do not tell, since they fall when the store returns from an older copy. If
-   * the store does not tell its eras, of two readings that do not overlap the later one is newer.
+   * not both readings have an era, of two that do not overlap the later one is newer.
    */
   boolean isOlderThan(StoreReading other) {
     if (version.hasEra() && other.version.hasEra()) {
@@ -23,7 +23,12 @@
     if (queriedAt > other.answeredAt) {
       return false;
     }
-    return answeredAt < other.queriedAt || version.number() < other.version.number();
+    if (answeredAt < other.queriedAt) {
+      return true;
+    }
+    return version.hasEra() == other.version.hasEra()
+        ? version.number() < other.version.number()
+        : other.version.hasEra();
   }
 
   /**
@@ -31,12 +36,10 @@
    * one.
    */
   boolean showsReturnSince(StoreReading earlier) {
-    if (isOlderThan(earlier)) {
-      return false;
+    if (version.hasEra() && earlier.version.hasEra()) {
+      return version.era() > earlier.version.era();
     }
-    return version.hasEra() && earlier.version.hasEra()
-        ? version.era() > earlier.version.era()
-        : version.number() < earlier.version.number();
+    return queriedAt > earlier.answeredAt && version.number() < earlier.version.number();
   }
 
   /**
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerDocuments.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerDocuments.java
@@ -32,6 +32,9 @@
       JsonMapper.builder().addModule(new Jdk8Module()).build();
   private static final TypeReference<List<Entry>> ENTRIES = new TypeReference<>() {};
 
+  /** The longest read of a document, assumed if a host of an earlier version does not tell. */
+  private static final long MAX_READ_MILLIS = 5_000;
+
   /** Parameter of hosts that read the optional fields, which earlier versions reject. */
   private static final String READS_OPTIONAL_FIELDS = "optional";
 
@@ -40,7 +43,7 @@
    *
    * @param version the number of the store's version
    * @param era the era of the store's version, if the store has told it
-   * @param readMillis as in {@link PeerDocument}; the whole age if the host does not tell
+   * @param readMillis as in {@link PeerDocument}
    */
   private record Entry(
       DocumentKind kind,
@@ -63,7 +66,7 @@
           digest,
           new StoreVersion(era.orElse(StoreVersion.UNKNOWN_ERA), version),
           ageMillis,
-          readMillis.orElse(ageMillis));
+          readMillis.orElse(Math.min(ageMillis, MAX_READ_MILLIS)));
     }
   }
 
