Keep a target whose former one the copy of the store names again

Found by an independent review: a target that a host did not know, and that the copy names at the address of a known one, counted as its successor, so that the live target was marked as leaving for 600 s and more and got no further request. Unknown targets of the first list after a return wait like removed ones if a known target has their address.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/RemovedTargets.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/RemovedTargets.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.gatereel.core.model.Address;
 import org.gatereel.core.model.HostList;
 import org.gatereel.core.model.TargetDescription;
 import org.gatereel.core.model.TargetId;
@@ -41,11 +42,29 @@
     removedAt.keySet().removeAll(known);
   }
 
-  /** Excludes the removed targets that the first list after a return names; returns them. */
-  Set<TargetId> exclude(HostList list, long now) {
+  /**
+   * Excludes targets that the first list after a return names: those that were removed, and unknown
+   * ones at the address of a known target, which they had before.
+   *
+   * @param known the targets that are known
+   * @return the excluded targets
+   */
+  Set<TargetId> exclude(HostList list, Collection<TargetDescription> known, long now) {
+    Set<TargetId> knownIds = new HashSet<>();
+    Set<Address> knownAddresses = new HashSet<>();
+    for (TargetDescription target : known) {
+      knownIds.add(target.id());
+      knownAddresses.add(target.address());
+    }
     excludedUntil = now + EXCLUSION_MILLIS;
     excluded.clear();
-    ids(list).stream().filter(removedAt::containsKey).forEach(excluded::add);
+    for (TargetDescription target : list.targets()) {
+      boolean isUnknown = !knownIds.contains(target.id());
+      boolean isReplaced = isUnknown && knownAddresses.contains(target.address());
+      if (isReplaced || removedAt.containsKey(target.id())) {
+        excluded.add(target.id());
+      }
+    }
     return Set.copyOf(excluded);
   }
 
--- a/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
@@ -1,6 +1,7 @@
 package org.gatereel.core.document;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -106,7 +107,7 @@
     beginRetention(listed, queriedAt);
     isOutageConfirmed = true;
     isAfterReturn = true;
-    Set<TargetId> excluded = removedTargets.exclude(list, queriedAt);
+    Set<TargetId> excluded = removedTargets.exclude(list, known(), queriedAt);
     if (!excluded.isEmpty()) {
       context.logEvent(EventCode.REMOVED_TARGETS_LISTED, "targets", "excluded=" + excluded.size());
     }
@@ -120,11 +121,12 @@
     removedTargets.record(removed, known, context.nowIncludingSuspensions());
   }
 
+  private List<TargetDescription> known() {
+    return targets.all().stream().map(TargetState::description).toList();
+  }
+
   private Set<TargetId> knownIds() {
-    return targets.all().stream()
-        .map(TargetState::description)
-        .map(TargetDescription::id)
-        .collect(Collectors.toSet());
+    return known().stream().map(TargetDescription::id).collect(Collectors.toSet());
   }
 
   /**
--- a/gatereel-core/src/test/java/org/gatereel/core/document/ReturnedReadingsTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/ReturnedReadingsTest.java
@@ -160,4 +160,15 @@
     fromStore(DocumentKind.TARGETS, "e1,e3,e4", 2, 306, 31_590);
     assertEquals(1, documents.history().returns());
   }
+
+  /** Guards against a live target that is given up for the one that had its address before. */
+  @Test
+  void formerTargetOfTheCopyDoesNotReplaceTheOneAtItsAddress() {
+    listAt(0, "e1", "f2");
+    updater.recordStoreReturn();
+    listAt(600, "e1", "e2");
+    assertEquals(Set.of("e1", "f2"), usable());
+    listAt(1_200, "e1", "f2");
+    assertEquals(Set.of("e1", "f2"), usable());
+  }
 }
