Wait for the entries of hosts while the store is away at a start

Found by an independent review: a host that started while the store was away for a moment asked nobody, and then took the configuration of the copy, revoked keys included. StartupQuery now reads the entries of hosts until they are there, for 2.0 s at most, in which nothing else could be read either.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/StartupQuery.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/StartupQuery.java
@@ -10,13 +10,17 @@
  * Queries other hosts for their documents before a host that has just started reads its own.
  *
  * <p>A store that has returned from an older copy may lack a configuration that other hosts use,
- * and a host without memory cannot tell. If no other host responds in time, it uses what the store
- * shows.
+ * and a host without memory cannot tell. While the store is away no host is known, and nothing
+ * could be read either. If no other host responds in time, this one uses what the store shows.
  */
 public final class StartupQuery {
   /** Above the time-out of a query, so that a second host is queried if one is silent. */
   static final long TIMEOUT_MILLIS = 500;
 
+  /** Above the time for which a store is away before it returns from a copy. */
+  static final long HOSTS_TIMEOUT_MILLIS = 2_000;
+
+  private static final long RETRY_DELAY_MILLIS = 100;
   private static final int MAX_HOSTS = 2;
 
   /** A host that is silent now is not used as a reader for this long. */
@@ -30,6 +34,7 @@
   private Runnable next = () -> {};
   private long startedAt;
   private int responses;
+  private boolean hostsRead;
   private boolean completed;
 
   /**
@@ -49,23 +54,51 @@
     this.refresher = refresher;
   }
 
-  /** Starts the query and runs {@code next} exactly once, at its end or after the time-out. */
+  /** Starts the query and runs {@code next} exactly once, at its end or after a time-out. */
   public void start(Runnable next) {
     this.next = next;
     startedAt = context.nowIncludingSuspensions();
-    context.schedule(TIMEOUT_MILLIS, this::complete);
+    context.schedule(HOSTS_TIMEOUT_MILLIS, this::completeUnlessHostsAreRead);
+    readHosts();
+  }
+
+  private void readHosts() {
+    long queriedAt = context.nowIncludingSuspensions();
     try {
-      sources.readStore(DocumentKind.HOSTS, this::onHosts);
+      sources.readStore(DocumentKind.HOSTS, response -> onHosts(response, queriedAt));
     } catch (RuntimeException e) {
       context.logEvent(EventCode.DOCUMENT_UNREADABLE, DocumentKind.HOSTS.name(), e.toString());
       complete();
     }
   }
 
-  private void onHosts(DocumentSources.StoreResponse response) {
+  private void onHosts(DocumentSources.StoreResponse response, long queriedAt) {
+    if (completed) {
+      return;
+    }
     if (response instanceof DocumentSources.StoreResponse.Read read) {
-      refresher.update(DocumentKind.HOSTS, read, startedAt);
+      hostsRead = true;
+      context.schedule(TIMEOUT_MILLIS, this::complete);
+      refresher.update(DocumentKind.HOSTS, read, queriedAt);
+      queryHosts();
+    } else {
+      context.schedule(RETRY_DELAY_MILLIS, this::readHostsAgain);
     }
+  }
+
+  private void readHostsAgain() {
+    if (!completed) {
+      readHosts();
+    }
+  }
+
+  private void completeUnlessHostsAreRead() {
+    if (!hostsRead) {
+      complete();
+    }
+  }
+
+  private void queryHosts() {
     pending.addAll(directory.otherHosts(MAX_HOSTS, context.random()));
     queryNext();
   }
--- a/gatereel-core/src/test/java/org/gatereel/core/document/StartupQueryTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/StartupQueryTest.java
@@ -89,15 +89,39 @@
   @Test
   void silentStoreDelaysTheFirstRefreshByTheTimeoutAlone() {
     query.start(completions::incrementAndGet);
-    advanceTo(StartupQuery.TIMEOUT_MILLIS - 1);
+    advanceTo(StartupQuery.HOSTS_TIMEOUT_MILLIS - 1);
     assertEquals(0, completions.get());
-    advanceTo(StartupQuery.TIMEOUT_MILLIS);
+    advanceTo(StartupQuery.HOSTS_TIMEOUT_MILLIS);
     assertEquals(1, completions.get());
     sources.storeReader.accept(new DocumentSources.StoreResponse.Failed("no response"));
     assertEquals(1, completions.get());
     assertEquals(List.of(), sources.queried);
   }
 
+  /** Guards against a host that starts while the store is away and then takes its copy at once. */
+  @Test
+  void hostsAreQueriedWhenTheStoreIsBackBeforeTheFirstRefresh() {
+    query.start(completions::incrementAndGet);
+    for (long time = 100; time <= 500; time += 100) {
+      sources.storeReader.accept(new DocumentSources.StoreResponse.Failed("status 503"));
+      advanceTo(time);
+    }
+    assertEquals(0, completions.get());
+    sources.storeReader.accept(
+        new DocumentSources.StoreResponse.Read("text", "digest", StoreVersion.withoutEra(1)));
+    assertEquals(0, completions.get());
+    assertEquals(1, sources.queried.size());
+    advanceTo(500 + StartupQuery.TIMEOUT_MILLIS);
+    assertEquals(1, completions.get());
+  }
+
+  @Test
+  void silentHostsDelayTheFirstRefreshByTheTimeoutAlone() {
+    startAndReadHosts();
+    advanceTo(StartupQuery.TIMEOUT_MILLIS);
+    assertEquals(1, completions.get());
+  }
+
   @Test
   void hostThatDoesNotRespondIsNotUsedAsReader() {
     startAndReadHosts();
