Draw the hosts of a start's query from the host's own randomness

Hosts are now drawn with the generator that is passed in. mvn -pl gatereel-core -am -Dtest='ArchitectureTest,StartupQueryTest,HostDirectoryTest,Returned*Test' test

--- a/gatereel-core/src/main/java/org/gatereel/core/document/HostDirectory.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/HostDirectory.java
@@ -1,17 +1,14 @@
 package org.gatereel.core.document;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Random;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.gatereel.core.choice.HostCount;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
@@ -311,17 +308,17 @@
 
   /** Returns some other hosts: the reader, if it is another one, and random ones. */
   public List<Address> otherHosts(int count, RandomGenerator random) {
-    List<Address> others =
-        new ArrayList<>(
-            liveEntries.stream()
-                .filter(entry -> !entry.host().equals(self))
-                .map(Entry::address)
-                .toList());
-    Collections.shuffle(others, new Random(random.nextLong()));
-    return Stream.concat(reader(context.now()).stream(), others.stream())
-        .distinct()
-        .limit(count)
-        .toList();
+    List<Address> chosen = new ArrayList<>(reader(context.now()).stream().toList());
+    List<Address> others = new ArrayList<>();
+    for (Entry entry : liveEntries) {
+      if (!entry.host().equals(self) && !chosen.contains(entry.address())) {
+        others.add(entry.address());
+      }
+    }
+    while (chosen.size() < count && !others.isEmpty()) {
+      chosen.add(others.remove(random.nextInt(others.size())));
+    }
+    return chosen;
   }
 
   /** Returns a random other host of any data centre. */
