Read the store in the first refresh of a host that has just started

All hosts restarted together: with StartupQuery they knew each other before their first refresh, asked the reader, which had nothing to tell yet, took it for slow and passed it over for 10 s, so that each read the store itself.

The first refresh reads the store, as before. While the store is away, the entries of hosts are asked for each 0.5 s in place of 0.1 s. StartupQueryTest firstRefreshReadsTheStoreAndKeepsTheReader failed before (expected true, was false). mvn -pl gatereel-core -am -Dtest='StartupQueryTest,Document*Test,Returned*Test, ArchitectureTest,LayeringTest' test

--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentRefresher.java
@@ -73,6 +73,7 @@
   private final long timeoutMillis;
   private long intervalMillis;
   private int hostsReadings;
+  private boolean readsStoreNext;
   private long hostsReadAt = Long.MIN_VALUE / 2;
   private final Map<DocumentKind, BooleanSupplier> onDemand = new EnumMap<>(DocumentKind.class);
 
@@ -100,7 +101,8 @@
     }
 
     private void start() {
-      reader = directory.reader(context.now());
+      reader = readsStoreNext ? Optional.empty() : directory.reader(context.now());
+      readsStoreNext = false;
       if (reader.isEmpty()) {
         intervalMillis = readerIntervalMillis;
         readStore();
@@ -325,6 +327,14 @@
     hostsReadings = 0;
   }
 
+  /**
+   * Has the next refresh read the store itself, as hosts that start together do: their reader has
+   * nothing to tell yet, and must not be taken for slow.
+   */
+  public void readStoreInNextRefresh() {
+    readsStoreNext = true;
+  }
+
   /** Returns the time within which a refresh completes, in milliseconds. */
   public long timeoutMillis() {
     return timeoutMillis;
--- a/gatereel-core/src/main/java/org/gatereel/core/document/StartupQuery.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/StartupQuery.java
@@ -20,7 +20,7 @@
   /** Above the time for which a store is away before it returns from a copy. */
   static final long HOSTS_TIMEOUT_MILLIS = 2_000;
 
-  private static final long RETRY_DELAY_MILLIS = 100;
+  private static final long RETRY_DELAY_MILLIS = 500;
   private static final int MAX_HOSTS = 2;
 
   /** A host that is silent now is not used as a reader for this long. */
@@ -134,6 +134,7 @@
           EventCode.STARTUP_QUERY_ENDED,
           context.self().value(),
           "responses=" + responses + " millis=" + (context.nowIncludingSuspensions() - startedAt));
+      refresher.readStoreInNextRefresh();
       next.run();
     }
   }
--- a/gatereel-core/src/test/java/org/gatereel/core/document/StartupQueryTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/StartupQueryTest.java
@@ -130,4 +130,21 @@
     sources.peerListener.accept(Optional.empty());
     assertTrue(directory.reader(0).filter(reader.get()::equals).isEmpty());
   }
+
+  /** Guards against hosts that start together and each read the store, since no reader is ready. */
+  @Test
+  void firstRefreshReadsTheStoreAndKeepsTheReader() {
+    startAndReadHosts();
+    sources.peerListener.accept(Optional.of(List.of()));
+    sources.peerListener.accept(Optional.of(List.of()));
+    Optional<Address> reader = directory.reader(0);
+    int queried = sources.queried.size();
+    sources.storeReader = null;
+    refresher.refresh(0, problem -> {});
+    assertTrue(sources.storeReader != null);
+    assertEquals(queried, sources.queried.size());
+    assertEquals(reader, directory.reader(0));
+    refresher.refresh(600, problem -> {});
+    assertEquals(queried + 1, sources.queried.size());
+  }
 }
