Assert that the request after a truncated one is answered

The last form of TruncatedStatusRequestsTest only waited for what follows the whole request, so that a server which answers nothing would have passed that step.

--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TruncatedStatusRequestsTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TruncatedStatusRequestsTest.java
@@ -65,16 +65,16 @@
       socket.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
       socket.setSoLinger(isReset, 0);
     }
-    exchange(WHOLE);
+    assertEquals('H', exchange(WHOLE));
     handled.removeIf("whole"::equals);
   }
 
-  /** Sends a request and waits for the first byte, or the end, of what follows it. */
-  private void exchange(String request) throws Exception {
+  /** Sends a request; returns the first byte of what follows it, or -1 at the end. */
+  private int exchange(String request) throws Exception {
     try (Socket socket = new Socket(address.ip(), address.port())) {
       socket.setSoTimeout(TIMEOUT_MILLIS);
       socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
-      socket.getInputStream().read();
+      return socket.getInputStream().read();
     }
   }
 
