Query several hosts side by side at a host's start

What callers saw: after all hosts of a site lost power, some served 0.25 s to 0.5 s later than they could, since a host that starts queried two others one after the other and waited 250 ms for each silent one. Two hosts that had just started too, and knew nothing, ended the query.

Change: three hosts are queried side by side. The query ends when two of them have told a configuration, or when all have responded or failed.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/StartupQuery.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/StartupQuery.java
@@ -1,7 +1,7 @@
 package org.gatereel.core.document;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.Address;
@@ -12,16 +12,22 @@
  * <p>A store that has returned from an older copy may lack a configuration that other hosts use,
  * and a host without memory cannot tell. While the store is away no host is known, and nothing
  * could be read either. If no other host responds in time, this one uses what the store shows.
+ *
+ * <p>Other hosts may be silent, or may have just started too, so that several are queried side by
+ * side, and those that know a configuration decide how long the others are awaited.
  */
 public final class StartupQuery {
-  /** Above the time-out of a query, so that a second host is queried if one is silent. */
+  /** Above the time-out of a query. */
   static final long TIMEOUT_MILLIS = 500;
 
   /** Above the time for which a store is away before it returns from a copy. */
   static final long HOSTS_TIMEOUT_MILLIS = 2_000;
 
   private static final long RETRY_DELAY_MILLIS = 500;
-  private static final int MAX_HOSTS = 2;
+  private static final int MAX_HOSTS = 3;
+
+  /** The number of hosts whose configurations suffice; one host may have just started. */
+  private static final int SUFFICIENT_HOSTS = 2;
 
   /** A host that is silent now is not used as a reader for this long. */
   private static final long AVOIDANCE_MILLIS = 10_000;
@@ -30,10 +36,11 @@
   private final HostDirectory directory;
   private final DocumentSources sources;
   private final DocumentRefresher refresher;
-  private final Deque<Address> pending = new ArrayDeque<>();
   private Runnable next = () -> {};
   private long startedAt;
+  private int pendingQueries;
   private int responses;
+  private int configurations;
   private boolean hostsRead;
   private boolean completed;
 
@@ -99,31 +106,41 @@
   }
 
   private void queryHosts() {
-    pending.addAll(directory.otherHosts(MAX_HOSTS, context.random()));
-    queryNext();
+    List<Address> hosts = directory.otherHosts(MAX_HOSTS, context.random());
+    pendingQueries = hosts.size();
+    hosts.forEach(this::queryHost);
+    completeIfSufficient();
   }
 
-  private void queryNext() {
-    if (completed || pending.isEmpty()) {
-      complete();
-      return;
-    }
-    Address host = pending.remove();
+  private void queryHost(Address host) {
     try {
-      sources.queryPeer(
-          host,
-          new DocumentCache(),
-          documents -> {
-            if (documents.isPresent()) {
-              responses++;
-            } else if (!completed) {
-              directory.avoid(host, context.now() + AVOIDANCE_MILLIS);
-            }
-            queryNext();
-          });
+      sources.queryPeer(host, new DocumentCache(), documents -> onResponse(host, documents));
     } catch (RuntimeException e) {
       context.logEvent(EventCode.PEER_QUERY_FAILED, host.toString(), e.toString());
-      queryNext();
+      pendingQueries--;
+    }
+  }
+
+  private void onResponse(Address host, Optional<List<DocumentSources.PeerDocument>> documents) {
+    pendingQueries--;
+    if (documents.isPresent()) {
+      responses++;
+      if (documents.get().stream().anyMatch(StartupQuery::isConfiguration)) {
+        configurations++;
+      }
+    } else if (!completed) {
+      directory.avoid(host, context.now() + AVOIDANCE_MILLIS);
+    }
+    completeIfSufficient();
+  }
+
+  private static boolean isConfiguration(DocumentSources.PeerDocument document) {
+    return document.kind() == DocumentKind.CONFIGURATION && document.content().isPresent();
+  }
+
+  private void completeIfSufficient() {
+    if (pendingQueries == 0 || configurations >= SUFFICIENT_HOSTS) {
+      complete();
     }
   }
 
@@ -133,7 +150,12 @@
       context.logEvent(
           EventCode.STARTUP_QUERY_ENDED,
           context.self().value(),
-          "responses=" + responses + " millis=" + (context.nowIncludingSuspensions() - startedAt));
+          "responses="
+              + responses
+              + " configurations="
+              + configurations
+              + " millis="
+              + (context.nowIncludingSuspensions() - startedAt));
       refresher.readStoreInNextRefresh();
       next.run();
     }
--- a/gatereel-core/src/test/java/org/gatereel/core/document/StartupQueryTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/StartupQueryTest.java
@@ -35,7 +35,7 @@
   private static final class Sources implements DocumentSources {
     private final List<Address> queried = new ArrayList<>();
     private Consumer<StoreResponse> storeReader;
-    private Consumer<Optional<List<PeerDocument>>> peerListener;
+    private final List<Consumer<Optional<List<PeerDocument>>>> peerListeners = new ArrayList<>();
 
     @Override
     public void readStore(DocumentKind kind, Consumer<StoreResponse> callback) {
@@ -46,7 +46,7 @@
     public void queryPeer(
         Address peer, DocumentCache known, Consumer<Optional<List<PeerDocument>>> callback) {
       queried.add(peer);
-      peerListener = callback;
+      peerListeners.add(callback);
     }
   }
 
@@ -73,19 +73,47 @@
     context.timers().runDue(time);
   }
 
+  private static Optional<List<DocumentSources.PeerDocument>> configuration() {
+    return Optional.of(
+        List.of(
+            new DocumentSources.PeerDocument(
+                DocumentKind.CONFIGURATION,
+                Optional.of("text"),
+                "digest",
+                StoreVersion.withoutEra(1),
+                0,
+                0)));
+  }
+
+  private void respond(int query, Optional<List<DocumentSources.PeerDocument>> documents) {
+    sources.peerListeners.get(query).accept(documents);
+  }
+
   @Test
-  void twoDifferentHostsAreQueriedBeforeTheFirstRefresh() {
+  void differentHostsAreQueriedSideBySideBeforeTheFirstRefresh() {
     startAndReadHosts();
-    sources.peerListener.accept(Optional.of(List.of()));
+    assertEquals(3, sources.queried.stream().distinct().count());
+    assertTrue(sources.queried.stream().noneMatch(address(0)::equals));
+    respond(0, configuration());
     assertEquals(0, completions.get());
-    sources.peerListener.accept(Optional.of(List.of()));
+    respond(1, configuration());
     assertEquals(1, completions.get());
-    assertEquals(2, sources.queried.stream().distinct().count());
-    assertTrue(sources.queried.stream().noneMatch(address(0)::equals));
+    respond(2, Optional.empty());
     advanceTo(2 * StartupQuery.TIMEOUT_MILLIS);
     assertEquals(1, completions.get());
   }
 
+  /** Guards against a host that takes the answers of hosts that have just started for enough. */
+  @Test
+  void hostsWithoutAConfigurationDoNotEndTheQuery() {
+    startAndReadHosts();
+    respond(0, Optional.of(List.of()));
+    respond(1, Optional.of(List.of()));
+    assertEquals(0, completions.get());
+    respond(2, configuration());
+    assertEquals(1, completions.get());
+  }
+
   @Test
   void silentStoreDelaysTheFirstRefreshByTheTimeoutAlone() {
     query.start(completions::incrementAndGet);
@@ -110,7 +138,7 @@
     sources.storeReader.accept(
         new DocumentSources.StoreResponse.Read("text", "digest", StoreVersion.withoutEra(1)));
     assertEquals(0, completions.get());
-    assertEquals(1, sources.queried.size());
+    assertEquals(3, sources.queried.size());
     advanceTo(500 + StartupQuery.TIMEOUT_MILLIS);
     assertEquals(1, completions.get());
   }
@@ -127,7 +155,7 @@
     startAndReadHosts();
     Optional<Address> reader = directory.reader(0);
     assertEquals(reader, Optional.of(sources.queried.get(0)));
-    sources.peerListener.accept(Optional.empty());
+    respond(0, Optional.empty());
     assertTrue(directory.reader(0).filter(reader.get()::equals).isEmpty());
   }
 
@@ -135,8 +163,8 @@
   @Test
   void firstRefreshReadsTheStoreAndKeepsTheReader() {
     startAndReadHosts();
-    sources.peerListener.accept(Optional.of(List.of()));
-    sources.peerListener.accept(Optional.of(List.of()));
+    respond(0, configuration());
+    respond(1, configuration());
     Optional<Address> reader = directory.reader(0);
     int queried = sources.queried.size();
     sources.storeReader = null;
