Use what was read after a return though a part of the host fails at it

What callers would see: a part of the host that throws when it is told of the store's return ends the update. The parts behind it are not told, and the reading that showed the return, which may hold a changed configuration, is not used.

Change: each listener is run by itself; its failure is logged as event 621.

Test: ReturnedReadingsTest.partThatFailsAtTheReturnStopsNoOther, red before (IllegalStateException out of the update).

--- a/gatereel-core/src/main/java/org/gatereel/core/document/StoreHistory.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/StoreHistory.java
@@ -61,7 +61,7 @@
       latestOfDocuments.put(kind, reading.mergedWith(before));
     }
     if (before != null && reading.showsReturnSince(before)) {
-      documentListeners.getOrDefault(kind, List.of()).forEach(Runnable::run);
+      notify(documentListeners.getOrDefault(kind, List.of()));
     }
   }
 
@@ -76,9 +76,20 @@
           EventCode.STORE_RETURNED,
           reading.version().toString(),
           "known=" + before.version() + " source=" + source + " returns=" + returns);
-      returnListeners.forEach(Runnable::run);
+      notify(returnListeners);
     } else if (!reading.isOlderThan(latest)) {
       latest = reading.mergedWith(latest);
     }
   }
+
+  /** One part that fails must keep neither the others nor the reading from being used. */
+  private void notify(List<Runnable> listeners) {
+    for (Runnable listener : listeners) {
+      try {
+        listener.run();
+      } catch (RuntimeException e) {
+        context.logEvent(EventCode.RETURN_LISTENER_FAILED, "returns=" + returns, e.toString());
+      }
+    }
+  }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/event/EventCode.java
@@ -169,7 +169,9 @@
   STORE_RETURNED(617, "The store has returned from an older copy; its versions have fallen."),
   HOSTS_RETAINED(618, "The store lacks entries of known hosts since its return; they are kept."),
   STARTUP_QUERY_ENDED(
-      620, "This host has queried other hosts before it first reads the store's documents.");
+      620, "This host has queried other hosts before it first reads the store's documents."),
+  RETURN_LISTENER_FAILED(
+      621, "A part of this host failed when it was told that the store has returned.");
 
   private final int number;
   private final String description;
--- a/gatereel-core/src/test/java/org/gatereel/core/document/ReturnedReadingsTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/ReturnedReadingsTest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.gatereel.core.internal.CoreContext;
@@ -161,6 +162,25 @@
     assertEquals(1, documents.history().returns());
   }
 
+  /** Guards against a failing part that keeps all others, and the reading, from being used. */
+  @Test
+  void partThatFailsAtTheReturnStopsNoOther() {
+    AtomicInteger told = new AtomicInteger();
+    documents
+        .history()
+        .onReturn(
+            () -> {
+              throw new IllegalStateException("failing part");
+            });
+    documents.history().onReturn(told::incrementAndGet);
+    advanceTo(1_020);
+    fromStore(DocumentKind.CONFIGURATION, "a", 1, 500, 1_000);
+    advanceTo(1_620);
+    fromStore(DocumentKind.CONFIGURATION, "b", 2, 300, 1_600);
+    assertEquals(1, told.get());
+    assertEquals("b", cache.find(DocumentKind.CONFIGURATION).get().content());
+  }
+
   /** Guards against a live target that is given up for the one that had its address before. */
   @Test
   void formerTargetOfTheCopyDoesNotReplaceTheOneAtItsAddress() {
