Let a later reading of the store win, whatever era and version it shows

What callers would see: changes stay out of force. A store that returns from a copy and does not count it in its era, or whose era falls or was too high once, shows versions below those that hosts know. All readings then counted as outdated until the versions had passed their old mark.

Cause: where both readings tell an era, versions alone decided. The protocol says that each answer of the store is linearizable, so that of two readings that do not overlap the later one shows the later state.

Change: time decides first, versions decide between overlapping readings. Another host that tells an earlier era is still ignored, since the age of its documents may be wrong if its clock stood still with it (DocumentRefresherTest.documentsOfAHostInAnEarlierEraAreIgnored, unchanged).

--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentUpdater.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentUpdater.java
@@ -87,8 +87,7 @@
   }
 
   private void update(SharedDocument document, String source) {
-    history.record(document.kind(), document.reading(), source);
-    DocumentCache.UpdateResult result = cache.update(document);
+    DocumentCache.UpdateResult result = updateCache(document, source);
     if (result == DocumentCache.UpdateResult.OUTDATED) {
       logOutdated(document, source);
       return;
@@ -109,6 +108,20 @@
     }
   }
 
+  /**
+   * Other hosts' clocks may have stood still with them, so that a reading of theirs is older than
+   * it seems: it must not bring back an earlier era. This host's own later readings may.
+   */
+  private DocumentCache.UpdateResult updateCache(SharedDocument document, String source) {
+    if (!source.equals(STORE) && history.knowsLaterEraThan(document.version())) {
+      return cache.find(document.kind()).isPresent()
+          ? DocumentCache.UpdateResult.OUTDATED
+          : cache.update(document);
+    }
+    history.record(document.kind(), document.reading(), source);
+    return cache.update(document);
+  }
+
   private void logChange(SharedDocument document, String source) {
     context.logEvent(EventCode.DOCUMENT_CHANGED, document.kind().name(), origin(document, source));
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/document/StoreHistory.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/StoreHistory.java
@@ -47,6 +47,11 @@
     return returns;
   }
 
+  /** Returns whether a reading of a later era than that of the given version is known. */
+  boolean knowsLaterEraThan(StoreVersion version) {
+    return latest != null && latest.version().isOfLaterEraThan(version);
+  }
+
   /**
    * Records a reading of a document.
    *
--- a/gatereel-core/src/main/java/org/gatereel/core/document/StoreReading.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/StoreReading.java
@@ -11,24 +11,19 @@
   /**
    * Returns whether the other reading shows a later state of the store.
    *
-   * <p>Versions alone do not tell, since they fall when the store returns from an older copy. If
-   * not both readings have an era, of two that do not overlap the later one is newer.
+   * <p>The store is linearizable: of two readings that do not overlap the later one is newer,
+   * whatever their versions, since both eras and numbers may be lower after the store has returned
+   * from a copy. Only of overlapping readings the versions tell.
    */
   boolean isOlderThan(StoreReading other) {
-    if (version.hasEra() && other.version.hasEra()) {
-      return version.era() == other.version.era()
-          ? version.number() < other.version.number()
-          : version.era() < other.version.era();
-    }
-    if (queriedAt > other.answeredAt) {
+    if (isAfter(other)) {
       return false;
     }
-    if (answeredAt < other.queriedAt) {
-      return true;
-    }
-    return version.hasEra() == other.version.hasEra()
-        ? version.number() < other.version.number()
-        : other.version.hasEra();
+    return other.isAfter(this) || version.isBelow(other.version);
+  }
+
+  private boolean isAfter(StoreReading other) {
+    return queriedAt > other.answeredAt;
   }
 
   /**
@@ -36,10 +31,10 @@
    * one.
    */
   boolean showsReturnSince(StoreReading earlier) {
-    if (version.hasEra() && earlier.version.hasEra()) {
-      return version.era() > earlier.version.era();
+    if (version.isOfLaterEraThan(earlier.version)) {
+      return !earlier.isAfter(this);
     }
-    return queriedAt > earlier.answeredAt && version.number() < earlier.version.number();
+    return isAfter(earlier) && version.hasFallenSince(earlier.version);
   }
 
   /**
--- a/gatereel-core/src/main/java/org/gatereel/core/document/StoreVersion.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/StoreVersion.java
@@ -21,6 +21,25 @@
     return era != UNKNOWN_ERA;
   }
 
+  private boolean isComparedByEra(StoreVersion other) {
+    return hasEra() && other.hasEra() && era != other.era;
+  }
+
+  /** Returns whether both eras are known, and this one is later. */
+  boolean isOfLaterEraThan(StoreVersion other) {
+    return isComparedByEra(other) && era > other.era;
+  }
+
+  /** Returns whether this version can only be that of a later state than the other if it fell. */
+  boolean hasFallenSince(StoreVersion other) {
+    return isComparedByEra(other) ? era < other.era : number < other.number;
+  }
+
+  /** Returns whether this version is that of an earlier state, of two at about the same time. */
+  boolean isBelow(StoreVersion other) {
+    return hasEra() == other.hasEra() ? hasFallenSince(other) : other.hasEra();
+  }
+
   /** Returns the version as it appears in logs, for example {@code 3/1204} or {@code -/1204}. */
   @Override
   public String toString() {
--- a/gatereel-core/src/test/java/org/gatereel/core/document/ReturnedReadingsTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/ReturnedReadingsTest.java
@@ -162,6 +162,17 @@
     assertEquals(1, documents.history().returns());
   }
 
+  /** Guards against changes out of force since the store's versions fell without a new era. */
+  @Test
+  void changeIsUsedAfterTheVersionFellWithinItsEra() {
+    advanceTo(1_020);
+    fromStore(DocumentKind.CONFIGURATION, "a", 1, 500, 1_000);
+    advanceTo(1_620);
+    fromStore(DocumentKind.CONFIGURATION, "b", 1, 300, 1_600);
+    assertEquals("b", cache.find(DocumentKind.CONFIGURATION).get().content());
+    assertEquals(1, documents.history().returns());
+  }
+
   /** Guards against a failing part that keeps all others, and the reading, from being used. */
   @Test
   void partThatFailsAtTheReturnStopsNoOther() {
