Begin the request and the block of the event loop by one task in TargetConnectorTest

Cause: in the test. Its own thread sent the request and then blocked the event loop. If it was late between the two, the loop connected and sent the request before the caller had left, which is right.

--- a/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/http/TargetConnectorTest.java
@@ -27,6 +27,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -406,8 +407,7 @@
     RecordingListener listener;
     try (Socket caller = new Socket(address.getAddress(), address.getPort())) {
       assertTrue(accepted.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
-      listener = send(new byte[1], () -> !callerGone.get());
-      blockEventLoopOnceConnecting(callerClosed);
+      listener = sendAndBlock(() -> !callerGone.get(), callerClosed);
       try (Socket connection = targetSocket.accept()) {
         caller.close();
         callerClosed.countDown();
@@ -419,9 +419,24 @@
     assertEquals(TargetFailure.WITHDRAWN.name(), listener.outcome());
   }
 
-  /** Two tasks before this one begin to connect, each from the one before. */
-  private void blockEventLoopOnceConnecting(CountDownLatch until) {
+  /**
+   * Sends a request and blocks the event loop once it is connecting. Both are begun by one task, so
+   * that no connection is established before the block.
+   */
+  private RecordingListener sendAndBlock(BooleanSupplier mayBeSent, CountDownLatch until)
+      throws Exception {
     EventLoop loop = group.next();
+    Callable<RecordingListener> sending =
+        () -> {
+          RecordingListener listener = send(new byte[1], mayBeSent);
+          blockOnceConnecting(loop, until);
+          return listener;
+        };
+    return loop.submit(sending).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+  }
+
+  /** Two tasks before this one begin to connect, each from the one before. */
+  private static void blockOnceConnecting(EventLoop loop, CountDownLatch until) {
     Runnable block =
         () -> assertTrue(awaitUninterruptibly(until, TIMEOUT_SECONDS, TimeUnit.SECONDS));
     loop.execute(() -> loop.execute(() -> loop.execute(block)));
