Tell hosts that start which targets of the store's copy have left

What callers saw: a host that started after the store had returned from a copy sent 9 and 12 of 20 requests to a target that had left before the return (DRAIN). The copy lists it again, and a host without memory cannot tell.

Cause: hosts that were there at the return exclude such targets for 5 s, and did not say so.

Change: a host's list of targets is passed on with the ids that it excludes, as an optional field that hosts of the landed version do not ask for. A host that starts excludes them too. A host that is silent at the start's query is now avoided as a reader also if the query has ended without it.

Left: before any of the queried hosts has read the returned store, up to 0.6 s after the return, nobody can tell.

--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentCache.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentCache.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
+import org.gatereel.core.model.TargetId;
 
 /**
  * Caches the newest version of each document that this host has received, from the store or from
@@ -13,6 +15,7 @@
 public final class DocumentCache {
   private final Map<DocumentKind, SharedDocument> documents = new EnumMap<>(DocumentKind.class);
   private final Set<DocumentKind> unused = EnumSet.noneOf(DocumentKind.class);
+  private Supplier<Set<TargetId>> excludedTargets = Set::of;
 
   /** The effect of an update. */
   public enum UpdateResult {
@@ -56,6 +59,20 @@
     unused.add(kind);
   }
 
+  /**
+   * Sets which targets this host knows to have left, though the list of targets names them.
+   *
+   * @param excluded returns them; called whenever another host receives the list
+   */
+  public void setExcludedTargets(Supplier<Set<TargetId>> excluded) {
+    excludedTargets = excluded;
+  }
+
+  /** Returns the targets of a document that this host knows to have left. */
+  public Set<TargetId> excludedTargets(DocumentKind kind) {
+    return kind == DocumentKind.TARGETS ? excludedTargets.get() : Set.of();
+  }
+
   public Optional<SharedDocument> find(DocumentKind kind) {
     return Optional.ofNullable(documents.get(kind));
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentSources.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentSources.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.gatereel.core.model.Address;
+import org.gatereel.core.model.TargetId;
 
 /**
  * Reads documents from the store and from other hosts. Each callback is called exactly once, later,
@@ -39,6 +41,7 @@
    * @param content empty if the content is the one known here
    * @param ageMillis the time from the other host's query of the store to its response
    * @param readMillis the time from that query to the store's response, which is part of the age
+   * @param excludedTargets the targets of the document that the other host knows to have left
    */
   record PeerDocument(
       DocumentKind kind,
@@ -46,5 +49,18 @@
       String digest,
       StoreVersion version,
       long ageMillis,
-      long readMillis) {}
+      long readMillis,
+      Set<TargetId> excludedTargets) {
+
+    /** Creates a document of which no targets are excluded. */
+    public PeerDocument(
+        DocumentKind kind,
+        Optional<String> content,
+        String digest,
+        StoreVersion version,
+        long ageMillis,
+        long readMillis) {
+      this(kind, content, digest, version, ageMillis, readMillis, Set.of());
+    }
+  }
 }
--- a/gatereel-core/src/main/java/org/gatereel/core/document/RemovedTargets.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/RemovedTargets.java
@@ -68,6 +68,17 @@
     return Set.copyOf(excluded);
   }
 
+  /** Excludes targets that another host excludes, which knew them when they were removed. */
+  void exclude(Set<TargetId> excludedByOther, long now) {
+    excluded.addAll(excludedByOther);
+    excludedUntil = now + EXCLUSION_MILLIS;
+  }
+
+  /** Returns the targets that are excluded at the last list. */
+  Set<TargetId> excluded() {
+    return Set.copyOf(excluded);
+  }
+
   /** Returns a list without the targets that are excluded. */
   HostList applyTo(HostList list, long now) {
     if (excluded.isEmpty()) {
--- a/gatereel-core/src/main/java/org/gatereel/core/document/StartupQuery.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/StartupQuery.java
@@ -2,9 +2,12 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
 import org.gatereel.core.event.EventCode;
 import org.gatereel.core.internal.CoreContext;
 import org.gatereel.core.model.Address;
+import org.gatereel.core.model.TargetId;
 
 /**
  * Queries other hosts for their documents before a host that has just started reads its own.
@@ -36,6 +39,7 @@
   private final HostDirectory directory;
   private final DocumentSources sources;
   private final DocumentRefresher refresher;
+  private final Consumer<Set<TargetId>> exclusionListener;
   private Runnable next = () -> {};
   private long startedAt;
   private int pendingQueries;
@@ -49,16 +53,20 @@
    *
    * @param sources receives the queries; it also uses the documents of other hosts
    * @param refresher receives the entries of hosts
+   * @param exclusionListener receives the targets that another host knows to have left though the
+   *     store lists them
    */
   public StartupQuery(
       CoreContext context,
       HostDirectory directory,
       DocumentSources sources,
-      DocumentRefresher refresher) {
+      DocumentRefresher refresher,
+      Consumer<Set<TargetId>> exclusionListener) {
     this.context = context;
     this.directory = directory;
     this.sources = sources;
     this.refresher = refresher;
+    this.exclusionListener = exclusionListener;
   }
 
   /** Starts the query and runs {@code next} exactly once, at its end or after a time-out. */
@@ -123,17 +131,25 @@
 
   private void onResponse(Address host, Optional<List<DocumentSources.PeerDocument>> documents) {
     pendingQueries--;
-    if (documents.isPresent()) {
-      responses++;
-      if (documents.get().stream().anyMatch(StartupQuery::isConfiguration)) {
-        configurations++;
-      }
-    } else if (!completed) {
-      directory.avoid(host, context.now() + AVOIDANCE_MILLIS);
-    }
+    documents.ifPresentOrElse(
+        this::use, () -> directory.avoid(host, context.now() + AVOIDANCE_MILLIS));
     completeIfSufficient();
   }
 
+  private void use(List<DocumentSources.PeerDocument> documents) {
+    if (completed) {
+      return;
+    }
+    responses++;
+    if (documents.stream().anyMatch(StartupQuery::isConfiguration)) {
+      configurations++;
+    }
+    documents.stream()
+        .map(DocumentSources.PeerDocument::excludedTargets)
+        .filter(excluded -> !excluded.isEmpty())
+        .forEach(exclusionListener);
+  }
+
   private static boolean isConfiguration(DocumentSources.PeerDocument document) {
     return document.kind() == DocumentKind.CONFIGURATION && document.content().isPresent();
   }
--- a/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
@@ -102,6 +102,23 @@
     isReturnPending = true;
   }
 
+  /**
+   * Excludes targets from the lists of the copy, since another host does. To be called before the
+   * first list, when this host knows nothing of targets that have left.
+   */
+  public void excludeAtStart(Set<TargetId> excludedByOther) {
+    removedTargets.exclude(excludedByOther, context.nowIncludingSuspensions());
+    context.logEvent(
+        EventCode.REMOVED_TARGETS_LISTED,
+        "targets",
+        "excluded=" + excludedByOther.size() + " source=host");
+  }
+
+  /** Returns the targets that the store lists and that are known to have left. */
+  public Set<TargetId> excluded() {
+    return removedTargets.excluded();
+  }
+
   private void onFirstListAfterReturn(HostList list, Set<TargetId> listed, long queriedAt) {
     isReturnPending = false;
     beginRetention(listed, queriedAt);
@@ -109,7 +126,10 @@
     isAfterReturn = true;
     Set<TargetId> excluded = removedTargets.exclude(list, known(), queriedAt);
     if (!excluded.isEmpty()) {
-      context.logEvent(EventCode.REMOVED_TARGETS_LISTED, "targets", "excluded=" + excluded.size());
+      context.logEvent(
+          EventCode.REMOVED_TARGETS_LISTED,
+          "targets",
+          "excluded=" + excluded.size() + " source=store");
     }
   }
 
--- a/gatereel-core/src/test/java/org/gatereel/core/document/StartupQueryTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/StartupQueryTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -14,6 +16,7 @@
 import org.gatereel.core.model.Address;
 import org.gatereel.core.model.DataCentre;
 import org.gatereel.core.model.HostId;
+import org.gatereel.core.model.TargetId;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a host without memory that serves by what an older copy of the store shows. */
@@ -28,7 +31,9 @@
   private final DocumentRefresher refresher =
       new DocumentRefresher(
           context, directory, new DocumentCache(), sources, BOUND_MILLIS, this::onDocument);
-  private final StartupQuery query = new StartupQuery(context, directory, sources, refresher);
+  private final Set<TargetId> excluded = new HashSet<>();
+  private final StartupQuery query =
+      new StartupQuery(context, directory, sources, refresher, excluded::addAll);
   private final AtomicInteger completions = new AtomicInteger();
 
   /** Holds reads and queries until the test completes them. */
@@ -114,6 +119,25 @@
     assertEquals(1, completions.get());
   }
 
+  /** Guards against a host without memory that uses targets which left before the copy's return. */
+  @Test
+  void targetsThatOtherHostsExcludeArePassedOn() {
+    startAndReadHosts();
+    respond(
+        0,
+        Optional.of(
+            List.of(
+                new DocumentSources.PeerDocument(
+                    DocumentKind.TARGETS,
+                    Optional.of("text"),
+                    "digest",
+                    StoreVersion.withoutEra(1),
+                    0,
+                    0,
+                    Set.of(new TargetId("e1"))))));
+    assertEquals(Set.of(new TargetId("e1")), excluded);
+  }
+
   @Test
   void silentStoreDelaysTheFirstRefreshByTheTimeoutAlone() {
     query.start(completions::incrementAndGet);
--- a/gatereel-core/src/test/java/org/gatereel/core/document/TargetListUpdaterTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/TargetListUpdaterTest.java
@@ -225,4 +225,16 @@
     updater.update(list("e1", "e2", "e3"), 3_500);
     assertEquals(Set.of("e1", "e2", "e3"), usable());
   }
+
+  /** Guards against a host that starts after a return and uses targets that have left. */
+  @Test
+  void targetThatAnotherHostExcludesIsNotUsedUntilItsEntryWouldHaveExpired() {
+    updater.excludeAtStart(Set.of(new TargetId("e2"), new TargetId("e9")));
+    updater.update(list("e1", "e2"), 600);
+    assertEquals(Set.of("e1"), usable());
+    assertEquals(Set.of(new TargetId("e2")), updater.excluded());
+    updater.update(list("e1", "e2"), 5_000);
+    assertEquals(Set.of("e1", "e2"), usable());
+    assertEquals(Set.of(), updater.excluded());
+  }
 }
--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerDocuments.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerDocuments.java
@@ -12,12 +12,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.gatereel.core.document.DocumentCache;
 import org.gatereel.core.document.DocumentKind;
 import org.gatereel.core.document.DocumentSources.PeerDocument;
 import org.gatereel.core.document.SharedDocument;
 import org.gatereel.core.document.StoreReading;
 import org.gatereel.core.document.StoreVersion;
+import org.gatereel.core.model.TargetId;
 
 /**
  * Encodes the requests for documents between hosts as query strings, and the responses as JSON.
@@ -44,6 +47,7 @@
    * @param version the number of the store's version
    * @param era the era of the store's version, if the store has told it
    * @param readMillis as in {@link PeerDocument}
+   * @param excluded the ids of {@link PeerDocument#excludedTargets}, if any
    */
   private record Entry(
       DocumentKind kind,
@@ -52,11 +56,19 @@
       long version,
       long ageMillis,
       @JsonInclude(JsonInclude.Include.NON_ABSENT) Optional<Long> era,
-      @JsonInclude(JsonInclude.Include.NON_ABSENT) Optional<Long> readMillis) {
+      @JsonInclude(JsonInclude.Include.NON_ABSENT) Optional<Long> readMillis,
+      @JsonInclude(JsonInclude.Include.NON_ABSENT) Optional<List<String>> excluded) {
 
     Entry withoutOptionalFields() {
       return new Entry(
-          kind, content, digest, version, ageMillis, Optional.empty(), Optional.empty());
+          kind,
+          content,
+          digest,
+          version,
+          ageMillis,
+          Optional.empty(),
+          Optional.empty(),
+          Optional.empty());
     }
 
     PeerDocument toDocument() {
@@ -66,7 +78,8 @@
           digest,
           new StoreVersion(era.orElse(StoreVersion.UNKNOWN_ERA), version),
           ageMillis,
-          readMillis.orElse(Math.min(ageMillis, MAX_READ_MILLIS)));
+          readMillis.orElse(Math.min(ageMillis, MAX_READ_MILLIS)),
+          excluded.orElse(List.of()).stream().map(TargetId::new).collect(Collectors.toSet()));
     }
   }
 
@@ -91,7 +104,7 @@
       List<String> digests = query.parameters().getOrDefault(kind.name(), List.of());
       known
           .find(kind)
-          .map(document -> entry(document, digests, nowMillis))
+          .map(document -> entry(document, known.excludedTargets(kind), digests, nowMillis))
           .map(entry -> withOptionalFields ? entry : entry.withoutOptionalFields())
           .ifPresent(entries::add);
     }
@@ -102,7 +115,8 @@
     }
   }
 
-  private static Entry entry(SharedDocument document, List<String> digests, long nowMillis) {
+  private static Entry entry(
+      SharedDocument document, Set<TargetId> excluded, List<String> digests, long nowMillis) {
     boolean requesterHasContent = digests.contains(document.digest());
     StoreReading reading = document.reading();
     StoreVersion version = reading.version();
@@ -113,7 +127,9 @@
         version.number(),
         nowMillis - reading.queriedAt(),
         version.hasEra() ? Optional.of(version.era()) : Optional.empty(),
-        Optional.of(reading.answeredAt() - reading.queriedAt()));
+        Optional.of(reading.answeredAt() - reading.queriedAt()),
+        Optional.of(excluded.stream().map(TargetId::value).sorted().toList())
+            .filter(ids -> !ids.isEmpty()));
   }
 
   /** Reads a response; empty if it is malformed or truncated. */
--- a/gatereel-forward/src/test/java/org/gatereel/forward/peer/PeerDocumentsTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/peer/PeerDocumentsTest.java
@@ -6,12 +6,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Optional;
+import java.util.Set;
 import org.gatereel.core.document.DocumentCache;
 import org.gatereel.core.document.DocumentKind;
 import org.gatereel.core.document.DocumentSources.PeerDocument;
 import org.gatereel.core.document.SharedDocument;
 import org.gatereel.core.document.StoreReading;
 import org.gatereel.core.document.StoreVersion;
+import org.gatereel.core.model.TargetId;
 import org.junit.jupiter.api.Test;
 
 /** How hosts pass documents to each other. */
@@ -35,14 +37,27 @@
     assertEquals(20, received.readMillis());
   }
 
+  /** Guards against targets that have left and that a host which has just started uses. */
+  @Test
+  void excludedTargetsAreKnownToTheRequester() {
+    DocumentCache known = new DocumentCache();
+    known.update(document(DocumentKind.TARGETS, "d2", 4));
+    known.setExcludedTargets(() -> Set.of(new TargetId("e2")));
+    String query = PeerDocuments.writeQuery(new DocumentCache());
+    PeerDocument received = readOne(PeerDocuments.writeResponse(query, known, NOW));
+    assertEquals(Set.of(new TargetId("e2")), received.excludedTargets());
+  }
+
   /** Guards against a response that hosts of the version before cannot read. */
   @Test
   void hostThatDoesNotAskForOptionalFieldsReceivesNone() {
     DocumentCache known = new DocumentCache();
     known.update(document(DocumentKind.TARGETS, "d2", 4));
+    known.setExcludedTargets(() -> Set.of(new TargetId("e2")));
     String response = PeerDocuments.writeResponse(PeerDocuments.PATH, known, NOW);
     assertFalse(response.contains("era"));
     assertFalse(response.contains("readMillis"));
+    assertFalse(response.contains("excluded"));
     PeerDocument received = readOne(response);
     assertEquals(StoreVersion.withoutEra(4), received.version());
     assertEquals(received.ageMillis(), received.readMillis());
