Reject a response of another host with an unusable entry

What would be seen: a null among the entries, or among the excluded targets, of another host's response throws in the callback of the fetch. Nobody gets a result: a refresh stays open until its time-out, a start's query until its own.

Change: such a response is malformed, as a truncated one is.

Test: PeerDocumentsTest.responseWithAnUnusableEntryIsRejected, both cases red before (NullPointerException).

--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerDocuments.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerDocuments.java
@@ -137,7 +137,8 @@
     try {
       return Optional.ofNullable(MAPPER.readValue(body, ENTRIES))
           .map(entries -> entries.stream().map(Entry::toDocument).toList());
-    } catch (IOException e) {
+    } catch (IOException | RuntimeException e) {
+      // An exception that passes would leave the requester without any result.
       return Optional.empty();
     }
   }
--- a/gatereel-forward/src/test/java/org/gatereel/forward/peer/PeerDocumentsTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/peer/PeerDocumentsTest.java
@@ -15,6 +15,8 @@
 import org.gatereel.core.document.StoreVersion;
 import org.gatereel.core.model.TargetId;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** How hosts pass documents to each other. */
 class PeerDocumentsTest {
@@ -68,6 +70,18 @@
     return PeerDocuments.readResponse(body).orElseThrow().get(0);
   }
 
+  /** Guards against a query that never ends, since its response cannot be read. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "[null]",
+        "[{\"kind\":\"TARGETS\",\"digest\":\"d\",\"version\":1,\"ageMillis\":1,\"excluded\":[null]}]"
+      })
+  void responseWithAnUnusableEntryIsRejected(String response) {
+    byte[] body = response.getBytes(StandardCharsets.UTF_8);
+    assertEquals(Optional.empty(), PeerDocuments.readResponse(body));
+  }
+
   /** Guards against accepting a truncated list of another host's documents. */
   @Test
   void rejectsATruncatedResponse() {
