Tell other hosts the start of an excluded target with its name

What callers would see: a host that starts after a return uses a removed target of the copy if that target reports its start. The ids were passed on without the start, so that they named no target.

Test: PeerDocumentsTest.excludedTargetsAreKnownToTheRequester with a target that reports its start, red before ([e2, e3@1700] expected, [e2, e3] read).

--- a/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerDocuments.java
+++ b/gatereel-forward/src/main/java/org/gatereel/forward/peer/PeerDocuments.java
@@ -47,7 +47,7 @@
    * @param version the number of the store's version
    * @param era the era of the store's version, if the store has told it
    * @param readMillis as in {@link PeerDocument}
-   * @param excluded the ids of {@link PeerDocument#excludedTargets}, if any
+   * @param excluded the {@link PeerDocument#excludedTargets}, if any
    */
   private record Entry(
       DocumentKind kind,
@@ -57,7 +57,7 @@
       long ageMillis,
       @JsonInclude(JsonInclude.Include.NON_ABSENT) Optional<Long> era,
       @JsonInclude(JsonInclude.Include.NON_ABSENT) Optional<Long> readMillis,
-      @JsonInclude(JsonInclude.Include.NON_ABSENT) Optional<List<String>> excluded) {
+      @JsonInclude(JsonInclude.Include.NON_ABSENT) Optional<List<ExcludedTarget>> excluded) {
 
     Entry withoutOptionalFields() {
       return new Entry(
@@ -79,7 +79,20 @@
           new StoreVersion(era.orElse(StoreVersion.UNKNOWN_ERA), version),
           ageMillis,
           readMillis.orElse(Math.min(ageMillis, MAX_READ_MILLIS)),
-          excluded.orElse(List.of()).stream().map(TargetId::new).collect(Collectors.toSet()));
+          excluded.orElse(List.of()).stream()
+              .map(target -> new TargetId(target.id(), target.born()))
+              .collect(Collectors.toSet()));
+    }
+  }
+
+  /**
+   * A target that the sender excludes.
+   *
+   * @param born as in {@link TargetId}
+   */
+  private record ExcludedTarget(String id, long born) {
+    static ExcludedTarget of(TargetId target) {
+      return new ExcludedTarget(target.value(), target.born());
     }
   }
 
@@ -128,8 +141,8 @@
         nowMillis - reading.queriedAt(),
         version.hasEra() ? Optional.of(version.era()) : Optional.empty(),
         Optional.of(reading.answeredAt() - reading.queriedAt()),
-        Optional.of(excluded.stream().map(TargetId::value).sorted().toList())
-            .filter(ids -> !ids.isEmpty()));
+        Optional.of(excluded.stream().map(ExcludedTarget::of).toList())
+            .filter(targets -> !targets.isEmpty()));
   }
 
   /** Reads a response; empty if it is malformed or truncated. */
--- a/gatereel-forward/src/test/java/org/gatereel/forward/peer/PeerDocumentsTest.java
+++ b/gatereel-forward/src/test/java/org/gatereel/forward/peer/PeerDocumentsTest.java
@@ -42,12 +42,13 @@
   /** Guards against targets that have left and that a host which has just started uses. */
   @Test
   void excludedTargetsAreKnownToTheRequester() {
+    Set<TargetId> excluded = Set.of(new TargetId("e2"), new TargetId("e3", 1_700));
     DocumentCache known = new DocumentCache();
     known.update(document(DocumentKind.TARGETS, "d2", 4));
-    known.setExcludedTargets(() -> Set.of(new TargetId("e2")));
+    known.setExcludedTargets(() -> excluded);
     String query = PeerDocuments.writeQuery(new DocumentCache());
     PeerDocument received = readOne(PeerDocuments.writeResponse(query, known, NOW));
-    assertEquals(Set.of(new TargetId("e2")), received.excludedTargets());
+    assertEquals(excluded, received.excludedTargets());
   }
 
   /** Guards against a response that hosts of the version before cannot read. */
