End the exclusion of targets that only other hosts have known

What callers would see: hosts that start one after the other pass an exclusion on, each for another 5 s, also of a target that lives; a host without new lists passes on what it excluded long ago; and a host that was told uses the target after a second return.

Change: a host tells which targets it has itself known to leave, for as long as it excludes them. What it was told counts at its later returns too.

Tests: TargetListUpdaterTest, three cases red before (e2 passed on, e2 told after 5 s, e2 used after a second return).

--- a/gatereel-core/src/main/java/org/gatereel/core/document/RemovedTargets.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/RemovedTargets.java
@@ -1,5 +1,6 @@
 package org.gatereel.core.document;
 
+import com.google.common.collect.Sets;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -28,6 +29,10 @@
 
   private final Map<TargetId, Long> removedAt = new HashMap<>();
   private final Set<TargetId> excluded = new HashSet<>();
+
+  /** The targets that only other hosts have known; they are not passed on. */
+  private final Set<TargetId> removedAtOthers = new HashSet<>();
+
   private long excludedUntil;
 
   /**
@@ -40,6 +45,7 @@
     removedAt.values().removeIf(time -> now - time > MEMORY_MILLIS);
     removed.forEach(id -> removedAt.put(id, now));
     removedAt.keySet().removeAll(known);
+    removedAtOthers.removeAll(known);
   }
 
   /**
@@ -61,22 +67,30 @@
     for (TargetDescription target : list.targets()) {
       boolean isUnknown = !knownIds.contains(target.id());
       boolean isReplaced = isUnknown && knownAddresses.contains(target.address());
-      if (isReplaced || removedAt.containsKey(target.id())) {
+      if (isReplaced || isRemoved(target.id())) {
         excluded.add(target.id());
       }
     }
     return Set.copyOf(excluded);
   }
 
+  private boolean isRemoved(TargetId id) {
+    return removedAt.containsKey(id) || removedAtOthers.contains(id);
+  }
+
   /** Excludes targets that another host excludes, which knew them when they were removed. */
   void exclude(Set<TargetId> excludedByOther, long now) {
+    removedAtOthers.addAll(excludedByOther);
     excluded.addAll(excludedByOther);
     excludedUntil = now + EXCLUSION_MILLIS;
   }
 
-  /** Returns the targets that are excluded at the last list. */
-  Set<TargetId> excluded() {
-    return Set.copyOf(excluded);
+  /**
+   * Returns the targets that are excluded at a time and were known here. Those that another host
+   * has told are left out: hosts that start one after the other would exclude them for ever.
+   */
+  Set<TargetId> excluded(long now) {
+    return now < excludedUntil ? Set.copyOf(Sets.difference(excluded, removedAtOthers)) : Set.of();
   }
 
   /** Returns a list without the targets that are excluded. */
--- a/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/TargetListUpdater.java
@@ -114,9 +114,9 @@
         "excluded=" + excludedByOther.size() + " source=host");
   }
 
-  /** Returns the targets that the store lists and that are known to have left. */
+  /** Returns the targets that the store lists and that this host has known to leave. */
   public Set<TargetId> excluded() {
-    return removedTargets.excluded();
+    return removedTargets.excluded(context.nowIncludingSuspensions());
   }
 
   private void onFirstListAfterReturn(HostList list, Set<TargetId> listed, long queriedAt) {
--- a/gatereel-core/src/test/java/org/gatereel/core/document/TargetListUpdaterTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/TargetListUpdaterTest.java
@@ -232,9 +232,38 @@
     updater.excludeAtStart(Set.of(new TargetId("e2"), new TargetId("e9")));
     updater.update(list("e1", "e2"), 600);
     assertEquals(Set.of("e1"), usable());
-    assertEquals(Set.of(new TargetId("e2")), updater.excluded());
     updater.update(list("e1", "e2"), 5_000);
     assertEquals(Set.of("e1", "e2"), usable());
+  }
+
+  /** Guards against a live target that hosts exclude for ever, since each tells the next one. */
+  @Test
+  void targetThatAnotherHostExcludesIsNotPassedOn() {
+    updater.excludeAtStart(Set.of(new TargetId("e2")));
+    updater.update(list("e1", "e2"), 600);
     assertEquals(Set.of(), updater.excluded());
   }
+
+  /** Guards against a host without new lists that tells others to exclude a target for ever. */
+  @Test
+  void removedTargetIsPassedOnUntilItsEntryWouldHaveExpired() {
+    updater.update(list("e1", "e2"), 0);
+    updater.update(list("e1"), 600);
+    updater.recordStoreReturn();
+    updater.update(list("e1", "e2"), 1_200);
+    advanceTo(6_199);
+    assertEquals(Set.of(new TargetId("e2")), updater.excluded());
+    advanceTo(6_200);
+    assertEquals(Set.of(), updater.excluded());
+  }
+
+  /** Guards against a target that comes back with a second return at a host that never knew it. */
+  @Test
+  void targetThatAnotherHostExcludesIsNotUsedAfterASecondReturn() {
+    updater.excludeAtStart(Set.of(new TargetId("e2")));
+    updater.update(list("e1", "e2"), 600);
+    updater.recordStoreReturn();
+    updater.update(list("e1", "e2"), 1_200);
+    assertEquals(Set.of("e1"), usable());
+  }
 }
