Let a reader of the earlier era confirm documents that have shown no return yet

What would be seen: where the store tells its era, a return that shows in one document made all documents of a reader that had not read the store since count as outdated. Followers would read the store themselves, and leave their reader for 10 s.

Change: a document of another host is outdated if the known one of the same kind is of a later era, as before.

Test: ReturnedReadingsTest.readerThatHasNotReadTheReturnedStoreConfirmsWhatItHasRead, red before (not confirmed).

--- a/gatereel-core/src/main/java/org/gatereel/core/document/DocumentUpdater.java
+++ b/gatereel-core/src/main/java/org/gatereel/core/document/DocumentUpdater.java
@@ -113,13 +113,16 @@
    * it seems: it must not bring back an earlier era. This host's own later readings may.
    */
   private DocumentCache.UpdateResult updateCache(SharedDocument document, String source) {
-    if (!source.equals(STORE) && history.knowsLaterEraThan(document.version())) {
-      return cache.find(document.kind()).isPresent()
-          ? DocumentCache.UpdateResult.OUTDATED
-          : cache.update(document);
+    if (source.equals(STORE) || !history.knowsLaterEraThan(document.version())) {
+      history.record(document.kind(), document.reading(), source);
+      return cache.update(document);
     }
-    history.record(document.kind(), document.reading(), source);
-    return cache.update(document);
+    return cache
+            .find(document.kind())
+            .filter(known -> known.version().isOfLaterEraThan(document.version()))
+            .isPresent()
+        ? DocumentCache.UpdateResult.OUTDATED
+        : cache.update(document);
   }
 
   private void logChange(SharedDocument document, String source) {
--- a/gatereel-core/src/test/java/org/gatereel/core/document/ReturnedReadingsTest.java
+++ b/gatereel-core/src/test/java/org/gatereel/core/document/ReturnedReadingsTest.java
@@ -1,6 +1,7 @@
 package org.gatereel.core.document;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.Optional;
@@ -173,6 +174,19 @@
     assertEquals(1, documents.history().returns());
   }
 
+  /** Guards against a reader that is left, since one document shows the return before another. */
+  @Test
+  void readerThatHasNotReadTheReturnedStoreConfirmsWhatItHasRead() {
+    advanceTo(10_000);
+    fromStore(DocumentKind.CONFIGURATION, "a", 1, 500, 9_990);
+    fromStore(DocumentKind.TARGETS, "e1,e2", 1, 500, 9_990);
+    advanceTo(11_000);
+    fromStore(DocumentKind.CONFIGURATION, "a", 2, 300, 10_990);
+    documents.updateFromPeer(PEER, peer(DocumentKind.TARGETS, "e1,e2", 1, 500, 200, 10), 10_990);
+    assertTrue(cache.isConfirmedSince(DocumentKind.TARGETS, 10_790));
+    assertEquals(1, documents.history().returns());
+  }
+
   /** Guards against a failing part that keeps all others, and the reading, from being used. */
   @Test
   void partThatFailsAtTheReturnStopsNoOther() {
